Workspace, resource types and wire forms

Cause: nothing existed. The crates that the programs share come first, so that each area can be written against fixed borders: domain types without serialisation, their wire forms with checked conversions, the platform's interfaces as traits, settings, log output and signals, and tables in memory for tests of the protocols.

Ruled out: one crate for domain and wire types (a change of the wire would then reach every decision crate).

--- /dev/null
+++ b/crates/claim/src/lib.rs
@@ -0,0 +1,1 @@
+//! Claims that keep non-idempotent requests to one execution.
--- /dev/null
+++ b/crates/ctl/src/lib.rs
@@ -0,0 +1,1 @@
+//! Command line for operators.
--- /dev/null
+++ b/crates/ctl/src/main.rs
@@ -0,0 +1,3 @@
+//! Entry point of `agatectl`.
+
+fn main() {}
--- /dev/null
+++ b/crates/fleet/src/lib.rs
@@ -0,0 +1,1 @@
+//! Sizing of pools, placement of models and version roll-out.
--- /dev/null
+++ b/crates/gate/src/lib.rs
@@ -0,0 +1,1 @@
+//! Data path: checks keys, admits, queues and forwards requests.
--- /dev/null
+++ b/crates/gate/src/main.rs
@@ -0,0 +1,3 @@
+//! Entry point of `agate-gate`.
+
+fn main() {}
--- /dev/null
+++ b/crates/lease/src/lib.rs
@@ -0,0 +1,1 @@
+//! Lease rules: acquisition, renewal, expiry and fenced orders.
--- /dev/null
+++ b/crates/load/src/lib.rs
@@ -0,0 +1,1 @@
+//! Load generator and policy experiments.
--- /dev/null
+++ b/crates/member/src/lib.rs
@@ -0,0 +1,1 @@
+//! Membership of entry hosts and the gossip frames they exchange.
--- /dev/null
+++ b/crates/pick/src/lib.rs
@@ -0,0 +1,1 @@
+//! Choice of an endpoint for a request.
--- /dev/null
+++ b/crates/platform/src/interface.rs
@@ -0,0 +1,75 @@
+//! What the programs need from the platform.
+
+use std::time::Duration;
+
+use agate_wire::order::{Machine, Order, Receipt};
+use agate_wire::platform::{Listing, Report};
+use agate_wire::table::{Commit, Page, Row, Transaction};
+use bytes::Bytes;
+use futures_util::future::LocalBoxFuture;
+
+use crate::error::Error;
+
+/// Future result of a call.
+pub type Answer<'a, T> = LocalBoxFuture<'a, Result<T, Error>>;
+
+/// Transactional table service.
+pub trait Tables {
+    /// One row, or `None` if it does not exist.
+    fn get<'a>(&'a self, table: &'a str, key: &'a str) -> Answer<'a, Option<Row>>;
+
+    /// Rows whose key starts with `prefix` and is above `after`, at most `limit`.
+    fn scan<'a>(
+        &'a self,
+        table: &'a str,
+        prefix: &'a str,
+        after: &'a str,
+        limit: usize,
+    ) -> Answer<'a, Page>;
+
+    /// Commits a transaction, or fails without any write.
+    fn commit<'a>(&'a self, transaction: &'a Transaction) -> Answer<'a, Commit>;
+}
+
+/// Object store.
+pub trait Objects {
+    /// Contents, or `None` if there is no such object.
+    fn get<'a>(&'a self, name: &'a str) -> Answer<'a, Option<Bytes>>;
+
+    /// Creates or replaces an object.
+    fn put<'a>(&'a self, name: &'a str, contents: Bytes) -> Answer<'a, ()>;
+}
+
+/// Interface for ordering endpoints.
+pub trait Orders {
+    /// Sends an order over a new connection. `deadline` bounds the whole call;
+    /// nothing is sent after it. `may_send` is asked again between connecting and
+    /// the first byte; if it says no, the call ends with [`Error::Unreached`].
+    fn order<'a>(
+        &'a self,
+        order: &'a Order,
+        deadline: Duration,
+        may_send: &'a dyn Fn() -> bool,
+    ) -> Answer<'a, Receipt>;
+
+    /// Endpoints that were ordered; lags by seconds.
+    fn machines(&self) -> Answer<'_, Vec<Machine>>;
+}
+
+/// Interface that accepts usage reports.
+pub trait Reports {
+    /// Sends a report. A repeated `id` has no further effect. `may_send` as for [`Orders::order`].
+    fn send<'a>(
+        &'a self,
+        id: &'a str,
+        report: &'a Report,
+        deadline: Duration,
+        may_send: &'a dyn Fn() -> bool,
+    ) -> Answer<'a, ()>;
+}
+
+/// The lagging list of hosts and endpoints.
+pub trait Hosts {
+    /// The list.
+    fn list(&self) -> Answer<'_, Listing>;
+}
--- /dev/null
+++ b/crates/proof/src/lib.rs
@@ -0,0 +1,1 @@
+//! Failure tests that run the real programs.
--- /dev/null
+++ b/crates/queue/src/lib.rs
@@ -0,0 +1,1 @@
+//! Admission, tiers and fair shares between client accounts.
--- /dev/null
+++ b/crates/settings/src/lib.rs
@@ -0,0 +1,6 @@
+//! Settings files, log output and signals shared by the programs.
+
+pub mod file;
+pub mod log;
+pub mod signal;
+pub mod size;
--- /dev/null
+++ b/crates/steer/src/main.rs
@@ -0,0 +1,3 @@
+//! Entry point of `agate-steer`.
+
+fn main() {}
--- /dev/null
+++ b/crates/stream/src/lib.rs
@@ -0,0 +1,1 @@
+//! Reassembly of streamed answers.
--- /dev/null
+++ b/crates/usage/src/lib.rs
@@ -0,0 +1,1 @@
+//! Usage counters, reporting windows and their closing.
--- /dev/null
+++ b/crates/wire/src/lib.rs
@@ -0,0 +1,16 @@
+//! Serialised forms of resources, of the calls between processes and of the
+//! interfaces of the platform and the engines.
+//!
+//! Types convert to and from the domain types of `agate-model` with `From`
+//! and `TryFrom`; the fallible direction collects every fault.
+
+pub mod address;
+pub mod change;
+pub mod engine;
+pub mod fault;
+pub mod manifest;
+pub mod order;
+pub mod platform;
+pub mod refusal;
+pub mod sync;
+pub mod table;
