Platform clients over HTTP, with errors sorted by their effect

The library reports a server that read a request and then closed as a connect error, so only a refused connection counts as not reached. Orders and reports run over a connection of their own: the stream records whether a byte may have been written, and the sender's permission is asked in the same poll as the first write. actix-tls becomes a direct dependency, as the library does not re-export the connection type that a connector must return; it was linked already.

Tests against servers that show what they received: refused, closed after reading, silent, every status group, no permission.

--- /dev/null
+++ b/crates/platform/src/http/fresh.rs
@@ -0,0 +1,154 @@
+//! Calls over a new connection, with a last check before the first byte.
+
+use std::cell::{Cell, RefCell};
+use std::future::{Future, poll_fn};
+use std::io;
+use std::net::SocketAddr;
+use std::pin::{Pin, pin};
+use std::rc::Rc;
+use std::task::{Context, Poll, ready};
+use std::time::Duration;
+
+use actix_rt::net::{ActixStream, Ready};
+use actix_service::fn_service;
+use actix_tls::connect::{ConnectError, ConnectInfo, Connection};
+use awc::http::Uri;
+use bytes::Bytes;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+use tokio::net::TcpStream;
+use tokio::time::{Instant, timeout_at};
+
+use super::call::{self, Reply};
+use crate::error::Error;
+
+/// A POST that is sent at most once.
+pub(super) struct Post<'a> {
+    /// Receiver.
+    pub(super) address: SocketAddr,
+    /// Path.
+    pub(super) path: &'a str,
+    /// Identity of the call for the receiver.
+    pub(super) idempotency_key: &'a str,
+    /// JSON.
+    pub(super) body: Bytes,
+}
+
+impl Post<'_> {
+    /// Connects, asks `may_send` until the first byte is written, and reads the reply.
+    pub(super) async fn send(
+        self,
+        deadline: Duration,
+        may_send: &dyn Fn() -> bool,
+    ) -> Result<Reply, Error> {
+        let until = Instant::now() + deadline;
+        let stream = connect(self.address, until).await?;
+        let written = Rc::new(Cell::new(false));
+        let client = client_over(Watched {
+            stream,
+            written: Rc::clone(&written),
+        });
+        let request = client
+            .post(format!("http://{}{}", self.address, self.path))
+            .force_close()
+            .no_decompress()
+            .content_type("application/json")
+            .insert_header(("idempotency-key", self.idempotency_key))
+            .timeout(deadline);
+        let call = guard(call::run(request, self.body), &written, may_send);
+        let outcome = timeout_at(until, call).await;
+        match outcome {
+            Ok(Err(err)) if !written.get() => Err(Error::Unreached(err.to_string())),
+            Ok(outcome) => outcome,
+            Err(_) if !written.get() => Err(Error::Unreached("deadline passed".to_owned())),
+            Err(_) => Err(Error::Unknown("deadline passed".to_owned())),
+        }
+    }
+}
+
+async fn connect(address: SocketAddr, until: Instant) -> Result<TcpStream, Error> {
+    match timeout_at(until, TcpStream::connect(address)).await {
+        Ok(Ok(stream)) => Ok(stream),
+        Ok(Err(err)) => Err(Error::Unreached(err.to_string())),
+        Err(_) => Err(Error::Unreached("timeout while connecting".to_owned())),
+    }
+}
+
+/// Asks `may_send` before each step of `call` until the first byte is written.
+async fn guard<F>(call: F, written: &Cell<bool>, may_send: &dyn Fn() -> bool) -> F::Output
+where
+    F: Future<Output = Result<Reply, Error>>,
+{
+    let mut call = pin!(call);
+    poll_fn(|cx| {
+        if !written.get() && !may_send() {
+            return Poll::Ready(Err(Error::Unreached("no longer allowed".to_owned())));
+        }
+        call.as_mut().poll(cx)
+    })
+    .await
+}
+
+/// A client whose only connection is `stream`.
+fn client_over(stream: Watched) -> awc::Client {
+    let slot = Rc::new(RefCell::new(Some(stream)));
+    let connector = fn_service(move |info: ConnectInfo<Uri>| {
+        let stream = slot.borrow_mut().take();
+        async move {
+            let stream = stream.ok_or(ConnectError::Unresolved)?;
+            Ok::<_, ConnectError>(Connection::new(info.request().clone(), stream))
+        }
+    });
+    awc::Client::builder()
+        .connector(awc::Connector::new().connector(connector))
+        .disable_redirects()
+        .finish()
+}
+
+/// A stream that records whether a byte may have been written.
+#[derive(Debug)]
+struct Watched {
+    stream: TcpStream,
+    written: Rc<Cell<bool>>,
+}
+
+impl AsyncRead for Watched {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_read(cx, buf)
+    }
+}
+
+impl AsyncWrite for Watched {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let outcome = ready!(Pin::new(&mut self.stream).poll_write(cx, buf));
+        if !buf.is_empty() {
+            self.written.set(true);
+        }
+        Poll::Ready(outcome)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
+
+impl ActixStream for Watched {
+    fn poll_read_ready(&self, cx: &mut Context<'_>) -> Poll<io::Result<Ready>> {
+        ActixStream::poll_read_ready(&self.stream, cx)
+    }
+
+    fn poll_write_ready(&self, cx: &mut Context<'_>) -> Poll<io::Result<Ready>> {
+        ActixStream::poll_write_ready(&self.stream, cx)
+    }
+}
--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -5,6 +5,7 @@
 //! takes part in the single-threaded runtime of its caller, so futures are not `Send`.
 
 pub mod error;
+pub mod http;
 pub mod interface;
 
 pub use error::Error;
--- /dev/null
+++ b/crates/platform/tests/http.rs
@@ -0,0 +1,157 @@
+//! The HTTP client against servers that show what they received.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use agate_platform::Error;
+use agate_platform::http::Client;
+use agate_platform::interface::{Orders as _, Tables as _};
+use agate_wire::order::{Action, Order, Receipt};
+use agate_wire::table::{Check, Conflict, Transaction};
+use rstest::rstest;
+use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
+use tokio::net::TcpListener;
+use tokio::sync::oneshot;
+
+const TIMEOUT: Duration = Duration::from_millis(300);
+
+/// Reads one request, sends `reply` and closes; yields the bytes received.
+async fn server(reply: Option<String>) -> (SocketAddr, oneshot::Receiver<String>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind");
+    let address = listener.local_addr().expect("address");
+    let (sender, received) = oneshot::channel();
+    actix_rt::spawn(async move {
+        let (mut stream, _) = listener.accept().await.expect("accept");
+        let mut buf = vec![0; 4096];
+        let length = stream.read(&mut buf).await.unwrap_or(0);
+        if let Some(reply) = reply {
+            let _ = stream.write_all(reply.as_bytes()).await;
+        }
+        let _ = stream.shutdown().await;
+        let _ = sender.send(String::from_utf8_lossy(&buf[..length]).into_owned());
+    });
+    (address, received)
+}
+
+fn reply(status: &str, body: &str) -> Option<String> {
+    let length = body.len();
+    Some(format!(
+        "HTTP/1.1 {status}\r\ncontent-length: {length}\r\nconnection: close\r\n\r\n{body}"
+    ))
+}
+
+fn order() -> Order {
+    Order {
+        id: "o-1".to_owned(),
+        epoch: 3,
+        sender: "host-1".to_owned(),
+        action: Action::Stop {
+            endpoint: "e".to_owned(),
+        },
+    }
+}
+
+#[actix_rt::test]
+async fn refused_connection_is_unreached() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind");
+    let address = listener.local_addr().expect("address");
+    drop(listener);
+    let client = Client::new(address, TIMEOUT);
+    let outcome = client.commit(&Transaction::default()).await;
+    assert!(matches!(outcome, Err(Error::Unreached(_))), "{outcome:?}");
+    let outcome = client.order(&order(), TIMEOUT, &|| true).await;
+    assert!(matches!(outcome, Err(Error::Unreached(_))), "{outcome:?}");
+}
+
+#[actix_rt::test]
+async fn close_after_reading_is_unknown() {
+    let (address, received) = server(None).await;
+    let outcome = Client::new(address, TIMEOUT)
+        .commit(&Transaction::default())
+        .await;
+    assert!(matches!(outcome, Err(Error::Unknown(_))), "{outcome:?}");
+    assert!(
+        received
+            .await
+            .expect("request")
+            .starts_with("POST /tables/transactions")
+    );
+
+    let (address, received) = server(None).await;
+    let outcome = Client::new(address, TIMEOUT)
+        .order(&order(), TIMEOUT, &|| true)
+        .await;
+    assert!(matches!(outcome, Err(Error::Unknown(_))), "{outcome:?}");
+    assert!(received.await.expect("request").contains("o-1"));
+}
+
+#[actix_rt::test]
+async fn silence_is_unknown() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind");
+    let address = listener.local_addr().expect("address");
+    let client = Client::new(address, TIMEOUT);
+    let outcome = client.commit(&Transaction::default()).await;
+    assert!(matches!(outcome, Err(Error::Unknown(_))), "{outcome:?}");
+    let outcome = client.order(&order(), TIMEOUT, &|| true).await;
+    assert!(matches!(outcome, Err(Error::Unknown(_))), "{outcome:?}");
+}
+
+#[rstest]
+#[case("503 Service Unavailable", true)]
+#[case("429 Too Many Requests", true)]
+#[case("400 Bad Request", true)]
+#[case("500 Internal Server Error", false)]
+#[case("504 Gateway Timeout", false)]
+#[case("307 Temporary Redirect", false)]
+#[actix_rt::test]
+async fn status_tells_of_the_effect(#[case] status: &str, #[case] without_effect: bool) {
+    let (address, _received) = server(reply(status, "no")).await;
+    let outcome = Client::new(address, TIMEOUT)
+        .commit(&Transaction::default())
+        .await;
+    match outcome {
+        Err(Error::Refused { .. }) => assert!(without_effect),
+        Err(Error::Unknown(_)) => assert!(!without_effect),
+        other => panic!("{other:?}"),
+    }
+}
+
+#[actix_rt::test]
+async fn conflict_names_the_row() {
+    let conflict = Conflict {
+        check: Check {
+            table: "config".to_owned(),
+            key: "head".to_owned(),
+            revision: Some(1),
+        },
+        found: None,
+    };
+    let body = serde_json::to_string(&conflict).expect("json");
+    let (address, _received) = server(reply("409 Conflict", &body)).await;
+    let outcome = Client::new(address, TIMEOUT)
+        .commit(&Transaction::default())
+        .await;
+    assert_eq!(outcome, Err(Error::Conflict(Box::new(conflict))));
+}
+
+#[actix_rt::test]
+async fn nothing_is_sent_without_permission() {
+    let (address, received) = server(None).await;
+    let outcome = Client::new(address, TIMEOUT)
+        .order(&order(), TIMEOUT, &|| false)
+        .await;
+    assert!(matches!(outcome, Err(Error::Unreached(_))), "{outcome:?}");
+    assert_eq!(received.await.expect("connection"), "");
+}
+
+#[actix_rt::test]
+async fn order_carries_its_idempotency_key() {
+    let body = serde_json::to_string(&Receipt::Unavailable).expect("json");
+    let (address, received) = server(reply("200 OK", &body)).await;
+    let outcome = Client::new(address, TIMEOUT)
+        .order(&order(), TIMEOUT, &|| true)
+        .await;
+    assert_eq!(outcome, Ok(Receipt::Unavailable));
+    let received = received.await.expect("request").to_lowercase();
+    assert!(received.contains("idempotency-key: o-1"), "{received}");
+}
