--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -5,6 +5,7 @@
 //! and `TryFrom`; the fallible direction collects every fault.
 
 pub mod address;
+pub mod api;
 pub mod change;
 pub mod engine;
 pub mod fault;
