--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod address;
 pub mod change;
+pub mod claim;
 pub mod engine;
 pub mod fault;
 pub mod manifest;
