--- /dev/null
+++ b/crates/ctl/src/cmd/watch.rs
@@ -0,0 +1,80 @@
+//! `agatectl watch`.
+
+use std::time::Duration;
+
+use agate_model::id::Version;
+use agate_wire::change::{Change, Edit};
+use bpaf::Bpaf;
+
+use crate::cmd::manifest;
+use crate::config::{Connection, Format, connection, format, print};
+use crate::error::Error;
+
+const WAIT: Duration = Duration::from_secs(20);
+
+/// Print changes as they are made, one line an edit
+///
+///
+/// Example:
+///     agatectl watch --from 40
+#[derive(Clone, Debug, Bpaf)]
+#[bpaf(command("watch"))]
+pub struct Args {
+    #[bpaf(external)]
+    connection: Connection,
+    /// Version after which to begin; the current one if not given
+    #[bpaf(long, argument("VERSION"), optional)]
+    from: Option<Version>,
+    /// End after this many changes
+    #[bpaf(long, argument("NUMBER"), optional)]
+    count: Option<usize>,
+    #[bpaf(external(format))]
+    output: Format,
+}
+
+impl Args {
+    /// Runs the command.
+    pub async fn run(self) -> Result<(), Error> {
+        let client = self.connection.client()?;
+        let mut from = match self.from {
+            Some(version) => version,
+            None => client.status().await?.version,
+        };
+        let mut left = self.count.unwrap_or(usize::MAX);
+        while left > 0 {
+            let watch = client.watch(from, WAIT).await?;
+            if watch.reset {
+                print(&format!(
+                    "# changes below version {} are gone\n",
+                    watch.version
+                ))?;
+                from = watch.version;
+            }
+            for change in watch.changes.iter().take(left) {
+                self.show(change)?;
+                from = change.version;
+                left -= 1;
+            }
+        }
+        Ok(())
+    }
+
+    fn show(&self, change: &Change) -> Result<(), Error> {
+        if self.output == Format::Json {
+            let line =
+                serde_json::to_string(change).map_err(|err| Error::Answer(err.to_string()))?;
+            return print(&format!("{line}\n"));
+        }
+        change
+            .edits
+            .iter()
+            .try_for_each(|edit| print(&format!("{} {}\n", change.version, line(edit))))
+    }
+}
+
+fn line(edit: &Edit) -> String {
+    match edit {
+        Edit::Put { manifest } => format!("put {}", manifest::name(manifest)),
+        Edit::Delete { kind, id } => format!("delete {kind}/{id}"),
+    }
+}
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -1,1 +1,7 @@
-//! Command line for operators.
+//! Commands of `agatectl`, one module each, over one client of the resource API.
+
+pub mod client;
+pub mod cmd;
+pub mod config;
+pub mod error;
+pub mod render;
