--- a/crates/member/src/lib.rs
+++ b/crates/member/src/lib.rs
@@ -1,1 +1,4 @@
-//! Membership of entry hosts and the gossip frames they exchange.
+//! Membership of entry hosts, the gossip frames they exchange, and the seal on their calls.
+
+pub mod secret;
+pub mod token;
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod fault;
 pub mod manifest;
 pub mod order;
+pub mod peer;
 pub mod platform;
 pub mod refusal;
 pub mod sync;
