--- /dev/null
+++ b/crates/queue/tests/common/mod.rs
@@ -0,0 +1,34 @@
+//! Items and a property runner with a fixed seed.
+#![allow(dead_code)]
+
+use std::time::{Duration, Instant};
+
+use agate_queue::Item;
+use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+
+pub(crate) fn runner(cases: u32) -> TestRunner {
+    let config = Config {
+        cases,
+        failure_persistence: None,
+        ..Config::default()
+    };
+    let rng = TestRng::deterministic_rng(RngAlgorithm::ChaCha);
+    TestRunner::new_with_rng(config, rng)
+}
+
+/// An item of class `c<tier>` with 100 tokens, due in an hour.
+pub(crate) fn item(now: Instant, account: &str, tier: u8) -> Item {
+    Item {
+        account: Some(account.to_owned()),
+        class: format!("c{tier}"),
+        tier,
+        class_weight: 1,
+        account_weight: 1,
+        queue_limit: 8,
+        arrival: now,
+        deadline: now + Duration::from_secs(3600),
+        work: Duration::ZERO,
+        tokens: 100,
+        idempotent: true,
+    }
+}
--- /dev/null
+++ b/crates/queue/tests/scheduler.rs
@@ -0,0 +1,143 @@
+//! Cases of admission and order.
+
+mod common;
+
+use std::time::{Duration, Instant};
+
+use agate_model::refusal::Reason;
+use agate_queue::{Offer, Scheduler, Ticket};
+use common::item;
+
+fn queued(offer: Offer) -> (Ticket, Option<Ticket>) {
+    match offer {
+        Offer::Queued { ticket, displaced } => (ticket, displaced),
+        Offer::Refused(reason) => panic!("refused: {}", reason.code()),
+    }
+}
+
+#[test]
+fn the_higher_tier_starts_first() {
+    let now = Instant::now();
+    let mut scheduler = Scheduler::new();
+    queued(scheduler.offer(now, item(now, "a", 3)));
+    queued(scheduler.offer(now, item(now, "a", 0)));
+    let start = scheduler.next(now).expect("work is queued");
+    assert_eq!(start.item.tier, 0);
+    scheduler.settle(start.charge, 50);
+}
+
+#[test]
+fn a_full_queue_displaces_the_newest_of_the_heaviest_account_in_the_lowest_tier() {
+    let now = Instant::now();
+    let mut scheduler = Scheduler::new();
+    queued(scheduler.offer(now, item(now, "light", 3)));
+    let heavy: Vec<_> = (0..7)
+        .map(|_| queued(scheduler.offer(now, item(now, "heavy", 3))).0)
+        .collect();
+    for _ in 0..8 {
+        queued(scheduler.offer(now, item(now, "a", 1)));
+    }
+    let (_, displaced) = queued(scheduler.offer(now, item(now, "a", 1)));
+    assert_eq!(displaced, heavy.last().copied());
+    let lower = scheduler.offer(now, item(now, "other", 4));
+    assert!(
+        matches!(lower, Offer::Queued { .. }),
+        "its class has places of its own"
+    );
+}
+
+#[test]
+fn within_a_full_class_the_account_over_its_share_gives_way() {
+    let now = Instant::now();
+    let mut scheduler = Scheduler::new();
+    let heavy: Vec<_> = (0..8)
+        .map(|_| queued(scheduler.offer(now, item(now, "heavy", 1))).0)
+        .collect();
+    let again = scheduler.offer(now, item(now, "heavy", 1));
+    assert_eq!(again, Offer::Refused(Reason::QueueFull));
+    let (_, displaced) = queued(scheduler.offer(now, item(now, "light", 1)));
+    assert_eq!(displaced, heavy.last().copied());
+}
+
+#[test]
+fn a_request_past_its_deadline_is_refused_or_removed() {
+    let now = Instant::now();
+    let mut scheduler = Scheduler::new();
+    let late = scheduler.offer(now + Duration::from_secs(4000), item(now, "a", 0));
+    assert_eq!(late, Offer::Refused(Reason::DeadlinePassed));
+    let (ticket, _) = queued(scheduler.offer(now, item(now, "a", 0)));
+    let end = scheduler.next_expiry().expect("one request is queued");
+    assert!(scheduler.expire(end - Duration::from_millis(1)).is_empty());
+    assert_eq!(scheduler.expire(end), [ticket]);
+    assert!(scheduler.is_empty());
+}
+
+#[test]
+fn an_unreachable_deadline_is_refused_without_looking_at_lower_tiers() {
+    let start = Instant::now();
+    let mut scheduler = Scheduler::new();
+    let mut now = start;
+    for _ in 0..40 {
+        queued(scheduler.offer(now, item(now, "a", 3)));
+        now += Duration::from_secs(1);
+        let start = scheduler.next(now).expect("work is queued");
+        scheduler.settle(start.charge, 100);
+    }
+    for _ in 0..6 {
+        queued(scheduler.offer(now, item(now, "a", 3)));
+    }
+    let mut hasty = item(now, "a", 3);
+    hasty.deadline = now + Duration::from_secs(3);
+    assert_eq!(
+        scheduler.offer(now, hasty.clone()),
+        Offer::Refused(Reason::DeadlineUnreachable)
+    );
+    hasty.account = Some("light".to_owned());
+    queued(scheduler.offer(now, hasty));
+    let mut higher = item(now, "a", 2);
+    higher.deadline = now + Duration::from_secs(3);
+    queued(scheduler.offer(now, higher));
+}
+
+#[test]
+fn under_a_floor_a_lower_class_queues_one_request() {
+    let now = Instant::now();
+    let until = now + Duration::from_secs(1);
+    let mut scheduler = Scheduler::new();
+    scheduler.set_floor(1, until);
+    queued(scheduler.offer(now, item(now, "a", 2)));
+    assert_eq!(
+        scheduler.offer(now, item(now, "b", 2)),
+        Offer::Refused(Reason::Shed)
+    );
+    queued(scheduler.offer(now, item(now, "a", 1)));
+    queued(scheduler.offer(now, item(now, "b", 1)));
+    assert_eq!(scheduler.pressure(now), Some(2));
+    queued(scheduler.offer(until, item(until, "b", 2)));
+}
+
+#[test]
+fn a_request_put_back_keeps_its_turn_and_costs_nothing() {
+    let now = Instant::now();
+    let mut scheduler = Scheduler::new();
+    let mut first = item(now, "a", 1);
+    first.tokens = 7;
+    queued(scheduler.offer(now, first));
+    queued(scheduler.offer(now, item(now, "a", 1)));
+    let start = scheduler.next(now).expect("work is queued");
+    scheduler.put_back(start);
+    let again = scheduler.next(now).expect("work is queued");
+    assert_eq!(again.item.tokens, 7);
+    scheduler.settle(again.charge, 7);
+}
+
+#[test]
+fn a_removed_request_never_starts() {
+    let now = Instant::now();
+    let mut scheduler = Scheduler::new();
+    let (ticket, _) = queued(scheduler.offer(now, item(now, "a", 1)));
+    assert!(scheduler.remove(ticket).is_some());
+    assert!(scheduler.remove(ticket).is_none());
+    assert!(scheduler.next(now).is_none());
+    assert_eq!(scheduler.snapshot(now).accounts, 0);
+}
