--- a/crates/retry/src/lib.rs
+++ b/crates/retry/src/lib.rs
@@ -1,1 +1,10 @@
 //! Retry budgets, hedges, backoff and proof that a request was not run.
+//!
+//! An [`attempt::Unsent`] is the only source of [`attempt::NotRun`]; sending
+//! consumes it. [`decision::next`] says what follows a failed attempt.
+
+pub mod attempt;
+pub mod backoff;
+pub mod budget;
+pub mod decision;
+pub mod hedge;
