--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -64,7 +64,7 @@
 pub struct SnapshotRow {
     /// Version of the snapshot.
     pub version: Version,
-    /// Name of the object that holds the [`Copy`].
+    /// Name of the object that holds the [`struct@Copy`].
     pub object: String,
 }
 
