--- a/crates/fake/src/engine/mod.rs
+++ b/crates/fake/src/engine/mod.rs
@@ -7,6 +7,7 @@
 pub mod cache;
 pub mod orders;
 pub mod stream;
+pub mod weights;
 
 use std::cell::{Cell, RefCell};
 use std::io;
@@ -26,6 +27,12 @@
 /// Priority of requests without `x-agate-priority`.
 const DEFAULT_PRIORITY: u8 = 2;
 
+/// Size of a model's weights.
+pub const MODEL_BYTES: u64 = 1 << 30;
+
+/// Bytes per second that the weight store gives by default.
+pub const WEIGHT_RATE: u64 = 2 << 30;
+
 /// Options of an engine.
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -57,8 +64,10 @@
     pub orphan_limit: Duration,
     /// Models loaded at start; every model is accepted if there are none.
     pub models: Vec<LoadedModel>,
-    /// Time to load a model.
+    /// Time to load a model once its weights are there.
     pub load_time: Duration,
+    /// Where weights come from.
+    pub weights: Rc<weights::Store>,
     /// Reaction to orders with an old fencing number.
     pub fencing: Fencing,
 }
@@ -85,7 +94,8 @@
             keep: Duration::from_secs(20),
             orphan_limit: Duration::from_secs(10),
             models: Vec::new(),
-            load_time: Duration::from_secs(1),
+            load_time: Duration::from_millis(500),
+            weights: Rc::new(weights::Store::new(MODEL_BYTES, WEIGHT_RATE)),
             fencing: Fencing::Checked,
         }
     }
--- a/crates/fake/src/engine/orders.rs
+++ b/crates/fake/src/engine/orders.rs
@@ -1,6 +1,7 @@
 //! Orders to an engine: models, role, draining.
 
 use std::collections::{HashMap, HashSet};
+use std::rc::Rc;
 use std::time::Duration;
 
 use agate_wire::engine::{Action, Fenced, LoadedModel, Order};
@@ -9,6 +10,7 @@
 use tokio::time::Instant;
 
 use super::Settings;
+use super::weights::Store;
 use crate::http::{Answer, Request};
 use crate::ledger::wall_ms;
 
@@ -36,6 +38,7 @@
 pub struct Orders {
     fencing: Fencing,
     load_time: Duration,
+    weights: Rc<Store>,
     received: Vec<Received>,
     done: HashSet<String>,
     highest: u64,
@@ -59,6 +62,7 @@
         Self {
             fencing: settings.fencing,
             load_time: settings.load_time,
+            weights: settings.weights.clone(),
             received: Vec::new(),
             done: HashSet::new(),
             highest: 0,
@@ -136,7 +140,7 @@
     fn carry_out(&mut self, action: Action) {
         match action {
             Action::Load { model, version } => {
-                let loaded_at = Instant::now() + self.load_time;
+                let loaded_at = self.weights.fetch() + self.load_time;
                 self.models.insert(model, Version { version, loaded_at });
             }
             Action::Unload { model } => {
--- a/crates/fake/src/main.rs
+++ b/crates/fake/src/main.rs
@@ -3,8 +3,10 @@
 use std::io::{self, Write as _};
 use std::net::SocketAddr;
 use std::process::ExitCode;
+use std::rc::Rc;
 use std::time::Duration;
 
+use agate_fake::engine::weights::Store;
 use agate_fake::{engine, platform, server, service};
 use agate_settings::{log, signal};
 use agate_wire::engine::LoadedModel;
@@ -99,9 +101,12 @@
     /// Age of load reports
     #[bpaf(argument::<Span>("DURATION"), map(|it| it.0), fallback(Duration::from_millis(500)))]
     load_lag: Duration,
-    /// Time to load a model
-    #[bpaf(argument::<Span>("DURATION"), map(|it| it.0), fallback(Duration::from_secs(1)))]
+    /// Time to load a model once its weights are there
+    #[bpaf(argument::<Span>("DURATION"), map(|it| it.0), fallback(Duration::from_millis(500)))]
     load_time: Duration,
+    /// Bytes per second that the weight store gives to all engines; a model has 1 GiB
+    #[bpaf(argument("N"), fallback(engine::WEIGHT_RATE))]
+    weight_rate: u64,
     /// Model loaded at start, as NAME or NAME=VERSION; any is served if there are none
     #[bpaf(long("model"), argument::<String>("MODEL"), map(|it| loaded(&it)), many)]
     models: Vec<LoadedModel>,
@@ -234,6 +239,7 @@
             cache_blocks: self.cache_blocks,
             load_lag: self.load_lag,
             load_time: self.load_time,
+            weights: Rc::new(Store::new(engine::MODEL_BYTES, self.weight_rate)),
             models: self.models,
             ..engine::Settings::new(listen, seed)
         }
--- /dev/null
+++ b/crates/fake/tests/it/main.rs
@@ -0,0 +1,8 @@
+//! Tests of the stand-ins over their HTTP interfaces.
+
+mod cache;
+mod client;
+mod engine;
+mod fault;
+mod order;
+mod platform;
