Gate: keys, routes, admission, forwarding and streamed answers

The gate learns its configuration by agate_sync, checks keys on arrival and before each attempt, admits first come first served, forwards to the endpoint with the fewest requests in flight, and reassembles streams with resume and regeneration. The accept loop is the gate's own around the HTTP service of actix-http: actix-server pauses accepting at its connection bound and keeps state per worker, while refused connections are to be answered and counted. Endpoints see an allow list of headers; a key in the path, query, cookies, passed-on headers or body is refused.

--- /dev/null
+++ b/crates/gate/src/forward/client.rs
@@ -0,0 +1,158 @@
+//! HTTP connections to endpoints.
+
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use actix_http::Method;
+use actix_http::header::HeaderMap;
+use awc::error::{ConnectError, SendRequestError};
+use awc::{ClientResponse, Connector};
+use bytes::Bytes;
+
+use crate::refusal::{Progress, Sent, Unsent};
+
+/// Idle time after which a connection is not used again.
+const KEEP_ALIVE: Duration = Duration::from_secs(10);
+
+/// Why an attempt brought no answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Cause {
+    /// No connection was made.
+    Unreachable,
+    /// The connection broke, or what came was not HTTP.
+    Broken,
+    /// No answer in time.
+    Timeout,
+}
+
+/// An attempt without an answer, and what is known of the request now.
+#[derive(Debug)]
+pub struct Failure {
+    /// What is known of the execution.
+    pub progress: Progress,
+    /// What happened.
+    pub cause: Cause,
+}
+
+/// One HTTP request.
+#[derive(Clone, Debug)]
+pub struct Outgoing {
+    /// Where to.
+    pub address: SocketAddr,
+    /// Method.
+    pub method: Method,
+    /// Path and query.
+    pub target: String,
+    /// All headers but those that frame the message.
+    pub headers: HeaderMap,
+    /// Body.
+    pub body: Bytes,
+    /// Time for connecting, sending and the head of the answer.
+    pub timeout: Duration,
+    /// Whether a connection may be used that served another request before.
+    pub reuse: bool,
+}
+
+/// Connections to endpoints. Redirects are not followed and bodies are not decoded.
+pub struct Client {
+    pooled: awc::Client,
+    fresh: awc::Client,
+}
+
+impl Client {
+    /// A client that gives connecting up after `connect_timeout`.
+    pub fn new(connect_timeout: Duration) -> Self {
+        Self {
+            pooled: build(connect_timeout, KEEP_ALIVE),
+            fresh: build(connect_timeout, Duration::ZERO),
+        }
+    }
+
+    /// Sends a caller's request once. Only errors that rule out a connection give `Unsent` back.
+    pub async fn send(
+        &self,
+        outgoing: Outgoing,
+        progress: Progress,
+    ) -> Result<(ClientResponse, Sent), Failure> {
+        match self.exchange(outgoing).await {
+            Ok(response) => Ok((response, progress.into_sent())),
+            Err(err) => Err(failure(&err, progress)),
+        }
+    }
+
+    /// Sends a request of the gate's own, such as a resume or a cancellation.
+    pub async fn call(&self, outgoing: Outgoing) -> Result<ClientResponse, Cause> {
+        self.exchange(outgoing).await.map_err(|err| cause(&err))
+    }
+
+    async fn exchange(&self, outgoing: Outgoing) -> Result<ClientResponse, SendRequestError> {
+        let uri = format!("http://{}{}", outgoing.address, outgoing.target);
+        let client = if outgoing.reuse {
+            &self.pooled
+        } else {
+            &self.fresh
+        };
+        let mut request = client
+            .request(outgoing.method, uri)
+            .timeout(outgoing.timeout);
+        for (name, value) in &outgoing.headers {
+            request.headers_mut().append(name.clone(), value.clone());
+        }
+        if !outgoing.reuse {
+            request = request.force_close();
+        }
+        request.send_body(outgoing.body).await
+    }
+}
+
+fn build(connect_timeout: Duration, keep_alive: Duration) -> awc::Client {
+    let connector = Connector::new()
+        .timeout(connect_timeout)
+        .conn_keep_alive(keep_alive)
+        .limit(0);
+    awc::Client::builder()
+        .connector(connector)
+        .disable_redirects()
+        .no_default_headers()
+        .finish()
+}
+
+impl Progress {
+    fn into_sent(self) -> Sent {
+        match self {
+            Progress::Unsent(unsent) => unsent.send(),
+            Progress::Sent(sent) => sent,
+        }
+    }
+}
+
+fn failure(err: &SendRequestError, progress: Progress) -> Failure {
+    let cause = cause(err);
+    tracing::debug!(event = "attempt_failed", error = %err);
+    let progress = match (cause, progress) {
+        (Cause::Unreachable, progress) => progress,
+        (_, progress) => Progress::Sent(progress.into_sent()),
+    };
+    Failure { progress, cause }
+}
+
+/// Only errors from before the connection existed count as unreachable. Other
+/// `Connect` errors also stand for servers that read the whole request and then closed.
+fn cause(err: &SendRequestError) -> Cause {
+    match err {
+        SendRequestError::Connect(ConnectError::Io(err)) if is_refused(err) => Cause::Unreachable,
+        SendRequestError::Connect(ConnectError::Timeout) => Cause::Unreachable,
+        SendRequestError::Timeout => Cause::Timeout,
+        _ => Cause::Broken,
+    }
+}
+
+fn is_refused(err: &io::Error) -> bool {
+    err.kind() == io::ErrorKind::ConnectionRefused
+}
+
+/// Used by tests of the evidence that a request carries.
+pub fn fresh_progress() -> Progress {
+    Progress::Unsent(Unsent::received())
+}
--- /dev/null
+++ b/crates/gate/src/forward/completion.rs
@@ -0,0 +1,71 @@
+//! Model answers: streamed or whole.
+
+use std::rc::Rc;
+
+use actix_http::body::{BodyStream, BoxBody};
+use actix_http::header::{self, HeaderValue};
+use actix_http::{Response, StatusCode};
+use agate_wire::engine::Usage;
+use serde::Deserialize;
+
+use super::attempt::{Attempts, EVENT_STREAM};
+use super::plain::{self, Whole};
+use super::relay::Relay;
+use crate::admission::{Cost, Slot};
+use crate::front::reply::Answer;
+use crate::gate::Gate;
+use crate::refusal::{Progress, Refusal, Unsent};
+use crate::work::{Kind, Work};
+
+/// Admits a chat completion, runs it on an engine, and answers.
+pub async fn run(gate: &Rc<Gate>, work: Rc<Work>, unsent: Unsent) -> Result<Answer, Refusal> {
+    let slot = match plain::admit(gate, &work).await {
+        Ok(slot) => slot,
+        Err(denial) => return Err(unsent.refuse(denial)),
+    };
+    let progress = Progress::Unsent(unsent);
+    if matches!(work.kind, Kind::Completion { stream: true, .. }) {
+        return streamed(gate, work, slot, progress).await;
+    }
+    let whole = plain::fetch(gate, &work, progress).await?;
+    let cost = cost(&whole);
+    Ok(plain::deliver(gate, &work, whole, slot, cost))
+}
+
+async fn streamed(
+    gate: &Rc<Gate>,
+    work: Rc<Work>,
+    slot: Slot,
+    progress: Progress,
+) -> Result<Answer, Refusal> {
+    let mut attempts = Attempts::new(gate.clone(), work.clone());
+    let (answered, progress) = attempts.run(progress).await?;
+    if !answered.is_event_stream() {
+        let whole = match plain::receive(gate, &work, answered).await {
+            Ok(whole) => whole,
+            Err(denial) => return Err(progress.refuse(denial)),
+        };
+        let cost = cost(&whole);
+        return Ok(plain::deliver(gate, &work, whole, slot, cost));
+    }
+    let stream = Relay::start(gate.clone(), work, slot, attempts, (answered, progress));
+    let mut response = Response::with_body(StatusCode::OK, BoxBody::new(BodyStream::new(stream)));
+    let headers = response.headers_mut();
+    headers.insert(header::CONTENT_TYPE, HeaderValue::from_static(EVENT_STREAM));
+    headers.insert(header::CACHE_CONTROL, HeaderValue::from_static("no-store"));
+    Ok(response.into())
+}
+
+#[derive(Deserialize)]
+struct Counted {
+    usage: Option<Usage>,
+}
+
+fn cost(whole: &Whole) -> Cost {
+    let counted = serde_json::from_slice::<Counted>(&whole.body).ok();
+    let usage = counted.and_then(|it| it.usage).unwrap_or_default();
+    Cost {
+        prompt_tokens: usage.prompt_tokens,
+        answer_tokens: usage.completion_tokens,
+    }
+}
--- /dev/null
+++ b/crates/gate/src/forward/plain.rs
@@ -0,0 +1,152 @@
+//! Calls of plain services, and model answers that are not streamed.
+
+use std::rc::Rc;
+
+use actix_http::StatusCode;
+use actix_http::header::HeaderMap;
+use agate_model::refusal::Reason;
+use agate_wire::platform::Figures;
+use bytes::{Bytes, BytesMut};
+use futures_util::StreamExt as _;
+use tokio::time::Instant;
+
+use super::attempt::{Answered, Attempts};
+use super::headers;
+use crate::admission::{Cost, Slot};
+use crate::choice::Outcome;
+use crate::front::reply::{self, Answer};
+use crate::gate::Gate;
+use crate::metrics::Retry;
+use crate::refusal::{Denial, Progress, Refusal, Unsent};
+use crate::work::Work;
+
+/// A whole answer of an endpoint.
+pub struct Whole {
+    /// Status.
+    pub status: StatusCode,
+    /// Headers that the caller may see.
+    pub headers: HeaderMap,
+    /// Body.
+    pub body: Bytes,
+}
+
+/// Admits a call, sends it, and answers with what the endpoint said.
+pub async fn run(gate: &Rc<Gate>, work: Rc<Work>, unsent: Unsent) -> Result<Answer, Refusal> {
+    let slot = match admit(gate, &work).await {
+        Ok(slot) => slot,
+        Err(denial) => return Err(unsent.refuse(denial)),
+    };
+    let whole = fetch(gate, &work, Progress::Unsent(unsent)).await?;
+    Ok(deliver(gate, &work, whole, slot, Cost::default()))
+}
+
+/// Waits for a place.
+pub async fn admit(gate: &Gate, work: &Work) -> Result<Slot, Denial> {
+    let slot = gate.admission.admit(work).await?;
+    gate.metrics.started(&work.class.id, work.arrival.elapsed());
+    Ok(slot)
+}
+
+/// Fetches a whole answer.
+pub async fn fetch(
+    gate: &Rc<Gate>,
+    work: &Rc<Work>,
+    mut progress: Progress,
+) -> Result<Whole, Refusal> {
+    let mut attempts = Attempts::new(gate.clone(), work.clone());
+    loop {
+        let (answered, sent) = attempts.run(progress).await?;
+        match receive(gate, work, answered).await {
+            Ok(whole) => return Ok(whole),
+            Err(denial) => progress = attempts.again(Retry::Broken, sent, denial).await?,
+        }
+    }
+}
+
+/// Receives the rest of an answer.
+pub async fn receive(gate: &Gate, work: &Work, answered: Answered) -> Result<Whole, Denial> {
+    let Answered {
+        response,
+        flight,
+        cancel,
+        latency,
+    } = answered;
+    let status = response.status();
+    let headers = headers::passed_back(response.headers());
+    let limit = gate.settings.limits.answer.bytes();
+    let received = tokio::time::timeout_at(work.deadline, collect(response, limit)).await;
+    let body = match received {
+        Ok(Ok(body)) => body,
+        Ok(Err(denial)) => {
+            flight.close(Outcome::Failed);
+            return Err(denial);
+        }
+        Err(_) => {
+            flight.close(Outcome::Failed);
+            let message = "the answer was not whole in time";
+            return Err(Denial::new(Reason::EndpointTimeout, message));
+        }
+    };
+    let outcome = match status.is_server_error() {
+        true => Outcome::Failed,
+        false => Outcome::Answered(latency),
+    };
+    flight.close(outcome);
+    cancel.close();
+    Ok(Whole {
+        status,
+        headers,
+        body,
+    })
+}
+
+async fn collect(mut response: awc::ClientResponse, limit: usize) -> Result<Bytes, Denial> {
+    let mut body = BytesMut::new();
+    while let Some(chunk) = response.next().await {
+        let broken = |_| Denial::new(Reason::EndpointFailed, "the answer broke off");
+        let chunk = chunk.map_err(broken)?;
+        if body.len() + chunk.len() > limit {
+            let message = format!("the answer is larger than {limit} bytes");
+            return Err(Denial::new(Reason::EndpointFailed, message));
+        }
+        body.extend_from_slice(&chunk);
+    }
+    Ok(body.freeze())
+}
+
+/// Hands an answer to the caller; usage and attainment count once it was handed over.
+pub fn deliver(
+    gate: &Rc<Gate>,
+    work: &Rc<Work>,
+    whole: Whole,
+    mut slot: Slot,
+    cost: Cost,
+) -> Answer {
+    slot.charge(cost);
+    drop(slot);
+    let success = !whole.status.is_server_error();
+    let response = reply::forwarded(whole.status, whole.headers, whole.body);
+    let gate = gate.clone();
+    let work = work.clone();
+    let answered = Instant::now();
+    let delivered = move || {
+        if !success {
+            return;
+        }
+        let latency = answered - work.arrival;
+        let attained = latency <= work.class.target.first_token && answered <= work.deadline;
+        gate.metrics.first_token(&work.class.id, latency);
+        gate.metrics.answered(&work.class.id, latency, attained);
+        let figures = Figures {
+            requests: 1,
+            prompt_tokens: cost.prompt_tokens,
+            answer_tokens: cost.answer_tokens,
+            late_requests: 0,
+        };
+        gate.record_usage(&work, figures);
+    };
+    Answer {
+        response,
+        delivered: Some(Box::new(delivered)),
+    }
+}
--- /dev/null
+++ b/crates/gate/src/front/completion.rs
@@ -0,0 +1,128 @@
+//! Model answers: `/v1/chat/completions` and `/v1/models`.
+
+use std::rc::Rc;
+
+use actix_http::body::BoxBody;
+use actix_http::{Response, StatusCode};
+use agate_model::refusal::Reason;
+use agate_model::route::Access;
+use agate_wire::engine::Completion;
+use serde::Serialize;
+
+use super::body;
+use super::reply::{self, Answer};
+use super::route::Call;
+use crate::forward;
+use crate::gate::Gate;
+use crate::refusal::{Denial, Refusal, Unsent};
+use crate::work::{Kind, Work};
+
+#[derive(Serialize)]
+struct Model {
+    id: String,
+    object: &'static str,
+    created: u64,
+    owned_by: &'static str,
+}
+
+#[derive(Serialize)]
+struct Models {
+    object: &'static str,
+    data: Vec<Model>,
+}
+
+/// Models that the caller may use.
+pub fn models(gate: &Gate, call: &Call) -> Result<Response<BoxBody>, Denial> {
+    if call.secret.is_some() {
+        call.authorize(gate)?;
+    }
+    let view = gate.view();
+    let usable = |access| access == Access::Open || call.secret.is_some();
+    let data: Vec<Model> = view
+        .models()
+        .filter(|(_, route)| usable(route.access))
+        .map(|(id, _)| Model {
+            id: id.clone(),
+            object: "model",
+            created: 0,
+            owned_by: "agatebridge",
+        })
+        .collect();
+    if data.is_empty() && call.secret.is_none() {
+        call.authorize(gate)?;
+    }
+    Ok(reply::json(
+        StatusCode::OK,
+        &Models {
+            object: "list",
+            data,
+        },
+    ))
+}
+
+/// Runs a chat completion.
+pub async fn run(gate: &Rc<Gate>, call: Call, unsent: Unsent) -> Result<Answer, Refusal> {
+    match accept(gate, call).await {
+        Ok(work) => forward::completion(gate, Rc::new(work), unsent).await,
+        Err(denial) => Err(unsent.refuse(denial)),
+    }
+}
+
+async fn accept(gate: &Gate, mut call: Call) -> Result<Work, Denial> {
+    check_early(gate, &call)?;
+    let limits = &gate.settings.limits;
+    let payload = std::mem::replace(&mut call.payload, actix_http::Payload::None);
+    let body = body::read(payload, limits.body.bytes(), limits.body_timeout).await?;
+    let request: Completion = parse(&body)?;
+    let view = gate.view();
+    let Some(route) = view.model(&request.model) else {
+        // Only callers with a key learn which models exist.
+        call.authorize(gate)?;
+        let message = format!("no model {:?}", request.model);
+        return Err(Denial::new(Reason::ModelUnknown, message));
+    };
+    let caller = call.caller(gate, route)?;
+    let class = call.class(&view, route, caller.as_ref())?;
+    let headers = forward::headers::passed_on(&call.headers);
+    call.check_secrecy(&headers, &body)?;
+    gate.metrics.accepted(&class.id);
+    Ok(Work {
+        deadline: call.deadline(&class)?,
+        id: call.id,
+        kind: Kind::Completion {
+            model: request.model,
+            stream: request.stream,
+            max_tokens: request.max_tokens,
+        },
+        route: route.clone(),
+        class: Rc::new(class),
+        caller,
+        arrival: call.arrival,
+        method: call.method,
+        target: "/v1/chat/completions".to_owned(),
+        headers,
+        body,
+        idempotency: None,
+    })
+}
+
+/// Refuses callers without a valid key before their body is read, unless some model is open to all.
+fn check_early(gate: &Gate, call: &Call) -> Result<(), Denial> {
+    let view = gate.view();
+    if view.models().any(|(_, route)| route.access == Access::Open) {
+        return Ok(());
+    }
+    call.authorize(gate).map(drop)
+}
+
+fn parse(body: &[u8]) -> Result<Completion, Denial> {
+    serde_json::from_slice(body).map_err(|err| {
+        // The position is named, the contents are not: they belong to the caller.
+        let message = format!(
+            "the body is not a chat completion request, at line {} column {}",
+            err.line(),
+            err.column()
+        );
+        Denial::new(Reason::BadRequest, message)
+    })
+}
--- /dev/null
+++ b/crates/gate/src/front/mod.rs
@@ -0,0 +1,11 @@
+//! What callers and operators connect to.
+
+pub mod address;
+pub mod admin;
+pub mod auth;
+pub mod body;
+pub mod completion;
+pub mod plain;
+pub mod reply;
+pub mod route;
+pub mod server;
--- /dev/null
+++ b/crates/gate/src/front/server.rs
@@ -0,0 +1,199 @@
+//! Listeners for callers and operators.
+//!
+//! The accept loop is the gate's own, around the HTTP service of `actix-http`:
+//! state stays on one thread, refused connections are counted, and a new
+//! certificate serves new connections without touching the others.
+
+use std::cell::RefCell;
+use std::convert::Infallible;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use actix_http::body::BoxBody;
+use actix_http::{HttpService, Request, Response};
+use actix_rt::net::TcpStream;
+use actix_service::{Service, ServiceFactory, fn_service};
+use agate_model::refusal::Reason;
+use tokio::net::TcpListener;
+
+use super::{admin, route};
+use crate::activity::Phase;
+use crate::gate::{Gate, random_id};
+use crate::refusal::{Denial, Unsent};
+
+/// Connections beyond the limit that still get a written refusal.
+const REFUSED_CONNECTIONS: usize = 64;
+/// Pause after a failed accept, for example for want of file descriptors.
+const ACCEPT_PAUSE: std::time::Duration = std::time::Duration::from_millis(50);
+
+/// Serves one connection to its end.
+pub trait Connection {
+    /// Starts serving `stream`.
+    fn serve(&self, stream: TcpStream) -> futures_util::future::LocalBoxFuture<'static, ()>;
+}
+
+struct Http<S>(Rc<S>);
+
+impl<S> Connection for Http<S>
+where
+    S: Service<TcpStream> + 'static,
+    S::Error: std::fmt::Debug,
+{
+    fn serve(&self, stream: TcpStream) -> futures_util::future::LocalBoxFuture<'static, ()> {
+        let served = self.0.call(stream);
+        Box::pin(async move {
+            if let Err(err) = served.await {
+                tracing::debug!(event = "connection_failed", error = ?err);
+            }
+        })
+    }
+}
+
+/// Builds the HTTP service for callers.
+pub async fn callers(gate: &Rc<Gate>) -> io::Result<Rc<dyn Connection>> {
+    let handler = gate.clone();
+    http(gate, move |request| {
+        let gate = handler.clone();
+        async move { route::handle(gate, request).await }
+    })
+    .await
+}
+
+/// Builds the HTTP service for operators.
+pub async fn operators(gate: &Rc<Gate>) -> io::Result<Rc<dyn Connection>> {
+    let handler = gate.clone();
+    http(gate, move |request| {
+        let response = admin::handle(&handler, &request);
+        async move { response }
+    })
+    .await
+}
+
+/// Builds the HTTP service for connections beyond the limit.
+pub async fn refusals(gate: &Rc<Gate>) -> io::Result<Rc<dyn Connection>> {
+    http(gate, |_| async {
+        let denial = Denial::new(Reason::ConnectionLimit, "too many connections to this host");
+        let mut response = Unsent::received().refuse(denial).response(&random_id());
+        response
+            .head_mut()
+            .set_connection_type(actix_http::ConnectionType::Close);
+        response
+    })
+    .await
+}
+
+async fn http<F, A>(gate: &Rc<Gate>, handler: F) -> io::Result<Rc<dyn Connection>>
+where
+    F: Fn(Request) -> A + Clone + 'static,
+    A: Future<Output = Response<BoxBody>> + 'static,
+{
+    let limits = &gate.settings.limits;
+    let activity = gate.activity.clone();
+    let factory = HttpService::build()
+        .client_request_timeout(limits.head_timeout)
+        .client_disconnect_timeout(limits.head_timeout)
+        .keep_alive(limits.keep_alive)
+        .tcp_nodelay(true)
+        // A caller that closes its side has gone away: its work is cancelled.
+        .h1_allow_half_closed(false)
+        .graceful_shutdown_signal(move || activity.reached(Phase::Closing))
+        .h1(fn_service(move |request: Request| {
+            let answer = handler(request);
+            async move { Ok::<_, Infallible>(answer.await) }
+        }))
+        .tcp();
+    match factory.new_service(()).await {
+        Ok(service) => Ok(Rc::new(Http(Rc::new(service)))),
+        Err(()) => Err(io::Error::other("the HTTP service could not be built")),
+    }
+}
+
+/// A listening socket.
+pub struct Listener {
+    socket: TcpListener,
+}
+
+impl Listener {
+    /// Binds `address`.
+    pub async fn bind(address: SocketAddr) -> io::Result<Self> {
+        let socket = TcpListener::bind(address).await?;
+        Ok(Self { socket })
+    }
+
+    /// Address in use; differs from the one asked for if that had port 0.
+    pub fn address(&self) -> io::Result<SocketAddr> {
+        self.socket.local_addr()
+    }
+
+    /// Serves operators until the task is dropped.
+    pub async fn serve_operators(self, service: Rc<dyn Connection>) {
+        loop {
+            if let Some(stream) = accept(&self.socket).await {
+                actix_rt::spawn(service.serve(stream));
+            }
+        }
+    }
+
+    /// Serves callers until the gate closes.
+    pub async fn serve_callers(
+        self,
+        gate: Rc<Gate>,
+        service: Rc<RefCell<Rc<dyn Connection>>>,
+        refusing: Rc<dyn Connection>,
+    ) {
+        let closing = gate.activity.reached(Phase::Closing);
+        tokio::pin!(closing);
+        loop {
+            let accepted = tokio::select! {
+                () = &mut closing => return,
+                accepted = accept(&self.socket) => accepted,
+            };
+            let Some(stream) = accepted else { continue };
+            let open = gate.connections.get();
+            let limit = gate.settings.limits.connections;
+            if open >= limit {
+                gate.metrics.refused(Reason::ConnectionLimit);
+            }
+            if open >= limit + REFUSED_CONNECTIONS {
+                continue;
+            }
+            let serving = if open < limit {
+                service.borrow().serve(stream)
+            } else {
+                refusing.serve(stream)
+            };
+            let counted = Counted::new(gate.clone());
+            actix_rt::spawn(async move {
+                serving.await;
+                drop(counted);
+            });
+        }
+    }
+}
+
+struct Counted(Rc<Gate>);
+
+impl Counted {
+    fn new(gate: Rc<Gate>) -> Self {
+        gate.connections.set(gate.connections.get() + 1);
+        Self(gate)
+    }
+}
+
+impl Drop for Counted {
+    fn drop(&mut self) {
+        self.0.connections.set(self.0.connections.get() - 1);
+    }
+}
+
+async fn accept(socket: &TcpListener) -> Option<TcpStream> {
+    match socket.accept().await {
+        Ok((stream, _)) => Some(stream),
+        Err(err) => {
+            tracing::warn!(event = "accept_failed", error = %err);
+            tokio::time::sleep(ACCEPT_PAUSE).await;
+            None
+        }
+    }
+}
--- a/crates/gate/src/main.rs
+++ b/crates/gate/src/main.rs
@@ -1,3 +1,88 @@
 //! Entry point of `agate-gate`.
 
-fn main() {}
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::rc::Rc;
+
+use agate_gate::gate::Gate;
+use agate_gate::program::{Loss, Program};
+use agate_gate::settings::Settings;
+use agate_gate::sync::Rpc;
+use agate_settings::signal::{Event, Listener};
+use agate_settings::{file, log};
+use bpaf::Bpaf;
+
+type Error = Box<dyn std::error::Error>;
+
+/// Data path of agatebridge: checks keys, admits, queues and forwards requests.
+///
+/// SIGTERM shuts down without cutting requests off; a second one ends at once.
+#[derive(Clone, Debug, Bpaf)]
+#[bpaf(options, version)]
+struct Arguments {
+    /// Settings file, in YAML
+    #[bpaf(argument("FILE"))]
+    settings: PathBuf,
+    /// Check the settings and exit
+    check: bool,
+    /// Print the settings in effect and exit
+    print_settings: bool,
+}
+
+fn main() -> ExitCode {
+    match run(&arguments().run()) {
+        Ok(code) => code,
+        Err(err) => {
+            eprintln!("agate-gate: {err}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run(arguments: &Arguments) -> Result<ExitCode, Error> {
+    let settings: Settings = file::load(&arguments.settings)?;
+    if arguments.print_settings {
+        print!("{}", file::print(&settings)?);
+        return Ok(ExitCode::SUCCESS);
+    }
+    if arguments.check {
+        return Ok(ExitCode::SUCCESS);
+    }
+    log::init(&settings.log);
+    actix_rt::System::new().block_on(serve(settings))
+}
+
+async fn serve(settings: Settings) -> Result<ExitCode, Error> {
+    let mut signals = Listener::new()?;
+    let gate = Gate::new(settings, None);
+    let program = Program::start(gate.clone(), Rc::new(Rpc)).await?;
+    println!(
+        "listening address={} admin={}",
+        program.address(),
+        program.admin()
+    );
+    while signals.next().await != Event::Stop {}
+    let mut closing = std::pin::pin!(program.close());
+    let loss = loop {
+        tokio::select! {
+            loss = &mut closing => break loss,
+            event = signals.next() => if event == Event::Stop {
+                break Program::loss(&gate);
+            },
+        }
+    };
+    Ok(report(loss))
+}
+
+fn report(loss: Loss) -> ExitCode {
+    if loss.is_none() {
+        tracing::info!(event = "stopped");
+        return ExitCode::SUCCESS;
+    }
+    tracing::error!(
+        event = "stopped",
+        lost_requests = loss.requests,
+        lost_counters = loss.counters
+    );
+    ExitCode::FAILURE
+}
--- /dev/null
+++ b/crates/gate/tests/support/mod.rs
@@ -0,0 +1,438 @@
+//! Small servers and a fixed configuration for tests of the gate.
+#![allow(dead_code, reason = "each test program uses a part")]
+#![allow(unreachable_pub, reason = "a test program has no users")]
+
+use std::cell::{Cell, RefCell};
+use std::convert::Infallible;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use actix_http::body::BoxBody;
+use actix_http::{HttpMessage as _, HttpService, Request, Response};
+use actix_service::{Service as _, ServiceFactory as _, fn_service};
+use agate_gate::gate::Gate;
+use agate_gate::program::Program;
+use agate_gate::settings::{Limits, Settings};
+use agate_gate::sync::{Error, Steer};
+use agate_model::key::Digest;
+use agate_wire::change;
+use agate_wire::manifest::Manifest;
+use agate_wire::sync;
+use bytes::Bytes;
+use futures_util::StreamExt as _;
+use futures_util::future::LocalBoxFuture;
+use serde_json::{Value, json};
+use tokio::net::TcpListener;
+
+pub const KEY: &str = "secret-key-of-the-workshop";
+pub const OTHER_KEY: &str = "secret-key-of-the-exchange";
+pub const WINDOW: u64 = 1_700_000_000;
+
+/// Runs a test on the runtime of the gate.
+pub fn run(test: impl Future<Output = ()>) {
+    actix_rt::System::new().block_on(async {
+        tokio::time::timeout(Duration::from_secs(30), test)
+            .await
+            .expect("the test ends in time");
+    });
+}
+
+/// A request as an endpoint received it.
+#[derive(Clone, Debug)]
+pub struct Received {
+    pub method: String,
+    pub target: String,
+    pub headers: Vec<(String, String)>,
+    pub body: Bytes,
+}
+
+impl Received {
+    pub fn header(&self, name: &str) -> Option<&str> {
+        let found = self.headers.iter().find(|(known, _)| known == name);
+        found.map(|(_, value)| value.as_str())
+    }
+}
+
+/// An endpoint that answers by a function and records what it received.
+#[derive(Clone)]
+pub struct Endpoint {
+    pub address: SocketAddr,
+    pub received: Rc<RefCell<Vec<Received>>>,
+}
+
+impl Endpoint {
+    pub async fn start<F, A>(answer: F) -> Self
+    where
+        F: Fn(Received) -> A + Clone + 'static,
+        A: Future<Output = Response<BoxBody>> + 'static,
+    {
+        let received: Rc<RefCell<Vec<Received>>> = Rc::default();
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        let address = listener.local_addr().expect("a bound socket");
+        let log = received.clone();
+        let factory = HttpService::build()
+            .h1_allow_half_closed(false)
+            .h1(fn_service(move |mut request: Request| {
+                let answer = answer.clone();
+                let log = log.clone();
+                async move {
+                    let request = record(&mut request).await;
+                    log.borrow_mut().push(request.clone());
+                    Ok::<_, Infallible>(answer(request).await)
+                }
+            }))
+            .tcp();
+        let service = factory.new_service(()).await.expect("an HTTP service");
+        actix_rt::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                actix_rt::spawn(service.call(stream));
+            }
+        });
+        Self { address, received }
+    }
+
+    pub fn count(&self) -> usize {
+        self.received.borrow().len()
+    }
+}
+
+async fn record(request: &mut Request) -> Received {
+    let mut body = Vec::new();
+    let mut payload = request.take_payload();
+    while let Some(Ok(chunk)) = payload.next().await {
+        body.extend_from_slice(&chunk);
+    }
+    let headers = request.headers().iter().map(|(name, value)| {
+        let value = String::from_utf8_lossy(value.as_bytes()).into_owned();
+        (name.as_str().to_owned(), value)
+    });
+    Received {
+        method: request.method().to_string(),
+        target: request.uri().to_string(),
+        headers: headers.collect(),
+        body: body.into(),
+    }
+}
+
+/// A control process with a fixed answer that tests may change.
+pub struct Fixed {
+    pub response: RefCell<sync::Response>,
+    pub requests: RefCell<Vec<sync::Request>>,
+    pub down: Cell<bool>,
+}
+
+impl Fixed {
+    pub fn new(resources: Vec<Value>) -> Rc<Self> {
+        let snapshot = change::Snapshot {
+            version: 1,
+            resources: resources.into_iter().map(resource).collect(),
+        };
+        Rc::new(Self {
+            response: RefCell::new(sync::Response {
+                version: 1,
+                proof_age_ms: Some(0),
+                update: Some(sync::Update::Snapshot(snapshot)),
+                live_hosts: 1,
+                window: WINDOW,
+                ..sync::Response::default()
+            }),
+            requests: RefCell::default(),
+            down: Cell::new(false),
+        })
+    }
+
+    /// Replaces the configuration by one with the next version.
+    pub fn declare(&self, resources: Vec<Value>) {
+        let mut response = self.response.borrow_mut();
+        response.version += 1;
+        response.update = Some(sync::Update::Snapshot(change::Snapshot {
+            version: response.version,
+            resources: resources.into_iter().map(resource).collect(),
+        }));
+    }
+
+    /// Totals of the last call that carried usage.
+    pub fn usage(&self) -> Vec<sync::Usage> {
+        let requests = self.requests.borrow();
+        let last = requests.iter().rev().find(|it| !it.usage.is_empty());
+        last.map(|it| it.usage.clone()).unwrap_or_default()
+    }
+}
+
+impl Steer for Fixed {
+    fn sync(
+        &self,
+        _: SocketAddr,
+        request: sync::Request,
+    ) -> LocalBoxFuture<'_, Result<sync::Response, Error>> {
+        Box::pin(async move {
+            if self.down.get() {
+                return Err(Error::Timeout);
+            }
+            let mut response = self.response.borrow().clone();
+            if request.version == response.version {
+                response.update = None;
+            }
+            self.requests.borrow_mut().push(request);
+            Ok(response)
+        })
+    }
+}
+
+fn resource(value: Value) -> change::Resource {
+    let manifest: Manifest = serde_json::from_value(value).expect("a well-formed manifest");
+    change::Resource {
+        version: 1,
+        manifest,
+    }
+}
+
+pub fn digest(key: &str) -> String {
+    let Digest(bytes) = Digest::of(key.as_bytes());
+    bytes.iter().map(|byte| format!("{byte:02x}")).collect()
+}
+
+/// Accounts, keys, classes and pools that all tests use; endpoints are added by each.
+pub fn resources() -> Vec<Value> {
+    let target = json!({"first_token": "1s", "between_tokens": "500ms", "deadline": "5s"});
+    let class = |id: &str, tier: u8, idempotent: bool| {
+        json!({"kind": "class", "id": id, "tier": tier, "weight": 1, "target": target,
+            "idempotent": idempotent, "queue_limit": 10, "retry_percent": 100})
+    };
+    vec![
+        json!({"kind": "account", "id": "workshop", "weight": 1, "classes": ["urgent"]}),
+        json!({"kind": "account", "id": "exchange", "weight": 1}),
+        json!({"kind": "key", "id": "key-1", "account": "workshop", "digest": digest(KEY)}),
+        json!({"kind": "key", "id": "key-2", "account": "exchange", "digest": digest(OTHER_KEY)}),
+        class("chat", 1, true),
+        class("urgent", 0, true),
+        class("booking", 0, false),
+        json!({"kind": "pool", "id": "engines", "model": "prism", "min_endpoints": 1, "max_endpoints": 1}),
+        json!({"kind": "pool", "id": "services", "min_endpoints": 1, "max_endpoints": 1}),
+        json!({"kind": "route", "id": "prism", "model": "prism", "class": "chat", "pools": ["engines"]}),
+        json!({"kind": "route", "id": "bookings", "prefix": "/bookings", "class": "booking", "pools": ["services"]}),
+        json!({"kind": "route", "id": "prices", "prefix": "/prices", "class": "chat", "pools": ["services"], "access": "open"}),
+        json!({"kind": "route", "id": "records", "prefix": "/records", "class": "chat", "pools": ["services"]}),
+    ]
+}
+
+pub fn engine(id: &str, address: SocketAddr) -> Value {
+    json!({"kind": "endpoint", "id": id, "pool": "engines", "address": address, "zone": "a",
+        "protocol": "engine", "slots": 4, "credential": "engine-credential"})
+}
+
+pub fn service(id: &str, address: SocketAddr) -> Value {
+    json!({"kind": "endpoint", "id": id, "pool": "services", "address": address, "zone": "a",
+        "protocol": "plain", "slots": 4})
+}
+
+pub fn settings() -> Settings {
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    Settings {
+        host: "host-1".to_owned(),
+        zone: "a".to_owned(),
+        listen: any,
+        admin: any,
+        steer: vec![any],
+        platform: None,
+        limits: Limits::default(),
+        sync_interval: Duration::from_millis(20),
+        freshness: Duration::from_millis(2500),
+        keep_addresses: Duration::from_secs(1),
+        drain_timeout: Duration::from_secs(5),
+        log: "info".to_owned(),
+        tls: None,
+    }
+}
+
+/// A gate with its control process.
+pub struct Deployment {
+    pub gate: Rc<Gate>,
+    pub steer: Rc<Fixed>,
+    pub program: Program,
+    pub client: awc::Client,
+}
+
+impl Deployment {
+    pub async fn start(endpoints: Vec<Value>) -> Self {
+        Self::with(settings(), endpoints).await
+    }
+
+    pub async fn with(settings: Settings, endpoints: Vec<Value>) -> Self {
+        let mut all = resources();
+        all.extend(endpoints);
+        let steer = Fixed::new(all);
+        let gate = Gate::new(settings, None);
+        let program = Program::start(gate.clone(), steer.clone())
+            .await
+            .expect("free ports");
+        until(|| gate.is_current()).await;
+        let client = awc::Client::builder()
+            .disable_redirects()
+            .timeout(Duration::from_secs(20))
+            .finish();
+        Self {
+            gate,
+            steer,
+            program,
+            client,
+        }
+    }
+
+    pub fn url(&self, target: &str) -> String {
+        format!("http://{}{target}", self.program.address())
+    }
+
+    /// Calls with the workshop's key.
+    pub async fn call(&self, method: &str, target: &str, body: &str) -> Reply {
+        let bearer = format!("Bearer {KEY}");
+        self.call_with(method, target, &[("authorization", &bearer)], body)
+            .await
+    }
+
+    pub async fn call_with(
+        &self,
+        method: &str,
+        target: &str,
+        headers: &[(&str, &str)],
+        body: &str,
+    ) -> Reply {
+        let method = method.parse().expect("a method");
+        let mut request = self.client.request(method, self.url(target));
+        for (name, value) in headers {
+            request = request.append_header((*name, *value));
+        }
+        let mut response = request
+            .send_body(body.to_owned())
+            .await
+            .expect("the gate answers");
+        let headers = response.headers().iter().map(|(name, value)| {
+            let value = String::from_utf8_lossy(value.as_bytes()).into_owned();
+            (name.as_str().to_owned(), value)
+        });
+        let headers: Vec<_> = headers.collect();
+        let status = response.status().as_u16();
+        let body = response.body().await.expect("a whole body");
+        Reply {
+            status,
+            headers,
+            body: String::from_utf8(body.to_vec()).expect("text"),
+        }
+    }
+
+    pub async fn chat(&self, stream: bool) -> Reply {
+        self.call("POST", "/v1/chat/completions", &chat_body(stream))
+            .await
+    }
+
+    /// Value of a counter in the metrics, by the beginning of its line.
+    pub fn metric(&self, line: &str) -> f64 {
+        let text = self.gate.metrics.encode();
+        let found = text.lines().find_map(|it| it.strip_prefix(line));
+        let value = found.unwrap_or_else(|| panic!("no metric {line:?}"));
+        value.trim().parse().expect("a number")
+    }
+
+    pub fn refusals(&self, reason: &str) -> f64 {
+        self.metric(&format!("agate_gate_refusals_total{{reason=\"{reason}\"}}"))
+    }
+
+    pub fn retries(&self, reason: &str) -> f64 {
+        self.metric(&format!("agate_gate_retries_total{{reason=\"{reason}\"}}"))
+    }
+}
+
+pub fn chat_body(stream: bool) -> String {
+    json!({"model": "prism", "stream": stream, "messages": [{"role": "user", "content": "hello"}]})
+        .to_string()
+}
+
+/// What a caller got.
+#[derive(Clone, Debug)]
+pub struct Reply {
+    pub status: u16,
+    pub headers: Vec<(String, String)>,
+    pub body: String,
+}
+
+impl Reply {
+    pub fn header(&self, name: &str) -> Option<&str> {
+        let found = self.headers.iter().find(|(known, _)| known == name);
+        found.map(|(_, value)| value.as_str())
+    }
+
+    pub fn json(&self) -> Value {
+        serde_json::from_str(&self.body).expect("JSON")
+    }
+
+    /// Code and execution of a refusal.
+    pub fn refusal(&self) -> (String, String) {
+        let value = self.json();
+        let field = |name: &str| value["error"][name].as_str().unwrap_or("").to_owned();
+        assert_eq!(
+            self.header("x-agate-execution"),
+            Some(field("execution").as_str())
+        );
+        assert!(self.header("retry-after").is_some());
+        assert!(self.header("x-request-id").is_some());
+        (field("code"), field("execution"))
+    }
+
+    /// Concatenated text of a streamed answer.
+    pub fn text(&self) -> String {
+        self.events()
+            .iter()
+            .filter_map(|it| serde_json::from_str::<Value>(it).ok())
+            .filter_map(|it| {
+                let content = it.pointer("/choices/0/delta/content")?;
+                Some(content.as_str()?.to_owned())
+            })
+            .collect()
+    }
+
+    pub fn events(&self) -> Vec<String> {
+        let data = self
+            .body
+            .lines()
+            .filter_map(|line| line.strip_prefix("data: "));
+        data.map(str::to_owned).collect()
+    }
+}
+
+/// Waits until `condition` holds.
+pub async fn until(condition: impl Fn() -> bool) {
+    while !condition() {
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+}
+
+/// One event of an engine's stream.
+pub fn event(offset: u64, text: &str, last: bool) -> String {
+    let finish = if last { json!("stop") } else { Value::Null };
+    let mut chunk = json!({"id": "answer", "object": "chat.completion.chunk", "created": 1,
+        "model": "prism",
+        "choices": [{"index": 0, "delta": {"content": text}, "finish_reason": finish}]});
+    if last {
+        let tokens = offset + 1;
+        chunk["usage"] =
+            json!({"prompt_tokens": 7, "completion_tokens": tokens, "total_tokens": 7 + tokens});
+    }
+    format!("id: {offset}\ndata: {chunk}\n\n")
+}
+
+pub const DONE: &str = "data: [DONE]\n\n";
+
+pub fn event_stream(body: String) -> Response<BoxBody> {
+    let mut response = Response::with_body(actix_http::StatusCode::OK, BoxBody::new(body));
+    response.headers_mut().insert(
+        actix_http::header::CONTENT_TYPE,
+        actix_http::header::HeaderValue::from_static("text/event-stream"),
+    );
+    response
+}
+
+pub fn text(status: u16, body: &str) -> Response<BoxBody> {
+    let status = actix_http::StatusCode::from_u16(status).expect("a status");
+    Response::with_body(status, BoxBody::new(body.to_owned()))
+}
