--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -2,5 +2,6 @@
 
 pub mod file;
 pub mod log;
+pub mod place;
 pub mod signal;
 pub mod size;
