--- /dev/null
+++ b/crates/pick/tests/common/mod.rs
@@ -0,0 +1,66 @@
+//! Endpoints, wishes and a property runner with a fixed seed.
+#![allow(dead_code)]
+
+use std::net::{Ipv4Addr, SocketAddr};
+
+use agate_model::endpoint::{Endpoint, Fencing, Kind, Protocol};
+use agate_model::id::{EndpointId, PoolId, ZoneId};
+use agate_pick::Wish;
+use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
+
+pub(crate) fn runner(cases: u32) -> TestRunner {
+    let config = Config {
+        cases,
+        failure_persistence: None,
+        ..Config::default()
+    };
+    let rng = TestRng::deterministic_rng(RngAlgorithm::ChaCha);
+    TestRunner::new_with_rng(config, rng)
+}
+
+pub(crate) fn endpoint(n: usize, kind: Kind) -> Endpoint {
+    Endpoint {
+        id: format!("e{n}"),
+        pool: "pool".to_owned(),
+        address: SocketAddr::from((Ipv4Addr::LOCALHOST, 1)),
+        zone: format!("z{}", n % 3),
+        kind,
+        fencing: Fencing::Checked,
+        protocol: Protocol::Engine,
+        slots: 8,
+        credential: None,
+        leaving: false,
+    }
+}
+
+/// Owner of what a [`Wish`] borrows.
+pub(crate) struct Asked {
+    pub(crate) pools: Vec<PoolId>,
+    pub(crate) zone: ZoneId,
+    pub(crate) prefix: Vec<u64>,
+    pub(crate) excluded: Vec<EndpointId>,
+    pub(crate) reclaimable: bool,
+}
+
+impl Asked {
+    pub(crate) fn new() -> Self {
+        Self {
+            pools: vec!["pool".to_owned()],
+            zone: "z0".to_owned(),
+            prefix: Vec::new(),
+            excluded: Vec::new(),
+            reclaimable: false,
+        }
+    }
+
+    pub(crate) fn wish(&self) -> Wish<'_> {
+        Wish {
+            pools: &self.pools,
+            prefix: &self.prefix,
+            zone: &self.zone,
+            reclaimable: self.reclaimable,
+            excluded: &self.excluded,
+            tokens: 100,
+        }
+    }
+}
