--- a/crates/ctl/src/cmd/describe.rs
+++ b/crates/ctl/src/cmd/describe.rs
@@ -40,7 +40,7 @@
     text.push_str(&format!("# last changed by version {}\n", resource.version));
     for other in all {
         if refers(&other.manifest, name) {
-            let other = manifest::name(&other.manifest);
+            let other = other.manifest.name();
             text.push_str(&format!("# used by {other}\n"));
         }
     }
--- a/crates/ctl/src/cmd/diff.rs
+++ b/crates/ctl/src/cmd/diff.rs
@@ -45,7 +45,7 @@
 }
 
 async fn compare(client: &Client, wanted: &Manifest) -> Result<String, Error> {
-    let name = manifest::name(wanted);
+    let name = wanted.name();
     let wanted = manifest::to_yaml(wanted)?;
     let current = match client.get(name.kind.as_str(), &name.id).await {
         Ok(resource) => manifest::to_yaml(&resource.manifest)?,
--- a/crates/ctl/src/cmd/get.rs
+++ b/crates/ctl/src/cmd/get.rs
@@ -64,7 +64,7 @@
 fn table(resources: &[Resource]) -> Table {
     let mut table = Table::new(&["kind", "id", "version"]);
     for resource in resources {
-        let name = manifest::name(&resource.manifest);
+        let name = resource.manifest.name();
         let kind = name.kind.as_str().to_owned();
         table.push([kind, name.id, resource.version.to_string()]);
     }
--- a/crates/ctl/src/cmd/manifest.rs
+++ b/crates/ctl/src/cmd/manifest.rs
@@ -93,23 +93,6 @@
     report
 }
 
-/// Kind and name of a manifest.
-pub fn name(manifest: &Manifest) -> Name {
-    let (kind, id) = match manifest {
-        Manifest::Account(it) => (Kind::Account, &it.id),
-        Manifest::Key(it) => (Kind::Key, &it.id),
-        Manifest::Class(it) => (Kind::Class, &it.id),
-        Manifest::Pool(it) => (Kind::Pool, &it.id),
-        Manifest::Endpoint(it) => (Kind::Endpoint, &it.id),
-        Manifest::Route(it) => (Kind::Route, &it.id),
-        Manifest::Operator(it) => (Kind::Operator, &it.id),
-    };
-    Name {
-        kind,
-        id: id.clone(),
-    }
-}
-
 /// Splits `kind/id`.
 pub fn parse_name(text: &str) -> Result<Name, String> {
     let (kind, id) = text
--- a/crates/ctl/src/cmd/watch.rs
+++ b/crates/ctl/src/cmd/watch.rs
@@ -74,7 +74,7 @@
 
 fn line(edit: &Edit) -> String {
     match edit {
-        Edit::Put { manifest } => format!("put {}", manifest::name(manifest)),
+        Edit::Put { manifest } => format!("put {}", manifest.name()),
         Edit::Delete { kind, id } => format!("delete {kind}/{id}"),
     }
 }
--- /dev/null
+++ b/crates/wire/src/manifest/class.rs
@@ -0,0 +1,130 @@
+//! Manifest of a request class.
+
+use std::time::Duration;
+
+use agate_model::class;
+use agate_model::finding::Report;
+use agate_model::id::TIER_COUNT;
+use serde::{Deserialize, Serialize};
+
+use super::{at_least_one, one};
+
+const DEFAULT_QUEUE: u32 = 256;
+const DEFAULT_RETRY_PERCENT: u32 = 10;
+
+fn yes() -> bool {
+    true
+}
+
+fn queue() -> u32 {
+    DEFAULT_QUEUE
+}
+
+fn retry() -> u32 {
+    DEFAULT_RETRY_PERCENT
+}
+
+/// See [`class::Target`].
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Target {
+    /// For example `900ms`.
+    #[serde(with = "humantime_serde")]
+    pub first_token: Duration,
+    /// For example `28ms`.
+    #[serde(with = "humantime_serde")]
+    pub between_tokens: Duration,
+    /// For example `30s`.
+    #[serde(with = "humantime_serde")]
+    pub deadline: Duration,
+}
+
+/// See [`class::Class`].
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Class {
+    /// Name.
+    pub id: String,
+    /// 0 is the highest.
+    pub tier: u8,
+    /// Relative share of starts, from 1.
+    #[serde(default = "one")]
+    pub weight: u32,
+    /// Latency targets.
+    pub target: Target,
+    /// Whether requests may be executed more than once.
+    #[serde(default = "yes")]
+    pub idempotent: bool,
+    /// Whether slow requests may be hedged.
+    #[serde(default)]
+    pub hedge: bool,
+    /// Whether the work may run on reclaimable endpoints.
+    #[serde(default)]
+    pub reclaimable: bool,
+    /// Requests that may wait on one host.
+    #[serde(default = "queue")]
+    pub queue_limit: u32,
+    /// Retries and hedges per hundred requests, 0 to 100.
+    #[serde(default = "retry")]
+    pub retry_percent: u32,
+}
+
+impl From<class::Class> for Class {
+    fn from(it: class::Class) -> Self {
+        Self {
+            id: it.id,
+            tier: it.tier,
+            weight: it.weight,
+            target: Target {
+                first_token: it.target.first_token,
+                between_tokens: it.target.between_tokens,
+                deadline: it.target.deadline,
+            },
+            idempotent: it.idempotent,
+            hedge: it.hedge,
+            reclaimable: it.reclaimable,
+            queue_limit: it.queue_limit,
+            retry_percent: it.retry_percent,
+        }
+    }
+}
+
+impl Class {
+    pub(super) fn convert(self, report: &mut Report) -> class::Class {
+        let place = |field: &str| format!("class/{}.{field}", self.id);
+        if usize::from(self.tier) >= TIER_COUNT {
+            report.push(place("tier"), format!("needs to be below {TIER_COUNT}"));
+        }
+        at_least_one(self.weight, place("weight"), report);
+        if self.target.deadline.is_zero() {
+            report.push(place("target.deadline"), "needs to be longer than 0s");
+        }
+        if self.target.first_token > self.target.deadline {
+            report.push(place("target.first_token"), "is longer than the deadline");
+        }
+        if self.hedge && !self.idempotent {
+            report.push(place("hedge"), "needs an idempotent class");
+        }
+        if self.reclaimable && !self.idempotent {
+            report.push(place("reclaimable"), "needs an idempotent class");
+        }
+        if self.retry_percent > 100 {
+            report.push(place("retry_percent"), "needs to be 100 or less");
+        }
+        class::Class {
+            id: self.id,
+            tier: self.tier,
+            weight: self.weight,
+            target: class::Target {
+                first_token: self.target.first_token,
+                between_tokens: self.target.between_tokens,
+                deadline: self.target.deadline,
+            },
+            idempotent: self.idempotent,
+            hedge: self.hedge,
+            reclaimable: self.reclaimable,
+            queue_limit: self.queue_limit,
+            retry_percent: self.retry_percent,
+        }
+    }
+}
