--- a/crates/ctl/src/cmd/watch.rs
+++ b/crates/ctl/src/cmd/watch.rs
@@ -6,7 +6,6 @@
 use agate_wire::change::{Change, Edit};
 use bpaf::Bpaf;
 
-use crate::cmd::manifest;
 use crate::config::{Connection, Format, connection, format, print};
 use crate::error::Error;
 
