Control process: resource API, configuration for gates, peers

A change is one transaction over the head, the change and a nonce. A lost answer is settled by repeating the attempt with the same nonce: either its row is found, or the check on its absence keeps the change from being made twice. Permissions are checked again on the configuration that is changed.

Gates call agate_sync with one positional parameter: wire::sync::Request, answered by wire::sync::Response. Sealed form: member::token::request(&secret, sync::METHOD, host, now, json of the Request) as the parameter; the result is a token::Sealed, opened by token::open_answer. It is required where settings say require_token: true. The gate must add the time since it sent the call to proof_age_ms.

Tests: 15, in one thread over tables in memory.

--- /dev/null
+++ b/crates/steer/src/api/change.rs
@@ -0,0 +1,290 @@
+//! Changes of resources.
+
+use std::collections::BTreeSet;
+
+use agate_model::finding::Report;
+use agate_model::id::Version;
+use agate_model::operator::Role;
+use agate_model::resource::{Edit, Kind, Name, Spec};
+use agate_model::snapshot::Snapshot;
+use agate_wire::api::{Apply, Conflict, Item, Outcome, State};
+use agate_wire::change;
+use agate_wire::manifest::Manifest;
+use sha2::{Digest as _, Sha256};
+
+use crate::api::answer::{Answer, Failure};
+use crate::api::auth::Caller;
+use crate::api::read;
+use crate::api::request::Request;
+use crate::config::commit::{self, Plan, Proposal};
+use crate::config::handout;
+use crate::context::Context;
+
+/// One edit with its condition, checked.
+#[derive(Clone, Debug)]
+pub struct Step {
+    /// The edit.
+    pub edit: Edit,
+    /// Version that the resource must have; 0 if it must not exist.
+    pub expected: Option<Version>,
+}
+
+impl Step {
+    fn name(&self) -> Name {
+        match &self.edit {
+            Edit::Put(spec) => spec.name(),
+            Edit::Delete(name) => name.clone(),
+        }
+    }
+
+    fn conflict(&self, snapshot: &Snapshot) -> Option<Conflict> {
+        let expected = self.expected?;
+        let name = self.name();
+        let current = snapshot.get(&name);
+        if current.map_or(0, |it| it.version) == expected {
+            return None;
+        }
+        let yours = match &self.edit {
+            Edit::Put(spec) => Some(Manifest::from(spec.clone())),
+            Edit::Delete(_) => None,
+        };
+        Some(Conflict {
+            kind: name.kind.as_str().to_owned(),
+            id: name.id,
+            expected,
+            yours,
+            current: current.cloned().map(change::Resource::from),
+        })
+    }
+
+    fn changes(&self, snapshot: &Snapshot) -> bool {
+        match &self.edit {
+            Edit::Put(spec) => snapshot.get(&spec.name()).map(|it| &it.spec) != Some(spec),
+            Edit::Delete(name) => snapshot.get(name).is_some(),
+        }
+    }
+}
+
+/// `PUT` of one resource.
+pub async fn put(
+    context: &Context,
+    caller: &Caller,
+    request: &Request,
+    kind: &str,
+    id: &str,
+) -> Result<Answer, Failure> {
+    let name = read::name(kind, id)?;
+    let manifest: Manifest = request.json()?;
+    let spec: Spec = manifest.try_into().map_err(Failure::invalid)?;
+    if spec.name() != name {
+        let found = spec.name();
+        return Err(Failure::bad_request(format!(
+            "the path names {name}, the body {found}"
+        )));
+    }
+    let step = Step {
+        edit: Edit::Put(spec),
+        expected: expected(request)?,
+    };
+    make(context, caller, request, vec![step]).await
+}
+
+/// `DELETE` of one resource.
+pub async fn delete(
+    context: &Context,
+    caller: &Caller,
+    request: &Request,
+    kind: &str,
+    id: &str,
+) -> Result<Answer, Failure> {
+    let step = Step {
+        edit: Edit::Delete(read::name(kind, id)?),
+        expected: expected(request)?,
+    };
+    make(context, caller, request, vec![step]).await
+}
+
+/// Several edits in one change.
+pub async fn apply(
+    context: &Context,
+    caller: &Caller,
+    request: &Request,
+) -> Result<Answer, Failure> {
+    let apply: Apply = request.json()?;
+    let steps = steps(apply.items).map_err(Failure::invalid)?;
+    if apply.dry_run {
+        return dry_run(context, caller, &steps);
+    }
+    make(context, caller, request, steps).await
+}
+
+fn steps(items: Vec<Item>) -> Result<Vec<Step>, Report> {
+    let mut report = Report::default();
+    let mut names = BTreeSet::new();
+    let mut steps = Vec::with_capacity(items.len());
+    for item in items {
+        let edit: Edit = match item.edit.try_into() {
+            Ok(edit) => edit,
+            Err(faults) => {
+                report.merge(faults);
+                continue;
+            }
+        };
+        let step = Step {
+            edit,
+            expected: item.expected,
+        };
+        if !names.insert(step.name()) {
+            report.push(step.name().to_string(), "stands twice in the request");
+        }
+        steps.push(step);
+    }
+    if steps.is_empty() && report.is_empty() {
+        report.push("items", "needs at least one edit");
+    }
+    report.into_result(steps)
+}
+
+/// Condition from `If-Match` or `If-None-Match`.
+fn expected(request: &Request) -> Result<Option<Version>, Failure> {
+    if let Some(text) = request.header("if-match") {
+        let fault = |_| Failure::bad_request("If-Match needs a version such as \"12\"");
+        return text.trim_matches('"').parse().map(Some).map_err(fault);
+    }
+    match request.header("if-none-match") {
+        None => Ok(None),
+        Some("*") => Ok(Some(0)),
+        Some(_) => Err(Failure::bad_request("If-None-Match needs to be *")),
+    }
+}
+
+async fn make(
+    context: &Context,
+    caller: &Caller,
+    request: &Request,
+    steps: Vec<Step>,
+) -> Result<Answer, Failure> {
+    let nonce = nonce(caller, request);
+    let digest = hex::encode(Sha256::digest(request.body()));
+    let outcome = commit_steps(context, caller, nonce, digest, &steps).await?;
+    Ok(Answer::json(&outcome))
+}
+
+/// Stores the steps as one change and hands it out.
+pub async fn commit_steps(
+    context: &Context,
+    caller: &Caller,
+    nonce: String,
+    digest: String,
+    steps: &[Step],
+) -> Result<Outcome, Failure> {
+    let edits = |snapshot: &Snapshot| plan(caller, steps, snapshot);
+    let proposal = Proposal {
+        author: &caller.id,
+        nonce,
+        digest,
+        edits: &edits,
+    };
+    let done = match commit::commit(context, &proposal).await {
+        Ok(done) => done,
+        Err(commit::Failure::Unchanged) => {
+            let version = context.copy.version();
+            return Ok(handout::outcome(context, version));
+        }
+        Err(failure) => return Err(failure.into()),
+    };
+    tracing::info!(
+        event = "change_made",
+        version = done.version,
+        operator = caller.id,
+        repeated = done.repeated
+    );
+    let entries = context.copy.entries_above(done.version.saturating_sub(1));
+    let entries = entries.unwrap_or_default();
+    let mut outcome = handout::hand_out(context, entries, done.version).await;
+    outcome.repeated = done.repeated;
+    let context = context.clone();
+    actix_rt::spawn(async move { commit::store_snapshot(&context, done.version).await });
+    Ok(outcome)
+}
+
+/// The nonce of a change: from the operator's idempotency key, or a random one.
+pub fn nonce(caller: &Caller, request: &Request) -> String {
+    let Some(key) = request.header("idempotency-key") else {
+        return hex::encode(rand::random::<[u8; 16]>());
+    };
+    let mut digest = Sha256::new();
+    digest.update((caller.id.len() as u64).to_be_bytes());
+    digest.update(caller.id.as_bytes());
+    digest.update(key.as_bytes());
+    hex::encode(digest.finalize())
+}
+
+fn plan(caller: &Caller, steps: &[Step], snapshot: &Snapshot) -> Result<Plan, commit::Failure> {
+    permit(caller, steps, snapshot)?;
+    let conflicts: Vec<Conflict> = steps
+        .iter()
+        .filter_map(|it| it.conflict(snapshot))
+        .collect();
+    if !conflicts.is_empty() {
+        return Err(commit::Failure::Conflict(conflicts));
+    }
+    if let [
+        Step {
+            edit: Edit::Delete(name),
+            ..
+        },
+    ] = steps
+        && snapshot.get(name).is_none()
+    {
+        return Err(commit::Failure::NotFound(name.to_string()));
+    }
+    let changing = steps.iter().filter(|it| it.changes(snapshot));
+    let edits: Vec<Edit> = changing.map(|it| it.edit.clone()).collect();
+    if edits.is_empty() {
+        return Err(commit::Failure::Unchanged);
+    }
+    Ok(Plan {
+        edits,
+        witnesses: None,
+    })
+}
+
+/// The role is checked again on the configuration that is changed.
+fn permit(caller: &Caller, steps: &[Step], snapshot: &Snapshot) -> Result<(), commit::Failure> {
+    let touches_operators = steps.iter().any(|it| it.name().kind == Kind::Operator);
+    let needed = if touches_operators {
+        Role::Admin
+    } else {
+        Role::Editor
+    };
+    match caller.role_in(snapshot) {
+        Some(role) if role >= needed => Ok(()),
+        _ => Err(commit::Failure::Forbidden(needed)),
+    }
+}
+
+fn dry_run(context: &Context, caller: &Caller, steps: &[Step]) -> Result<Answer, Failure> {
+    let snapshot = context.copy.snapshot();
+    match plan(caller, steps, &snapshot) {
+        Ok(plan) => {
+            let change = agate_model::resource::Change {
+                version: snapshot.version() + 1,
+                edits: plan.edits,
+            };
+            commit::check(&snapshot, &change)?;
+        }
+        Err(commit::Failure::Unchanged) => {}
+        Err(failure) => return Err(failure.into()),
+    }
+    let version = snapshot.version();
+    let (hosts_in_force, hosts) = context.members.in_force(version, version);
+    Ok(Answer::json(&Outcome {
+        version,
+        state: State::Accepted,
+        hosts_in_force,
+        hosts,
+        repeated: false,
+        dry_run: true,
+    }))
+}
--- /dev/null
+++ b/crates/steer/src/api/router.rs
@@ -0,0 +1,87 @@
+//! Paths and methods of the API.
+
+use actix_http::{Method, StatusCode};
+use agate_model::operator::Role;
+use agate_model::version::FRESHNESS_LIMIT;
+
+use crate::api::answer::{Answer, Failure};
+use crate::api::auth::Caller;
+use crate::api::request::Request;
+use crate::api::{change, keys, read, status, usage};
+use crate::context::Context;
+
+const METRICS_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
+
+/// Answers a request.
+pub async fn route(context: &Context, request: &Request) -> Result<Answer, Failure> {
+    let segments: Vec<&str> = request.segments.iter().map(String::as_str).collect();
+    match segments.as_slice() {
+        ["healthz"] => Ok(Answer::text("text/plain", "ok\n".to_owned())),
+        ["readyz"] => ready(context),
+        ["metrics"] => Ok(metrics(context)),
+        ["api", "v1", path @ ..] => api(context, request, path).await,
+        _ => Err(Failure::not_found("this path")),
+    }
+}
+
+async fn api(context: &Context, request: &Request, path: &[&str]) -> Result<Answer, Failure> {
+    let caller = Caller::identify(context, request.header("authorization"))?;
+    caller.require(needed_role(&request.method))?;
+    match (&request.method, path) {
+        (&Method::GET, ["resources"]) => read::list(context, &caller, request),
+        (&Method::GET, ["resources", kind, id @ ..]) => {
+            read::get(context, &caller, kind, &id.join("/"))
+        }
+        (&Method::PUT, ["resources", kind, id @ ..]) => {
+            change::put(context, &caller, request, kind, &id.join("/")).await
+        }
+        (&Method::DELETE, ["resources", kind, id @ ..]) => {
+            change::delete(context, &caller, request, kind, &id.join("/")).await
+        }
+        (&Method::POST, ["apply"]) => change::apply(context, &caller, request).await,
+        (&Method::GET, ["changes", version]) => read::outcome(context, version),
+        (&Method::GET, ["watch"]) => read::watch(context, &caller, request).await,
+        (&Method::GET, ["status"]) => status::get(context).await,
+        (&Method::GET, ["usage"]) => usage::get(context, request).await,
+        (&Method::POST, ["keys", account @ ..]) => {
+            keys::issue(context, &caller, request, &account.join("/")).await
+        }
+        (&Method::DELETE, ["keys", id @ ..]) => {
+            change::delete(context, &caller, request, "key", &id.join("/")).await
+        }
+        _ => Err(Failure::new(
+            StatusCode::NOT_FOUND,
+            "not_found",
+            "no such path or method",
+        )),
+    }
+}
+
+fn needed_role(method: &Method) -> Role {
+    if *method == Method::GET {
+        Role::Viewer
+    } else {
+        Role::Editor
+    }
+}
+
+fn ready(context: &Context) -> Result<Answer, Failure> {
+    match context.copy.proof_age() {
+        Some(age) if age <= FRESHNESS_LIMIT => Ok(Answer::text("text/plain", "ready\n".to_owned())),
+        _ => Err(Failure::new(
+            StatusCode::SERVICE_UNAVAILABLE,
+            "config_stale",
+            "no proof that the configuration is current",
+        )),
+    }
+}
+
+fn metrics(context: &Context) -> Answer {
+    let metrics = &context.metrics;
+    let signed = |version| i64::try_from(version).unwrap_or(i64::MAX);
+    metrics.version.set(signed(context.copy.version()));
+    metrics.accepted.set(signed(context.copy.accepted()));
+    let age = context.copy.proof_age().map_or(-1.0, |it| it.as_secs_f64());
+    metrics.proof_age.set(age);
+    Answer::text(METRICS_TYPE, metrics.text())
+}
--- /dev/null
+++ b/crates/steer/src/config.rs
@@ -0,0 +1,8 @@
+//! The configuration: this host's copy, the store and the peers.
+
+pub mod commit;
+pub mod copy;
+pub mod handout;
+pub mod reader;
+pub mod row;
+pub mod witness;
--- a/crates/steer/src/lib.rs
+++ b/crates/steer/src/lib.rs
@@ -1,1 +1,15 @@
 //! Control process: resource API, membership, configuration, endpoint orders and usage reports.
+
+pub mod api;
+pub mod config;
+pub mod context;
+pub mod directory;
+pub mod endpoints;
+pub mod inbox;
+pub mod member;
+pub mod metrics;
+pub mod platform;
+pub mod rpc;
+pub mod run;
+pub mod settings;
+pub mod sync;
--- /dev/null
+++ b/crates/steer/src/rpc.rs
@@ -0,0 +1,5 @@
+//! Calls between gates and control processes, and among control processes.
+
+pub mod client;
+pub mod peer;
+pub mod server;
--- /dev/null
+++ b/crates/steer/src/rpc/peer.rs
@@ -0,0 +1,117 @@
+//! Answers to peers: hand-out, missing entries and this host's state.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use agate_model::id::HostId;
+use agate_wire::peer::{self, Announce, Fetch, Fetched, Push, Standing};
+use agate_wire::sync;
+use futures_util::future::LocalBoxFuture;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+use crate::config::copy;
+use crate::context::Context;
+use crate::rpc::server::{Failure, Handler, Handlers};
+
+/// Answers a call with a typed body.
+pub type Function<B, A> = fn(Context, HostId, B) -> LocalBoxFuture<'static, Result<A, Failure>>;
+
+/// A handler with typed bodies.
+pub struct Method<B, A> {
+    context: Context,
+    function: Function<B, A>,
+}
+
+impl<B, A> Method<B, A>
+where
+    B: DeserializeOwned + 'static,
+    A: Serialize + 'static,
+{
+    /// A handler that calls `function`.
+    pub fn shared(context: &Context, function: Function<B, A>) -> Rc<dyn Handler> {
+        Rc::new(Self {
+            context: context.clone(),
+            function,
+        })
+    }
+}
+
+impl<B: DeserializeOwned, A: Serialize> Handler for Method<B, A> {
+    fn handle(&self, sender: HostId, body: String) -> LocalBoxFuture<'_, Result<String, Failure>> {
+        Box::pin(async move {
+            let body = serde_json::from_str(&body).map_err(|err| Failure(err.to_string()))?;
+            let answer = (self.function)(self.context.clone(), sender, body).await?;
+            serde_json::to_string(&answer).map_err(|err| Failure(err.to_string()))
+        })
+    }
+}
+
+/// Methods of every control process.
+pub const METHODS: [&str; 4] = [sync::METHOD, peer::PUSH, peer::FETCH, peer::STANDING];
+
+/// Handlers of [`METHODS`].
+pub fn handlers(context: &Context) -> Handlers {
+    let mut handlers = Handlers::new();
+    let sync = Method::shared(context, |context, _, body| {
+        Box::pin(async move { Ok(crate::sync::answer(&context, body)) })
+    });
+    handlers.insert(sync::METHOD, sync);
+    let push = Method::shared(context, |context, _, body| {
+        Box::pin(async move { take_push(&context, body) })
+    });
+    handlers.insert(peer::PUSH, push);
+    let fetch = Method::shared(context, |context, _, body: Fetch| {
+        Box::pin(async move { Ok(fetched(&context, body)) })
+    });
+    handlers.insert(peer::FETCH, fetch);
+    let standing = Method::shared(context, |context, _, body: Announce| {
+        Box::pin(async move {
+            context.members.learn(body.host);
+            Ok(standing(&context, true))
+        })
+    });
+    handlers.insert(peer::STANDING, standing);
+    handlers
+}
+
+/// Takes up the entries, which acknowledges them. A gap is closed by the reader.
+fn take_push(context: &Context, push: Push) -> Result<Standing, Failure> {
+    let newest = push.entries.last().map(|it| it.change.version);
+    context.copy.hear_of(newest.unwrap_or(0));
+    match context.copy.extend(push.entries) {
+        Ok(()) | Err(copy::Error::Gap(_)) => {}
+        Err(err) => return Err(Failure(err.to_string())),
+    }
+    context.copy.accept(push.accepted);
+    Ok(standing(context, false))
+}
+
+fn fetched(context: &Context, fetch: Fetch) -> Fetched {
+    match context.copy.entries_above(fetch.above) {
+        Some(entries) => Fetched::Entries(entries),
+        None => Fetched::Copy(Box::new(context.copy.whole())),
+    }
+}
+
+/// State of this host.
+pub fn standing(context: &Context, with_hosts: bool) -> Standing {
+    let hosts = if with_hosts {
+        context.members.rows()
+    } else {
+        Vec::new()
+    };
+    Standing {
+        host: context.host.id.clone(),
+        incarnation: context.host.incarnation.clone(),
+        version: context.copy.version(),
+        gate_version: context.inbox.gate_version(&context.host.id),
+        proof_age_ms: context.copy.proof_age().map(millis),
+        hosts,
+    }
+}
+
+/// Whole milliseconds, rounded up so that an age is never understated.
+pub fn millis(age: Duration) -> u64 {
+    u64::try_from(age.as_micros().div_ceil(1000)).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/crates/steer/src/settings.rs
@@ -0,0 +1,193 @@
+//! Settings of `agate-steer`.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::time::Duration;
+
+use agate_member::secret::{Malformed, Secret};
+use agate_model::finding::Report;
+use agate_model::key::{DIGEST_BYTES, Digest};
+use agate_model::version::FRESHNESS_LIMIT;
+use agate_settings::file::Check;
+use serde::{Deserialize, Serialize};
+
+const REDACTED: &str = "(redacted)";
+
+/// The settings file.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Settings {
+    /// Name of this host.
+    pub host: String,
+    /// Availability zone of this host.
+    pub zone: String,
+    /// Where callers reach the gate of this host.
+    pub gate: SocketAddr,
+    /// Where operators reach the resource API.
+    pub listen: SocketAddr,
+    /// Where gates and peers call.
+    pub peers_listen: SocketAddr,
+    /// Where gossip frames arrive (UDP).
+    pub gossip: SocketAddr,
+    /// The platform.
+    pub platform: SocketAddr,
+    /// `peers_listen` addresses of some peers, for a start without the store.
+    #[serde(default)]
+    pub seeds: Vec<SocketAddr>,
+    /// Cluster key, at least 64 hexadecimal digits.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub cluster_key: Option<String>,
+    /// File that holds the cluster key.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub cluster_key_file: Option<PathBuf>,
+    /// Whether gates must seal their calls with the cluster key. Peers always must.
+    #[serde(default)]
+    pub require_token: bool,
+    /// SHA-256 of a credential that is an admin's from the start, in hexadecimal digits.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub bootstrap_operator_digest: Option<String>,
+    /// Intervals of recurring work.
+    #[serde(default)]
+    pub intervals: Intervals,
+    /// Timeouts.
+    #[serde(default)]
+    pub timeouts: Timeouts,
+    /// Length of a reporting window.
+    #[serde(default = "window", with = "humantime_serde")]
+    pub window: Duration,
+    /// Log directives, such as `info,agate_steer=debug`.
+    #[serde(default = "log")]
+    pub log: String,
+}
+
+/// Intervals of recurring work.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Intervals {
+    /// Between looks at the store's head version.
+    #[serde(with = "humantime_serde")]
+    pub store: Duration,
+    /// Between reads of the platform's list of hosts and endpoints.
+    #[serde(with = "humantime_serde")]
+    pub hosts: Duration,
+    /// Between gossip exchanges.
+    #[serde(with = "humantime_serde")]
+    pub gossip: Duration,
+}
+
+/// Timeouts.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Timeouts {
+    /// One call to the platform.
+    #[serde(with = "humantime_serde")]
+    pub platform: Duration,
+    /// One call to a peer.
+    #[serde(with = "humantime_serde")]
+    pub peer: Duration,
+    /// How long a change waits for acceptance before it is answered as pending.
+    #[serde(with = "humantime_serde")]
+    pub acceptance: Duration,
+    /// How long a host that shuts down waits for its gate.
+    #[serde(with = "humantime_serde")]
+    pub shutdown: Duration,
+}
+
+impl Default for Intervals {
+    fn default() -> Self {
+        Self {
+            store: Duration::from_secs(1),
+            hosts: Duration::from_secs(2),
+            gossip: Duration::from_millis(250),
+        }
+    }
+}
+
+impl Default for Timeouts {
+    fn default() -> Self {
+        Self {
+            platform: Duration::from_secs(1),
+            peer: Duration::from_millis(800),
+            acceptance: Duration::from_secs(2),
+            shutdown: Duration::from_secs(120),
+        }
+    }
+}
+
+fn window() -> Duration {
+    Duration::from_secs(3600)
+}
+
+fn log() -> String {
+    "info".to_owned()
+}
+
+impl Settings {
+    /// The settings without secrets.
+    pub fn redacted(&self) -> Self {
+        let mut settings = self.clone();
+        settings.cluster_key = self.cluster_key.as_ref().map(|_| REDACTED.to_owned());
+        settings
+    }
+
+    /// The cluster key.
+    pub fn secret(&self) -> Result<Secret, Malformed> {
+        let text = match (&self.cluster_key, &self.cluster_key_file) {
+            (Some(text), _) => text.clone(),
+            (None, Some(path)) => std::fs::read_to_string(path).map_err(|_| Malformed)?,
+            (None, None) => return Err(Malformed),
+        };
+        Secret::from_hex(&text)
+    }
+
+    /// Digest of the first admin's credential.
+    pub fn bootstrap(&self) -> Option<Digest> {
+        let mut digest = [0; DIGEST_BYTES];
+        let text = self.bootstrap_operator_digest.as_deref()?;
+        hex::decode_to_slice(text, &mut digest).ok()?;
+        Some(Digest(digest))
+    }
+}
+
+impl Check for Settings {
+    fn check(&self, report: &mut Report) {
+        if self.host.is_empty() || self.host.len() > agate_wire::manifest::NAME_BYTES {
+            report.push("host", "needs 1 to 128 characters");
+        }
+        if self.zone.is_empty() {
+            report.push("zone", "is empty");
+        }
+        if self.cluster_key.is_some() == self.cluster_key_file.is_some() {
+            report.push(
+                "cluster_key",
+                "needs either cluster_key or cluster_key_file",
+            );
+        } else if let Err(err) = self.secret() {
+            report.push("cluster_key", err.to_string());
+        }
+        if self.bootstrap_operator_digest.is_some() && self.bootstrap().is_none() {
+            report.push(
+                "bootstrap_operator_digest",
+                "needs 64 hexadecimal digits (SHA-256)",
+            );
+        }
+        if self.window < Duration::from_secs(1) || self.window.subsec_nanos() != 0 {
+            report.push("window", "needs to be a whole number of seconds");
+        }
+        for (place, value) in [
+            ("intervals.store", self.intervals.store),
+            ("intervals.gossip", self.intervals.gossip),
+            ("timeouts.platform", self.timeouts.platform),
+        ] {
+            if value.is_zero() || value >= FRESHNESS_LIMIT {
+                report.push(
+                    place,
+                    format!("needs to be above 0s and below {FRESHNESS_LIMIT:?}"),
+                );
+            }
+        }
+        if self.intervals.hosts.is_zero() {
+            report.push("intervals.hosts", "needs to be above 0s");
+        }
+    }
+}
--- /dev/null
+++ b/crates/steer/src/sync.rs
@@ -0,0 +1,67 @@
+//! Answers to gates.
+
+use std::time::SystemTime;
+
+use agate_model::id::{Version, Window};
+use agate_wire::change::Snapshot;
+use agate_wire::sync::{Request, Response, Update};
+use tokio::time::Instant;
+
+use crate::context::Context;
+use crate::directory;
+use crate::rpc::peer::millis;
+
+/// Changes handed out singly; a gate that is further behind gets a snapshot.
+const CHANGE_LIMIT: usize = 64;
+
+/// Peers named to a gate.
+const PEER_LIMIT: usize = 8;
+
+/// Records what a gate reports and answers with what it lacks.
+pub fn answer(context: &Context, request: Request) -> Response {
+    let version = request.version;
+    let endpoint_revision = request.endpoint_revision;
+    context.inbox.record(request, Instant::now());
+    Response {
+        version: context.copy.version(),
+        proof_age_ms: context.copy.proof_age().map(millis),
+        update: update(context, version),
+        endpoints: context.endpoints.since(endpoint_revision),
+        hosts: context.members.entries(),
+        peers: peers(context),
+        live_hosts: directory::live(context),
+        pressure: context.members.pressure(),
+        window: open_window(context, SystemTime::now()),
+    }
+}
+
+fn update(context: &Context, have: Version) -> Option<Update> {
+    if have >= context.copy.version() {
+        return None;
+    }
+    let entries = context.copy.entries_above(have);
+    match entries.filter(|it| it.len() <= CHANGE_LIMIT) {
+        Some(entries) => {
+            let changes = entries.into_iter().map(|it| it.change).collect();
+            Some(Update::Changes(changes))
+        }
+        None => Some(Update::Snapshot(Snapshot::from(&*context.copy.snapshot()))),
+    }
+}
+
+/// Peers of the own availability zone first.
+fn peers(context: &Context) -> Vec<String> {
+    let mut live = context.members.live();
+    live.sort_by_key(|it| it.host.zone != context.host.zone);
+    live.truncate(PEER_LIMIT);
+    live.iter().map(|it| it.host.steer.to_string()).collect()
+}
+
+/// Start of the reporting window that `now` falls into.
+pub fn open_window(context: &Context, now: SystemTime) -> Window {
+    let since = now
+        .duration_since(SystemTime::UNIX_EPOCH)
+        .unwrap_or_default();
+    let length = context.settings.window.as_secs();
+    since.as_secs() / length * length
+}
--- /dev/null
+++ b/crates/steer/tests/resources.rs
@@ -0,0 +1,256 @@
+//! The resource API.
+
+mod common;
+
+use std::rc::Rc;
+
+use agate_fake::memory::Fault;
+use agate_wire::api::{Failure, KeyIssued, Listing, Outcome, State, Watch};
+use agate_wire::sync::{self, Request, Response, Update};
+use awc::http::Method;
+use common::{Fake, Host, account, put, settings, start};
+use jsonrpsee::core::client::ClientT as _;
+use jsonrpsee::http_client::HttpClientBuilder;
+use jsonrpsee::rpc_params;
+use rstest::rstest;
+use serde_json::json;
+
+async fn single() -> (Rc<Fake>, Host) {
+    let fake = Rc::new(Fake::default());
+    let host = start(&fake, settings("host-1", "zone-a", "")).await;
+    let copy = Rc::clone(&host.process.context.copy);
+    common::until("the host is a witness", || copy.version() >= 1).await;
+    (fake, host)
+}
+
+async fn sync(host: &Host, version: u64) -> Response {
+    let client = HttpClientBuilder::default()
+        .build(format!("http://{}", host.rpc))
+        .expect("client");
+    let request = Request {
+        host: "host-1".to_owned(),
+        incarnation: "run".to_owned(),
+        version,
+        ..Request::default()
+    };
+    client
+        .request(sync::METHOD, rpc_params![request])
+        .await
+        .expect("an answer")
+}
+
+#[actix_rt::test]
+async fn a_change_reaches_the_gate_with_a_proof() {
+    let (_fake, host) = single().await;
+    let reply = host
+        .apply(json!([put(&account("a", 2)), put(&account("b", 1))]))
+        .await;
+    assert_eq!(reply.status, 200, "{}", reply.body);
+    let outcome: Outcome = reply.parse();
+    assert_eq!(outcome.state, State::Accepted);
+
+    let listing: Listing = host
+        .call(Method::GET, "/api/v1/resources?kind=account", None)
+        .await
+        .parse();
+    assert_eq!(listing.version, outcome.version);
+    assert_eq!(listing.resources.len(), 2);
+
+    let answer = sync(&host, 0).await;
+    assert_eq!(answer.version, outcome.version);
+    assert!(answer.proof_age_ms.is_some_and(|age| age < 2500));
+    assert_eq!(answer.hosts.len(), 1);
+    let Some(Update::Changes(changes)) = answer.update else {
+        panic!("changes are missing");
+    };
+    assert_eq!(changes.last().map(|it| it.version), Some(outcome.version));
+    assert!(sync(&host, outcome.version).await.update.is_none());
+}
+
+#[actix_rt::test]
+async fn a_conflict_shows_both_sides() {
+    let (_fake, host) = single().await;
+    let path = "/api/v1/resources/account/a";
+    let put = async |weight, condition| {
+        let body = Some(account("a", weight));
+        host.call_as(common::CREDENTIAL, Method::PUT, path, body, &[condition])
+            .await
+    };
+    let created: Outcome = put(1, ("if-none-match", "*")).await.parse();
+    let version = format!("\"{}\"", created.version);
+    assert_eq!(put(2, ("if-match", &version)).await.status, 200);
+    let reply = put(3, ("if-match", &version)).await;
+    assert_eq!(reply.status, 409);
+    let failure: Failure = reply.parse();
+    let conflict = &failure.conflicts[0];
+    assert_eq!(conflict.expected, created.version);
+    let yours = serde_json::to_value(&conflict.yours).expect("json");
+    let current = serde_json::to_value(&conflict.current).expect("json");
+    assert_eq!(
+        (&yours["weight"], &current["manifest"]["weight"]),
+        (&json!(3), &json!(2))
+    );
+}
+
+#[actix_rt::test]
+async fn a_repeated_request_makes_no_second_change() {
+    let (_fake, host) = single().await;
+    let put = async |weight, key| {
+        let path = "/api/v1/resources/account/a";
+        let headers = [("idempotency-key", key)];
+        let body = Some(account("a", weight));
+        host.call_as(common::CREDENTIAL, Method::PUT, path, body, &headers)
+            .await
+    };
+    let first: Outcome = put(1, "k").await.parse();
+    let other: Outcome = put(2, "l").await.parse();
+    let again: Outcome = put(1, "k").await.parse();
+    assert!(other.version > first.version && again.repeated);
+    assert_eq!(again.version, first.version);
+    assert_eq!(put(5, "k").await.status, 409);
+}
+
+#[actix_rt::test]
+async fn a_lost_answer_is_settled_by_the_nonce() {
+    let (fake, host) = single().await;
+    let reader = Rc::clone(&fake);
+    fake.lose_commit.set(true);
+    let reply = host.apply(json!([put(&account("a", 1))])).await;
+    let outcome: Outcome = reply.parse();
+    assert!(
+        outcome.repeated,
+        "the second attempt finds the first one's change"
+    );
+    let head = reader
+        .tables
+        .tables
+        .borrow()
+        .get("config", "head")
+        .expect("a head");
+    assert_eq!(head.value, outcome.version.to_string());
+}
+
+#[actix_rt::test]
+async fn all_faults_are_reported_and_nothing_is_stored() {
+    let (_fake, host) = single().await;
+    let before = host.process.context.copy.version();
+    let class = json!({"kind": "class", "id": "c", "tier": 9, "weight": 0,
+        "target": {"first_token": "1s", "between_tokens": "1ms", "deadline": "2s"}});
+    let reply = host
+        .apply(json!([put(&class), put(&account("a b", 0))]))
+        .await;
+    assert_eq!(reply.status, 422);
+    let failure: Failure = reply.parse();
+    assert_eq!(failure.findings.len(), 4, "{failure:?}");
+
+    let key = json!({"kind": "key", "id": "k", "account": "nobody", "digest": "0".repeat(64)});
+    let reply = host.apply(json!([put(&key)])).await;
+    assert_eq!(reply.status, 422, "{}", reply.body);
+    assert_eq!(host.process.context.copy.version(), before);
+}
+
+#[actix_rt::test]
+async fn a_store_outage_is_told_apart_from_a_change() {
+    let (fake, host) = single().await;
+    fake.set_down(true);
+    let reply = host.apply(json!([put(&account("a", 1))])).await;
+    assert_eq!(reply.status, 503);
+    assert_eq!(reply.parse::<Failure>().code, "store_unavailable");
+    fake.tables.fault.set(Fault::None);
+    assert_eq!(host.apply(json!([put(&account("a", 1))])).await.status, 200);
+}
+
+#[actix_rt::test]
+async fn a_key_is_shown_once_and_stored_as_a_digest() {
+    let (_fake, host) = single().await;
+    host.apply(json!([put(&account("a", 1))])).await;
+    let path = "/api/v1/keys/a";
+    let issued: KeyIssued = host
+        .call(Method::POST, path, Some(json!({"id": "k"})))
+        .await
+        .parse();
+    let digest = agate_model::key::Digest::of(issued.key.as_bytes());
+    let snapshot = host.process.context.copy.snapshot();
+    assert_eq!(snapshot.key(&digest).map(|it| it.id.as_str()), Some("k"));
+    let second = host
+        .call(Method::POST, path, Some(json!({"id": "k"})))
+        .await;
+    assert_eq!(second.status, 409);
+    assert_eq!(
+        host.call(Method::DELETE, "/api/v1/keys/k", None)
+            .await
+            .status,
+        200
+    );
+    let snapshot = host.process.context.copy.snapshot();
+    assert!(snapshot.key(&digest).is_none());
+    assert_eq!(
+        host.call(Method::DELETE, "/api/v1/keys/k", None)
+            .await
+            .status,
+        404
+    );
+}
+
+#[rstest]
+#[case("viewer", Method::GET, "/api/v1/resources", 200)]
+#[case("viewer", Method::PUT, "/api/v1/resources/account/a", 403)]
+#[case("editor", Method::PUT, "/api/v1/resources/account/a", 200)]
+#[case("editor", Method::PUT, "/api/v1/resources/operator/x", 403)]
+#[case("admin", Method::PUT, "/api/v1/resources/operator/x", 200)]
+#[case("nobody", Method::GET, "/api/v1/status", 401)]
+#[actix_rt::test]
+async fn roles_limit_what_an_operator_may_do(
+    #[case] operator: &str,
+    #[case] method: Method,
+    #[case] path: &str,
+    #[case] status: u16,
+) {
+    let (_fake, host) = single().await;
+    let digest =
+        |credential: &str| hex::encode(agate_model::key::Digest::of(credential.as_bytes()).0);
+    let declared = ["viewer", "editor", "admin"].map(|role| {
+        put(&json!({"kind": "operator", "id": role, "role": role, "digest": digest(role)}))
+    });
+    assert_eq!(host.apply(json!(declared)).await.status, 200);
+    let body = match path.rsplit('/').nth(1) {
+        Some("operator") => {
+            json!({"kind": "operator", "id": "x", "role": "viewer", "digest": digest("x")})
+        }
+        _ => account("a", 1),
+    };
+    let body = (method == Method::PUT).then_some(body);
+    let reply = host.call_as(operator, method, path, body, &[]).await;
+    assert_eq!(reply.status, status, "{}", reply.body);
+}
+
+#[actix_rt::test]
+async fn watch_waits_for_the_next_change() {
+    let (_fake, host) = single().await;
+    let from = host.process.context.copy.version();
+    let path = format!("/api/v1/watch?from={from}&wait=5");
+    let change = async { host.apply(json!([put(&account("a", 1))])).await };
+    let (watched, _) = tokio::join!(host.call(Method::GET, &path, None), change);
+    let watch: Watch = watched.parse();
+    assert_eq!(watch.changes.len(), 1);
+    assert_eq!(watch.version, from + 1);
+}
+
+#[actix_rt::test]
+async fn peers_and_strict_hosts_need_the_seal() {
+    let fake = Rc::new(Fake::default());
+    let host = start(&fake, settings("host-1", "zone-a", "require_token: true")).await;
+    let client = HttpClientBuilder::default()
+        .build(format!("http://{}", host.rpc))
+        .expect("client");
+    for method in [
+        sync::METHOD,
+        agate_wire::peer::FETCH,
+        agate_wire::peer::PUSH,
+    ] {
+        let outcome: Result<serde_json::Value, _> = client
+            .request(method, rpc_params![json!({"above": 0})])
+            .await;
+        assert!(outcome.is_err(), "{method} was answered");
+    }
+}
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -12,7 +12,8 @@
 pub const PUSH: &str = "agate_push";
 /// JSON-RPC method that reads entries: [`Fetch`], answered by [`Fetched`].
 pub const FETCH: &str = "agate_fetch";
-/// JSON-RPC method that asks for the state of a host, without parameter body; answered by [`Standing`].
+/// JSON-RPC method that announces a host and asks for the state of another: [`Announce`],
+/// answered by [`Standing`].
 pub const STANDING: &str = "agate_standing";
 
 /// One run of a host that attests versions.
@@ -83,6 +84,9 @@
     pub steer: std::net::SocketAddr,
     /// Where peers send gossip frames.
     pub gossip: std::net::SocketAddr,
+    /// Start of this run, in milliseconds since the Unix epoch.
+    #[serde(default)]
+    pub started_ms: u64,
     /// Whether it shuts down.
     #[serde(default)]
     pub leaving: bool,
@@ -102,20 +106,6 @@
     }
 }
 
-impl From<host::Host> for HostRow {
-    fn from(it: host::Host) -> Self {
-        Self {
-            host: it.id,
-            incarnation: it.incarnation,
-            zone: it.zone,
-            gate: it.gate,
-            steer: it.steer,
-            gossip: it.gossip,
-            leaving: it.leaving,
-        }
-    }
-}
-
 /// Entries that a peer should take up.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Push {
@@ -142,6 +132,13 @@
     Copy(Box<Copy>),
 }
 
+/// Tells a peer of this host.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Announce {
+    /// The caller.
+    pub host: HostRow,
+}
+
 /// State of a host.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Standing {
