--- a/crates/gate/src/forward/client.rs
+++ b/crates/gate/src/forward/client.rs
@@ -4,12 +4,15 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use actix_http::Method;
-use actix_http::header::HeaderMap;
+use actix_http::error::PayloadError;
+use actix_http::header::{self, HeaderMap};
+use actix_http::{Method, StatusCode, Version};
 use awc::error::{ConnectError, SendRequestError};
 use awc::{ClientResponse, Connector};
 use bytes::Bytes;
+use futures_util::StreamExt as _;
 
+use super::transport;
 use crate::refusal::{Progress, Sent, Unsent};
 
 /// Idle time after which a connection is not used again.
@@ -35,6 +38,75 @@
     pub cause: Cause,
 }
 
+/// An answer that broke off.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("the answer broke off")]
+pub struct Broken;
+
+/// How the end of a body shows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Framing {
+    /// By its length, its chunks, or the absence of a body.
+    Framed,
+    /// By the end of the connection, in HTTP/1.0.
+    UntilClose,
+    /// By the end of the connection, in HTTP/1.1. The HTTP client takes such bodies for empty.
+    Unreadable,
+}
+
+impl Framing {
+    fn of(method: &Method, response: &ClientResponse) -> Self {
+        let headers = response.headers();
+        let framed = headers.contains_key(header::CONTENT_LENGTH)
+            || headers.contains_key(header::TRANSFER_ENCODING);
+        let bodiless = method == Method::HEAD
+            || response.status() == StatusCode::NO_CONTENT
+            || response.status() == StatusCode::NOT_MODIFIED;
+        match response.version() {
+            _ if framed || bodiless => Self::Framed,
+            Version::HTTP_10 => Self::UntilClose,
+            _ => Self::Unreadable,
+        }
+    }
+}
+
+/// Body of an answer.
+pub struct Body {
+    response: ClientResponse,
+    framing: Framing,
+}
+
+impl Body {
+    /// Body of `response` to a request with this method.
+    pub fn new(method: &Method, response: ClientResponse) -> Self {
+        Self {
+            framing: Framing::of(method, &response),
+            response,
+        }
+    }
+
+    /// Next part, `None` after the last. Cancel safe.
+    pub async fn next(&mut self) -> Option<Result<Bytes, Broken>> {
+        if self.framing == Framing::Unreadable {
+            return Some(Err(Broken));
+        }
+        match self.response.next().await? {
+            Ok(bytes) => Some(Ok(bytes)),
+            Err(err) if self.framing == Framing::UntilClose && is_end(&err) => None,
+            Err(_) => Some(Err(Broken)),
+        }
+    }
+}
+
+fn is_end(err: &PayloadError) -> bool {
+    match err {
+        PayloadError::Incomplete(Some(err)) | PayloadError::Io(err) => {
+            err.kind() == io::ErrorKind::UnexpectedEof
+        }
+        _ => false,
+    }
+}
+
 /// One HTTP request.
 #[derive(Clone, Debug)]
 pub struct Outgoing {
@@ -95,6 +167,7 @@
         };
         let mut request = client
             .request(outgoing.method, uri)
+            .address(outgoing.address)
             .timeout(outgoing.timeout);
         for (name, value) in &outgoing.headers {
             request.headers_mut().append(name.clone(), value.clone());
@@ -108,6 +181,7 @@
 
 fn build(connect_timeout: Duration, keep_alive: Duration) -> awc::Client {
     let connector = Connector::new()
+        .connector(transport::Connector::default())
         .timeout(connect_timeout)
         .conn_keep_alive(keep_alive)
         .limit(0);
--- a/crates/gate/src/forward/mod.rs
+++ b/crates/gate/src/forward/mod.rs
@@ -10,6 +10,7 @@
 pub mod reader;
 pub mod relay;
 pub mod source;
+pub mod transport;
 
 pub use completion::run as completion;
 pub use plain::run as plain;
--- a/crates/gate/src/forward/plain.rs
+++ b/crates/gate/src/forward/plain.rs
@@ -7,11 +7,10 @@
 use agate_model::refusal::Reason;
 use agate_wire::platform::Figures;
 use bytes::{Bytes, BytesMut};
-use futures_util::StreamExt as _;
 use tokio::time::Instant;
 
 use super::attempt::{Answered, Attempts};
-use super::headers;
+use super::{client, headers};
 use crate::admission::{Cost, Slot};
 use crate::choice::Outcome;
 use crate::front::reply::{self, Answer};
@@ -74,7 +73,11 @@
     let status = response.status();
     let headers = headers::passed_back(response.headers());
     let limit = gate.settings.limits.answer.bytes();
-    let received = tokio::time::timeout_at(work.deadline, collect(response, limit)).await;
+    let received = tokio::time::timeout_at(
+        work.deadline,
+        collect(client::Body::new(&work.method, response), limit),
+    )
+    .await;
     let body = match received {
         Ok(Ok(body)) => body,
         Ok(Err(denial)) => {
@@ -100,10 +103,10 @@
     })
 }
 
-async fn collect(mut response: awc::ClientResponse, limit: usize) -> Result<Bytes, Denial> {
+async fn collect(mut answer: client::Body, limit: usize) -> Result<Bytes, Denial> {
     let mut body = BytesMut::new();
-    while let Some(chunk) = response.next().await {
-        let broken = |_| Denial::new(Reason::EndpointFailed, "the answer broke off");
+    while let Some(chunk) = answer.next().await {
+        let broken = |err: client::Broken| Denial::new(Reason::EndpointFailed, err.to_string());
         let chunk = chunk.map_err(broken)?;
         if body.len() + chunk.len() > limit {
             let message = format!("the answer is larger than {limit} bytes");
--- a/crates/gate/src/forward/relay.rs
+++ b/crates/gate/src/forward/relay.rs
@@ -255,9 +255,7 @@
         let piece = self.text.accept(&chunk.text).map_err(|_| diverged())?;
         let ends = chunk.finished || chunk.usage.is_some();
         match piece {
-            Piece::Skip if chunk.text.is_empty() && ends && !self.text.is_caught_up() => {
-                Err(diverged())
-            }
+            Piece::Skip if ends && !self.text.is_caught_up() => Err(diverged()),
             Piece::Skip if ends => Ok(Some(chunk::with_text(&data, ""))),
             Piece::Skip => Ok(None),
             Piece::Rest(rest) => {
--- a/crates/gate/src/forward/source.rs
+++ b/crates/gate/src/forward/source.rs
@@ -9,9 +9,8 @@
 use agate_stream::sse::{Event, Parser};
 use awc::ClientResponse;
 use bytes::Bytes;
-use futures_util::StreamExt as _;
 
-use super::client::{Cause, Client, Outgoing};
+use super::client::{Body, Cause, Client, Outgoing};
 use super::headers;
 
 /// Longest total duration of one connection's stream.
@@ -30,7 +29,7 @@
 
 /// A streamed answer on one connection.
 pub struct Source {
-    response: ClientResponse,
+    body: Body,
     parser: Parser,
 }
 
@@ -38,7 +37,7 @@
     /// Reads events of at most `bound` bytes from `response`.
     pub fn new(response: ClientResponse, bound: usize) -> Self {
         Self {
-            response: response.timeout(STREAM_TIMEOUT),
+            body: Body::new(&Method::GET, response.timeout(STREAM_TIMEOUT)),
             parser: Parser::new(bound),
         }
     }
@@ -51,7 +50,7 @@
                 Ok(None) => {}
                 Err(_) => return Item::End,
             }
-            match self.response.next().await {
+            match self.body.next().await {
                 Some(Ok(bytes)) => self.parser.feed(&bytes),
                 Some(Err(_)) | None => return Item::End,
             }
--- /dev/null
+++ b/crates/gate/src/forward/transport.rs
@@ -0,0 +1,85 @@
+//! Connections that tell a broken answer from a whole one.
+//!
+//! The HTTP client takes the end of a connection for the end of a body, whatever
+//! length was announced. Here the end of a connection is an error, so that only a body
+//! that is complete by its own framing ends in order.
+
+use std::io;
+use std::pin::Pin;
+use std::task::{Context, Poll};
+
+use actix_http::Uri;
+use actix_rt::net::{ActixStream, Ready, TcpStream};
+use actix_service::Service;
+use actix_tls::connect::tcp::TcpConnectorService;
+use actix_tls::connect::{ConnectError, ConnectInfo, Connection};
+use futures_util::future::LocalBoxFuture;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
+
+/// A TCP connection on which the end of input is an error.
+#[derive(Debug)]
+pub struct Strict(TcpStream);
+
+impl AsyncRead for Strict {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buffer.remaining();
+        let polled = Pin::new(&mut self.0).poll_read(cx, buffer);
+        if matches!(polled, Poll::Ready(Ok(()))) && before > 0 && buffer.remaining() == before {
+            return Poll::Ready(Err(io::ErrorKind::UnexpectedEof.into()));
+        }
+        polled
+    }
+}
+
+impl AsyncWrite for Strict {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.0).poll_write(cx, bytes)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.0).poll_flush(cx)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.0).poll_shutdown(cx)
+    }
+}
+
+impl ActixStream for Strict {
+    fn poll_read_ready(&self, cx: &mut Context<'_>) -> Poll<io::Result<Ready>> {
+        ActixStream::poll_read_ready(&self.0, cx)
+    }
+
+    fn poll_write_ready(&self, cx: &mut Context<'_>) -> Poll<io::Result<Ready>> {
+        ActixStream::poll_write_ready(&self.0, cx)
+    }
+}
+
+/// Makes [`Strict`] connections.
+#[derive(Clone, Debug, Default)]
+pub struct Connector(TcpConnectorService);
+
+impl Service<ConnectInfo<Uri>> for Connector {
+    type Response = Connection<Uri, Strict>;
+    type Error = ConnectError;
+    type Future = LocalBoxFuture<'static, Result<Self::Response, ConnectError>>;
+
+    actix_service::always_ready!();
+
+    fn call(&self, request: ConnectInfo<Uri>) -> Self::Future {
+        let connecting = self.0.call(request);
+        Box::pin(async move {
+            let (stream, uri) = connecting.await?.into_parts();
+            stream.set_nodelay(true).map_err(ConnectError::Io)?;
+            Ok(Connection::new(uri, Strict(stream)))
+        })
+    }
+}
--- a/crates/gate/tests/support/mod.rs
+++ b/crates/gate/tests/support/mod.rs
@@ -2,6 +2,8 @@
 #![allow(dead_code, reason = "each test program uses a part")]
 #![allow(unreachable_pub, reason = "a test program has no users")]
 
+pub mod raw;
+
 use std::cell::{Cell, RefCell};
 use std::convert::Infallible;
 use std::net::SocketAddr;
