queue, pick: start what fits where there is room

A request that may not run on reclaimable endpoints held up those behind it that may, when only reclaimable endpoints were free. next() is now told where there is room and takes the first class that fits.

--- a/crates/pick/src/lib.rs
+++ b/crates/pick/src/lib.rs
@@ -18,4 +18,4 @@
 pub use endpoint::Key;
 pub use picker::Picker;
 pub use tuning::Tuning;
-pub use wish::{Choice, Flight, Latency, Outcome, Report, Wish};
+pub use wish::{Choice, Flight, Latency, Outcome, Report, Room, Wish};
--- a/crates/pick/src/picker.rs
+++ b/crates/pick/src/picker.rs
@@ -12,7 +12,7 @@
 use crate::pool::{self, Pool};
 use crate::set::{Set, draw};
 use crate::tuning::Tuning;
-use crate::wish::{Choice, Flight, Outcome, Report, Wish};
+use crate::wish::{Choice, Flight, Outcome, Report, Room, Wish};
 
 /// Draws before all available endpoints are looked through.
 const MAX_DRAWS: usize = 8;
@@ -130,14 +130,16 @@
         self.names.get(id).copied()
     }
 
-    /// Whether some endpoint of the pools may be chosen now.
-    pub fn has_room(&mut self, now: Instant, pools: &[PoolId], reclaimable: bool) -> bool {
+    /// Whether endpoints of the pools may be chosen now.
+    pub fn room(&mut self, now: Instant, pools: &[PoolId]) -> Room {
         self.readmit(now);
-        let mut pools = pools.iter().filter_map(|id| self.pool_names.get(id));
-        pools.any(|&key| {
-            let pool = &self.pools[key];
-            pool.standard.len() > 0 || (reclaimable && pool.reclaimable.len() > 0)
-        })
+        let mut room = Room::default();
+        for key in pools.iter().filter_map(|id| self.pool_names.get(id)) {
+            let pool = &self.pools[*key];
+            room.standard |= pool.standard.len() > 0;
+            room.reclaimable |= pool.reclaimable.len() > 0;
+        }
+        room
     }
 
     /// Chooses an endpoint, or `None` if none may be chosen now.
--- a/crates/pick/src/wish.rs
+++ b/crates/pick/src/wish.rs
@@ -31,6 +31,15 @@
     (answer + prompt / PROMPT_PER_ANSWER).max(1)
 }
 
+/// Whether endpoints may be chosen now, by kind.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Room {
+    /// Some standard endpoint.
+    pub standard: bool,
+    /// Some reclaimable endpoint.
+    pub reclaimable: bool,
+}
+
 /// A chosen endpoint.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Choice {
--- a/crates/pick/tests/properties.rs
+++ b/crates/pick/tests/properties.rs
@@ -127,7 +127,8 @@
                         asked.reclaimable = reclaimable;
                         asked.prefix = vec![1, block];
                         asked.excluded = vec![format!("e{excluded}")];
-                        let has_room = picker.has_room(now, &asked.pools, reclaimable);
+                        let room = picker.room(now, &asked.pools);
+                        let has_room = room.standard || (reclaimable && room.reclaimable);
                         let Some(choice) = picker.choose(now, &asked.wish(), &mut rng) else {
                             continue;
                         };
--- a/crates/queue/src/class.rs
+++ b/crates/queue/src/class.rs
@@ -5,6 +5,7 @@
 use agate_model::id::{AccountId, ClassId};
 
 use crate::flow;
+use crate::item::Room;
 use crate::share::{Counter, Share};
 
 slotmap::new_key_type! {
@@ -19,6 +20,8 @@
     pub(crate) tier: usize,
     pub(crate) weight: u32,
     pub(crate) limit: usize,
+    /// Whether its work may run on reclaimable endpoints.
+    pub(crate) reclaimable: bool,
     pub(crate) queued: usize,
     /// Sum of the weights of flows with queued requests.
     pub(crate) active_weight: u64,
@@ -41,6 +44,7 @@
             tier: 0,
             weight: 1,
             limit: 0,
+            reclaimable: false,
             queued: 0,
             active_weight: 0,
             served: 0,
@@ -52,6 +56,11 @@
         }
     }
 
+    /// Whether its work can run where there is room.
+    pub(crate) fn fits(&self, room: Room) -> bool {
+        self.reclaimable || room == Room::Any
+    }
+
     /// The flow most over its share, and how far it is over.
     pub(crate) fn heaviest(&self) -> Option<(Counter, flow::Key)> {
         let &(finish, key) = self.finishes.last()?;
--- a/crates/queue/src/item.rs
+++ b/crates/queue/src/item.rs
@@ -38,6 +38,8 @@
     pub tokens: u64,
     /// Whether the request may be executed more than once.
     pub idempotent: bool,
+    /// Whether the class may run on reclaimable endpoints.
+    pub reclaimable: bool,
 }
 
 impl Item {
@@ -61,6 +63,15 @@
     Refused(Reason),
 }
 
+/// Which endpoints have a free slot.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Room {
+    /// At least one that every class may use.
+    Any,
+    /// Only reclaimable ones.
+    Reclaimable,
+}
+
 /// A request to run now.
 #[derive(Debug)]
 pub struct Start {
--- a/crates/queue/src/lib.rs
+++ b/crates/queue/src/lib.rs
@@ -13,5 +13,5 @@
 mod share;
 pub mod snapshot;
 
-pub use item::{Charge, Item, Offer, Start, Ticket};
+pub use item::{Charge, Item, Offer, Room, Start, Ticket};
 pub use scheduler::Scheduler;
--- a/crates/queue/src/scheduler.rs
+++ b/crates/queue/src/scheduler.rs
@@ -12,7 +12,7 @@
 
 use crate::class::{self, Class};
 use crate::flow::{self, Flow};
-use crate::item::{Charge, Item, Offer, Start, Ticket};
+use crate::item::{Charge, Item, Offer, Room, Start, Ticket};
 use crate::rate::Rate;
 use crate::share::{Counter, SCALE, Share, cost};
 use crate::snapshot::{self, Snapshot};
@@ -137,10 +137,10 @@
     }
 
     /// Takes the request to run next. Call it when an endpoint has a free slot.
-    pub fn next(&mut self, now: Instant) -> Option<Start> {
+    pub fn next(&mut self, now: Instant, room: Room) -> Option<Start> {
         self.rate.advance(now, !self.entries.is_empty());
-        let strict = self.levels.iter().find_map(|level| level.classes.first())?;
-        let class = self.reserved(strict).unwrap_or(strict);
+        let strict = self.strict(room)?;
+        let class = self.reserved(strict, room).unwrap_or(strict);
         let flow = self.classes[class]
             .flows
             .first()
@@ -275,13 +275,20 @@
         }
     }
 
+    /// The class whose turn it is by priority.
+    fn strict(&self, room: Room) -> Option<class::Key> {
+        let ready = self.levels.iter().flat_map(|level| level.classes.iter());
+        let mut fitting = ready.filter(|&(_, key)| self.classes[key].fits(room));
+        fitting.next().map(|(_, key)| key)
+    }
+
     /// The class that gets this start from the reserve, if any.
-    fn reserved(&mut self, strict: class::Key) -> Option<class::Key> {
+    fn reserved(&mut self, strict: class::Key, room: Room) -> Option<class::Key> {
         self.credit = (self.credit + RESERVE_MILLI).min(MAX_CREDIT_MILLI);
         if self.credit < START_MILLI {
             return None;
         }
-        let (counter, key) = self.reserve.first_but(strict)?;
+        let (counter, key) = self.passed_over(strict, room)?;
         self.credit -= START_MILLI;
         let class = &mut self.classes[key];
         class.reserved = counter + SCALE / u64::from(class.weight);
@@ -290,6 +297,12 @@
         Some(key)
     }
 
+    /// The class with the fewest starts from the reserve, other than `strict`.
+    fn passed_over(&self, strict: class::Key, room: Room) -> Option<(Counter, class::Key)> {
+        let mut others = self.reserve.iter().filter(|&(_, key)| key != strict);
+        others.find(|&(_, key)| self.classes[key].fits(room))
+    }
+
     /// Keeps a class that was passed over, as it is served anyway, from saving up.
     fn skip(&mut self, key: class::Key, counter: Counter) {
         let class = &mut self.classes[key];
--- a/crates/queue/src/scheduler/book.rs
+++ b/crates/queue/src/scheduler/book.rs
@@ -21,6 +21,7 @@
         self.capacity -= class.limit;
         class.limit = item.queue_limit as usize;
         class.weight = item.class_weight.max(1);
+        class.reclaimable = item.reclaimable;
         if class.tier != tier {
             self.move_class(key, tier);
         }
--- a/crates/queue/src/share.rs
+++ b/crates/queue/src/share.rs
@@ -60,9 +60,9 @@
         self.ready.first().map(|&(_, key)| key)
     }
 
-    /// The least served member other than `key`, with its counter.
-    pub(crate) fn first_but(&self, key: K) -> Option<(Counter, K)> {
-        self.ready.iter().find(|it| it.1 != key).copied()
+    /// Members with their counters, least served first.
+    pub(crate) fn iter(&self) -> impl Iterator<Item = (Counter, K)> + '_ {
+        self.ready.iter().copied()
     }
 
     pub(crate) fn floor(&self) -> Counter {
--- a/crates/queue/tests/common/mod.rs
+++ b/crates/queue/tests/common/mod.rs
@@ -30,5 +30,6 @@
         work: Duration::ZERO,
         tokens: 100,
         idempotent: true,
+        reclaimable: false,
     }
 }
--- a/crates/queue/tests/scheduler.rs
+++ b/crates/queue/tests/scheduler.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use agate_model::refusal::Reason;
-use agate_queue::{Offer, Scheduler, Ticket};
+use agate_queue::{Offer, Room, Scheduler, Ticket};
 use common::item;
 
 fn queued(offer: Offer) -> (Ticket, Option<Ticket>) {
@@ -21,7 +21,7 @@
     let mut scheduler = Scheduler::new();
     queued(scheduler.offer(now, item(now, "a", 3)));
     queued(scheduler.offer(now, item(now, "a", 0)));
-    let start = scheduler.next(now).expect("work is queued");
+    let start = scheduler.next(now, Room::Any).expect("work is queued");
     assert_eq!(start.item.tier, 0);
     scheduler.settle(start.charge, 50);
 }
@@ -80,7 +80,7 @@
     for _ in 0..40 {
         queued(scheduler.offer(now, item(now, "a", 3)));
         now += Duration::from_secs(1);
-        let start = scheduler.next(now).expect("work is queued");
+        let start = scheduler.next(now, Room::Any).expect("work is queued");
         scheduler.settle(start.charge, 100);
     }
     for _ in 0..6 {
@@ -124,9 +124,9 @@
     first.tokens = 7;
     queued(scheduler.offer(now, first));
     queued(scheduler.offer(now, item(now, "a", 1)));
-    let start = scheduler.next(now).expect("work is queued");
+    let start = scheduler.next(now, Room::Any).expect("work is queued");
     scheduler.put_back(start);
-    let again = scheduler.next(now).expect("work is queued");
+    let again = scheduler.next(now, Room::Any).expect("work is queued");
     assert_eq!(again.item.tokens, 7);
     scheduler.settle(again.charge, 7);
 }
@@ -138,6 +138,25 @@
     let (ticket, _) = queued(scheduler.offer(now, item(now, "a", 1)));
     assert!(scheduler.remove(ticket).is_some());
     assert!(scheduler.remove(ticket).is_none());
-    assert!(scheduler.next(now).is_none());
+    assert!(scheduler.next(now, Room::Any).is_none());
     assert_eq!(scheduler.snapshot(now).accounts, 0);
 }
+
+#[test]
+fn work_that_may_be_restarted_does_not_wait_behind_work_that_may_not() {
+    let now = Instant::now();
+    let mut scheduler = Scheduler::new();
+    queued(scheduler.offer(now, item(now, "a", 0)));
+    assert!(scheduler.next(now, Room::Reclaimable).is_none());
+    let mut draft = item(now, "a", 3);
+    draft.reclaimable = true;
+    queued(scheduler.offer(now, draft));
+    let start = scheduler
+        .next(now, Room::Reclaimable)
+        .expect("the draft fits");
+    assert_eq!(start.item.tier, 3);
+    scheduler.settle(start.charge, 100);
+    let start = scheduler.next(now, Room::Any).expect("work is queued");
+    assert_eq!(start.item.tier, 0);
+    scheduler.settle(start.charge, 100);
+}
