--- a/crates/settings/src/log.rs
+++ b/crates/settings/src/log.rs
@@ -10,6 +10,10 @@
     let filter = EnvFilter::try_new(filter).unwrap_or_else(|_| EnvFilter::new("info"));
     let _ = tracing_subscriber::registry()
         .with(filter)
-        .with(tracing_logfmt::layer())
+        .with(
+            tracing_logfmt::builder()
+                .layer()
+                .with_writer(std::io::stderr),
+        )
         .try_init();
 }
