Gossip between control processes

Questions to random peers and answers over UDP carry store proofs, attestations and rumours. Tests with several processes in one thread: hand-out, store outage with a failing majority, a host cut off from the store, a host started during an outage, a restarted witness, leaving hosts and endpoints, racing operators, a host far behind.

--- a/crates/steer/src/api/status.rs
+++ b/crates/steer/src/api/status.rs
@@ -1,5 +1,7 @@
 //! State of the system as this host sees it.
 
+use std::net::SocketAddr;
+
 use agate_model::resource::Spec;
 use agate_wire::api::{self, Status};
 use agate_wire::peer::{self, Announce, Standing};
@@ -8,7 +10,6 @@
 
 use crate::api::answer::{Answer, Failure};
 use crate::context::Context;
-use crate::member::Member;
 use crate::rpc::peer::{millis, standing};
 
 /// Calls to peers at the same time.
@@ -18,7 +19,7 @@
 pub async fn get(context: &Context) -> Result<Answer, Failure> {
     let peers = context.members.peers();
     stream::iter(peers)
-        .for_each_concurrent(CALL_CONCURRENCY, |member| ask(context, member))
+        .for_each_concurrent(CALL_CONCURRENCY, |member| ask(context, member.host.steer))
         .await;
     let lease = context.lease.borrow().clone();
     Ok(Answer::json(&Status {
@@ -37,17 +38,14 @@
 }
 
 /// Asks one peer and records its answer.
-pub async fn ask(context: &Context, member: Member) {
+pub async fn ask(context: &Context, address: SocketAddr) {
     let announce = Announce {
         host: context.members.own(),
     };
-    let answer: Result<Standing, _> = context
-        .peers
-        .call(member.host.steer, peer::STANDING, &announce)
-        .await;
+    let answer: Result<Standing, _> = context.peers.call(address, peer::STANDING, &announce).await;
     match answer {
         Ok(answer) => context.members.hear(&answer),
-        Err(err) => tracing::debug!(event = "status_failed", host = member.host.id, error = %err),
+        Err(err) => tracing::debug!(event = "status_failed", peer = %address, error = %err),
     }
 }
 
--- a/crates/steer/src/context.rs
+++ b/crates/steer/src/context.rs
@@ -9,6 +9,7 @@
 use crate::api::usage::Source;
 use crate::config::copy::Copy;
 use crate::endpoints::Board;
+use crate::gossip::rumours::Rumours;
 use crate::inbox::Inbox;
 use crate::member::Members;
 use crate::metrics::Metrics;
@@ -44,6 +45,8 @@
     pub endpoints: Rc<Board>,
     /// Usage totals and demand received from gates.
     pub inbox: Rc<Inbox>,
+    /// Rumours that are passed on by gossip.
+    pub rumours: Rc<Rumours>,
     /// Holder of the lease; set by the task that watches the lease.
     pub lease: Rc<RefCell<Option<Lease>>>,
     /// Reader of the usage of all hosts; without it the API shows what this host received.
--- a/crates/steer/src/directory.rs
+++ b/crates/steer/src/directory.rs
@@ -1,6 +1,7 @@
 //! The store's table of hosts, and the platform's lists of hosts and endpoints.
 
 use std::collections::BTreeSet;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use agate_platform::Error;
@@ -8,11 +9,14 @@
 use agate_wire::order::{Machine, State};
 use agate_wire::peer::HostRow;
 use agate_wire::table::{Transaction, Write};
-use tokio::time::sleep;
+use futures_util::{StreamExt as _, stream};
+use tokio::time::{Instant, sleep};
 
+use crate::api::status;
 use crate::config::reader::{self, jittered};
 use crate::context::Context;
 use crate::endpoints::Source;
+use crate::gossip::rumours;
 
 /// Table of hosts.
 const TABLE: &str = "host";
@@ -23,6 +27,9 @@
 /// Silence after which a host that the store no longer names is forgotten.
 const SILENCE: Duration = Duration::from_secs(30);
 
+/// Calls to peers at the same time.
+const ANNOUNCE_CONCURRENCY: usize = 32;
+
 /// Reads of the lists between two reads of the whole host table.
 const ROUNDS_PER_SCAN: u32 = 5;
 
@@ -35,9 +42,13 @@
     let mut round = 0;
     loop {
         is_registered = is_registered || register(&context).await.is_ok();
-        if round % ROUNDS_PER_SCAN == 0 || context.members.peers().is_empty() {
+        let is_alone = context.members.peers().is_empty();
+        if context.members.take_scan_wish() || is_alone || round % ROUNDS_PER_SCAN == 0 {
             report("host_table_not_read", scan(&context).await);
         }
+        if !is_registered || is_alone {
+            announce(&context).await;
+        }
         report("host_list_not_read", list(&context).await);
         report("endpoint_list_not_read", machines(&context).await);
         round += 1;
@@ -45,6 +56,18 @@
     }
 }
 
+/// Tells the seeds and the known hosts of this host, and learns the hosts that they know.
+async fn announce(context: &Context) {
+    let known = context.members.peers().into_iter().map(|it| it.host.steer);
+    let seeds = context.settings.seeds.iter().copied();
+    let addresses: BTreeSet<SocketAddr> = known.chain(seeds).collect();
+    stream::iter(addresses)
+        .for_each_concurrent(ANNOUNCE_CONCURRENCY, |address| {
+            status::ask(context, address)
+        })
+        .await;
+}
+
 fn report(event: &'static str, outcome: Result<(), Error>) {
     if let Err(err) = outcome {
         tracing::debug!(event, error = %err);
@@ -107,8 +130,12 @@
 }
 
 async fn list(context: &Context) -> Result<(), Error> {
+    let at = Instant::now();
     let listing = context.platform.hosts.list().await?;
+    let before = context.endpoints.leaving();
     let leaving = context.members.set_listing(&listing);
+    rumours::tell_leaving(context, &before, &leaving);
+    context.rumours.supersede(at);
     context.endpoints.set_leaving(Source::Platform, leaving);
     Ok(())
 }
--- a/crates/steer/src/lib.rs
+++ b/crates/steer/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod context;
 pub mod directory;
 pub mod endpoints;
+pub mod gossip;
 pub mod inbox;
 pub mod member;
 pub mod metrics;
--- a/crates/steer/src/member.rs
+++ b/crates/steer/src/member.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use agate_conf::acceptance::Standing;
+use agate_member::frame::{Tag, tag};
 use agate_model::host::Host;
 use agate_model::id::{EndpointId, HostId, PoolId, Version};
 use agate_wire::address::Entry;
@@ -24,6 +25,10 @@
 pub struct Member {
     /// Addresses and run.
     pub host: Host,
+    /// Tag of the host in frames.
+    pub host_tag: Tag,
+    /// Tag of the run in frames.
+    pub run_tag: Tag,
     /// Start of the run, in milliseconds since the Unix epoch.
     pub started_ms: u64,
     /// When it was last heard.
@@ -48,6 +53,7 @@
     floors: RefCell<BTreeMap<PoolId, Floor>>,
     store: Cell<Option<Instant>>,
     leaving: Cell<bool>,
+    scan_wanted: Cell<bool>,
 }
 
 /// Pressure on one pool.
@@ -75,6 +81,7 @@
             floors: RefCell::default(),
             store: Cell::new(None),
             leaving: Cell::new(false),
+            scan_wanted: Cell::new(false),
         }
     }
 
@@ -188,14 +195,35 @@
         }
     }
 
-    /// Records that a host shuts down.
-    pub fn leaving(&self, host: &str) -> bool {
-        match self.members.borrow_mut().get_mut(host) {
-            Some(member) => !std::mem::replace(&mut member.host.leaving, true),
-            None => false,
+    /// Records that a run shuts down.
+    pub fn run_leaves(&self, host: Tag, incarnation: Tag) {
+        let mut members = self.members.borrow_mut();
+        let found = members
+            .values_mut()
+            .find(|it| it.host_tag == host && it.run_tag == incarnation);
+        if let Some(member) = found {
+            member.host.leaving = true;
         }
     }
 
+    /// The host with this run.
+    pub fn run(&self, host: Tag, incarnation: Tag) -> Option<Host> {
+        let members = self.members.borrow();
+        let mut all = members.values();
+        let found = all.find(|it| it.host_tag == host && it.run_tag == incarnation);
+        found.map(|it| it.host.clone())
+    }
+
+    /// Asks for a read of the store's table of hosts.
+    pub fn want_scan(&self) {
+        self.scan_wanted.set(true);
+    }
+
+    /// Whether a read was asked for since the last call.
+    pub fn take_scan_wish(&self) -> bool {
+        self.scan_wanted.take()
+    }
+
     /// Takes over the platform's list of hosts; answers the endpoints that leave.
     pub fn set_listing(&self, listing: &Listing) -> BTreeSet<EndpointId> {
         let mut endpoints = BTreeSet::new();
@@ -338,6 +366,8 @@
 
     fn new(row: HostRow) -> Self {
         Self {
+            host_tag: tag(&row.host),
+            run_tag: tag(&row.incarnation),
             started_ms: row.started_ms,
             host: row.into(),
             heard: None,
--- a/crates/steer/src/run.rs
+++ b/crates/steer/src/run.rs
@@ -15,6 +15,7 @@
 use crate::config::{reader, witness};
 use crate::context::Context;
 use crate::endpoints::Board;
+use crate::gossip::exchange::Gossip;
 use crate::inbox::Inbox;
 use crate::member::Members;
 use crate::metrics::Metrics;
@@ -109,6 +110,7 @@
             peers: Rc::new(peers),
             endpoints: Rc::new(Board::default()),
             inbox: Rc::new(Inbox::default()),
+            rumours: Rc::default(),
             lease: Rc::new(RefCell::new(None)),
             usage: Rc::new(RefCell::new(None)),
             leaving: Rc::new(Cell::new(false)),
@@ -116,12 +118,15 @@
         };
         let dispatch = Dispatch {
             own: context.host.id.clone(),
-            secret,
+            secret: secret.clone(),
             require_token,
             handlers: Rc::new(rpc::peer::handlers(&context)),
             metrics: Rc::clone(&context.metrics),
         };
+        let gossip = Gossip::new(context.clone(), sockets.gossip, secret);
         let tasks = vec![
+            actix_rt::spawn(Rc::clone(&gossip).listen()),
+            actix_rt::spawn(gossip.ask()),
             sockets.rpc.serve(dispatch),
             actix_rt::spawn(reader::run(context.clone())),
             actix_rt::spawn(directory::run(context.clone())),
--- a/crates/steer/src/settings.rs
+++ b/crates/steer/src/settings.rs
@@ -98,7 +98,7 @@
         Self {
             store: Duration::from_secs(1),
             hosts: Duration::from_secs(2),
-            gossip: Duration::from_millis(250),
+            gossip: Duration::from_millis(200),
         }
     }
 }
--- /dev/null
+++ b/crates/steer/tests/cluster.rs
@@ -0,0 +1,254 @@
+//! Several control processes: hand-out, store outages, cut-off and replaced hosts.
+
+mod common;
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use agate_model::version::FRESHNESS_LIMIT;
+use agate_steer::context::Context;
+use agate_wire::api::{Outcome, State, Status};
+use agate_wire::platform::{Machine, Purpose};
+use awc::http::Method;
+use common::{Fake, Host, account, put, settings, start, until};
+use serde_json::json;
+
+const ZONES: [&str; 3] = ["zone-a", "zone-b", "zone-c"];
+
+async fn cluster(count: usize) -> (Rc<Fake>, Vec<Host>) {
+    let fake = Rc::new(Fake::default());
+    let mut hosts = Vec::new();
+    for n in 0..count {
+        let settings = settings(&format!("host-{n}"), ZONES[n % 3], "");
+        hosts.push(start(&fake, settings).await);
+    }
+    until("all hosts are witnesses of one version", || {
+        let version = context(&hosts[0]).copy.version();
+        hosts.iter().all(|it| {
+            let context = context(it);
+            let is_settled = context.copy.version() == version;
+            let members = context.copy.witnesses().members.len();
+            is_settled && members == count && context.members.peers().len() + 1 == count
+        })
+    })
+    .await;
+    (fake, hosts)
+}
+
+fn context(host: &Host) -> &Context {
+    &host.process.context
+}
+
+fn is_current(host: &Host) -> bool {
+    let age = context(host).copy.proof_age();
+    age.is_some_and(|age| age <= FRESHNESS_LIMIT)
+}
+
+async fn change(host: &Host, id: &str) -> Outcome {
+    let reply = host.apply(json!([put(&account(id, 1))])).await;
+    assert_eq!(reply.status, 200, "{}", reply.body);
+    reply.parse()
+}
+
+#[actix_rt::test]
+async fn a_change_is_in_force_on_all_hosts() {
+    let (_fake, hosts) = cluster(5).await;
+    let outcome = change(&hosts[1], "a").await;
+    assert_eq!(outcome.state, State::Accepted);
+    until("all hosts have the change", || {
+        hosts
+            .iter()
+            .all(|it| context(it).copy.version() >= outcome.version)
+    })
+    .await;
+    let status: Status = hosts[3]
+        .call(Method::GET, "/api/v1/status", None)
+        .await
+        .parse();
+    assert_eq!(status.hosts.len(), 5);
+    assert!(
+        status
+            .hosts
+            .iter()
+            .all(|it| it.version >= outcome.version && it.witness)
+    );
+}
+
+#[actix_rt::test]
+async fn hosts_attest_to_each_other_while_the_store_is_out() {
+    let (fake, hosts) = cluster(5).await;
+    fake.set_down(true);
+    tokio::time::sleep(FRESHNESS_LIMIT + Duration::from_secs(1)).await;
+    assert!(hosts.iter().all(is_current));
+
+    // Two of five fail: the majority goes on. A third fails: nobody may serve keyed work.
+    let mut hosts = hosts.into_iter();
+    let rest: Vec<Host> = hosts.by_ref().take(3).collect();
+    for host in hosts {
+        host.process.close().await;
+    }
+    tokio::time::sleep(FRESHNESS_LIMIT + Duration::from_millis(500)).await;
+    assert!(rest.iter().all(is_current));
+    let mut rest = rest.into_iter();
+    rest.next().expect("a host").process.close().await;
+    let rest: Vec<Host> = rest.collect();
+    until("the proofs lapse", || !rest.iter().any(is_current)).await;
+}
+
+#[actix_rt::test]
+async fn a_host_without_the_store_is_proven_current_by_its_peers() {
+    let (fake, hosts) = cluster(3).await;
+    fake.cut.borrow_mut().insert("host-2".to_owned());
+    let outcome = change(&hosts[0], "a").await;
+    until("the change arrives", || {
+        context(&hosts[2]).copy.version() >= outcome.version
+    })
+    .await;
+    tokio::time::sleep(FRESHNESS_LIMIT).await;
+    assert!(is_current(&hosts[2]));
+}
+
+#[actix_rt::test]
+async fn a_replaced_host_starts_while_the_store_is_out() {
+    let (fake, hosts) = cluster(3).await;
+    let outcome = change(&hosts[0], "a").await;
+    fake.set_down(true);
+    let seeds = format!("seeds: [\"{}\"]", hosts[0].rpc);
+    let fresh = start(&fake, settings("host-9", "zone-a", &seeds)).await;
+    assert!(!is_current(&fresh));
+    until("the fresh host is current", || {
+        context(&fresh).copy.version() == outcome.version && is_current(&fresh)
+    })
+    .await;
+    let witnesses = context(&hosts[0]).copy.witnesses();
+    assert!(witnesses.members.iter().all(|it| it.host != "host-9"));
+    until("the others know it", || {
+        hosts
+            .iter()
+            .all(|it| context(it).members.get("host-9").is_some())
+    })
+    .await;
+}
+
+#[actix_rt::test]
+async fn a_restarted_host_is_no_witness_until_it_is_recorded() {
+    let (fake, mut hosts) = cluster(3).await;
+    let old = context(&hosts[2]).host.incarnation.clone();
+    let gossip = context(&hosts[2]).host.gossip;
+    let version = context(&hosts[2]).copy.version();
+    fake.set_down(true);
+    hosts.pop().expect("a host").process.close().await;
+    let seeds = format!("seeds: [\"{}\"]", hosts[0].rpc);
+    let mut again = settings("host-2", "zone-c", &seeds);
+    again.gossip = gossip;
+    let again = start(&fake, again).await;
+    until("the restarted host has the configuration", || {
+        context(&again).copy.version() == version
+    })
+    .await;
+    let set = context(&again).copy.witnesses();
+    assert!(set.position("host-2", &old).is_some());
+    assert!(
+        set.position("host-2", &context(&again).host.incarnation)
+            .is_none()
+    );
+
+    fake.set_down(false);
+    until("the new run is a witness", || {
+        let set = context(&hosts[0]).copy.witnesses();
+        set.position("host-2", &context(&again).host.incarnation)
+            .is_some()
+    })
+    .await;
+    let outcome = change(&again, "a").await;
+    assert_eq!(outcome.state, State::Accepted);
+}
+
+#[actix_rt::test]
+async fn a_leaving_host_is_no_longer_named_while_the_store_is_out() {
+    let (fake, mut hosts) = cluster(3).await;
+    let named = |host: &Host| context(host).members.entries().len();
+    assert_eq!(named(&hosts[0]), 3);
+    fake.set_down(true);
+    let leaving = hosts.pop().expect("a host");
+    context(&leaving).members.leave();
+    until("nobody names it", || {
+        named(&leaving) == 2 && hosts.iter().all(|it| named(it) == 2)
+    })
+    .await;
+}
+
+#[actix_rt::test]
+async fn a_leaving_endpoint_is_passed_on_to_hosts_that_cannot_read_the_list() {
+    let (fake, hosts) = cluster(3).await;
+    let endpoint = json!({"kind": "endpoint", "id": "e", "pool": "p", "zone": "zone-a",
+        "address": "127.0.0.1:9"});
+    let pool = json!({"kind": "pool", "id": "p"});
+    let reply = hosts[0].apply(json!([put(&pool), put(&endpoint)])).await;
+    assert_eq!(reply.status, 200, "{}", reply.body);
+    let cut = ["host-1", "host-2"].map(str::to_owned);
+    fake.cut.borrow_mut().extend(cut);
+    fake.listing.borrow_mut().machines.push(Machine {
+        id: "e".to_owned(),
+        purpose: Purpose::Endpoint,
+        zone: "zone-a".to_owned(),
+        state: agate_wire::platform::State::Leaving,
+    });
+    until("all gates would be told", || {
+        hosts
+            .iter()
+            .all(|it| context(it).endpoints.leaving().contains("e"))
+    })
+    .await;
+}
+
+#[actix_rt::test]
+async fn racing_operators_on_several_hosts_lose_nothing() {
+    let (_fake, hosts) = cluster(3).await;
+    let before = context(&hosts[0]).copy.version();
+    let changes = (0..12).map(|n| {
+        let host = &hosts[n % 3];
+        async move { change(host, &format!("account-{n}")).await.version }
+    });
+    let mut versions = futures_util::future::join_all(changes).await;
+    versions.sort_unstable();
+    let expected: Vec<u64> = (before + 1..=before + 12).collect();
+    assert_eq!(versions, expected);
+    until("all hosts agree", || {
+        let first = context(&hosts[0]).copy.snapshot();
+        first.version() == before + 12
+            && hosts.iter().all(|it| context(it).copy.snapshot() == first)
+    })
+    .await;
+}
+
+#[actix_rt::test]
+async fn a_host_far_behind_loads_a_snapshot() {
+    let (fake, hosts) = cluster(1).await;
+    for n in 0..70 {
+        change(&hosts[0], &format!("account-{n}")).await;
+    }
+    until("a snapshot is stored", || !fake.objects.borrow().is_empty()).await;
+    let removed: Vec<String> = {
+        let tables = fake.tables.tables.borrow();
+        let page = tables.scan("config", "change/", "", 10);
+        page.rows.into_iter().map(|it| it.key).collect()
+    };
+    let writes = removed.into_iter().map(|key| agate_wire::table::Write {
+        table: "config".to_owned(),
+        key,
+        value: None,
+    });
+    let transaction = agate_wire::table::Transaction {
+        checks: Vec::new(),
+        writes: writes.collect(),
+    };
+    let outcome = fake.tables.tables.borrow_mut().commit(&transaction);
+    outcome.expect("old changes are removed");
+    let fresh = start(&fake, settings("host-9", "zone-b", "")).await;
+    until("the fresh host has everything", || {
+        context(&fresh).copy.version() >= context(&hosts[0]).copy.version()
+            && context(&fresh).copy.snapshot() == context(&hosts[0]).copy.snapshot()
+    })
+    .await;
+}
--- a/crates/steer/tests/common/mod.rs
+++ b/crates/steer/tests/common/mod.rs
@@ -2,7 +2,7 @@
 #![allow(dead_code)]
 
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -34,6 +34,8 @@
     pub(crate) listing: RefCell<Listing>,
     pub(crate) machines: RefCell<Vec<Machine>>,
     pub(crate) list_down: Cell<bool>,
+    /// Hosts that do not reach the platform.
+    pub(crate) cut: RefCell<BTreeSet<String>>,
     /// Whether the next commit takes effect and its answer is lost.
     pub(crate) lose_commit: Cell<bool>,
 }
@@ -46,8 +48,8 @@
         self.list_down.set(down);
     }
 
-    fn up(&self) -> Result<(), Error> {
-        if self.list_down.get() {
+    fn up(&self, host: &str) -> Result<(), Error> {
+        if self.list_down.get() || self.cut.borrow().contains(host) {
             return Err(Error::Unreached("down".to_owned()));
         }
         Ok(())
@@ -55,19 +57,19 @@
 }
 
 /// The interfaces that the table service is not.
-struct Rest(Rc<Fake>);
+struct Rest(Rc<Fake>, String);
 
 impl Objects for Rest {
     fn get<'a>(&'a self, name: &'a str) -> Answer<'a, Option<Bytes>> {
         Box::pin(async move {
-            self.0.up()?;
+            self.0.up(&self.1)?;
             Ok(self.0.objects.borrow().get(name).cloned())
         })
     }
 
     fn put<'a>(&'a self, name: &'a str, contents: Bytes) -> Answer<'a, ()> {
         Box::pin(async move {
-            self.0.up()?;
+            self.0.up(&self.1)?;
             self.0
                 .objects
                 .borrow_mut()
@@ -89,7 +91,7 @@
 
     fn machines(&self) -> Answer<'_, Vec<Machine>> {
         Box::pin(async move {
-            self.0.up()?;
+            self.0.up(&self.1)?;
             Ok(self.0.machines.borrow().clone())
         })
     }
@@ -110,13 +112,13 @@
 impl Hosts for Rest {
     fn list(&self) -> Answer<'_, Listing> {
         Box::pin(async move {
-            self.0.up()?;
+            self.0.up(&self.1)?;
             Ok(self.0.listing.borrow().clone())
         })
     }
 }
 
-struct Tables(Rc<Fake>);
+struct Tables(Rc<Fake>, String);
 
 impl agate_platform::interface::Tables for Tables {
     fn get<'a>(
@@ -124,7 +126,10 @@
         table: &'a str,
         key: &'a str,
     ) -> Answer<'a, Option<agate_wire::table::Row>> {
-        self.0.tables.get(table, key)
+        Box::pin(async move {
+            self.0.up(&self.1)?;
+            self.0.tables.get(table, key).await
+        })
     }
 
     fn scan<'a>(
@@ -134,7 +139,10 @@
         after: &'a str,
         limit: usize,
     ) -> Answer<'a, agate_wire::table::Page> {
-        self.0.tables.scan(table, prefix, after, limit)
+        Box::pin(async move {
+            self.0.up(&self.1)?;
+            self.0.tables.scan(table, prefix, after, limit).await
+        })
     }
 
     fn commit<'a>(
@@ -142,6 +150,7 @@
         transaction: &'a agate_wire::table::Transaction,
     ) -> Answer<'a, agate_wire::table::Commit> {
         Box::pin(async move {
+            self.0.up(&self.1)?;
             let outcome = self.0.tables.commit(transaction).await;
             if self.0.lose_commit.take() {
                 return Err(Error::Unknown("answer lost".to_owned()));
@@ -151,10 +160,10 @@
     }
 }
 
-pub(crate) fn platform(fake: &Rc<Fake>) -> Platform {
-    let rest = Rc::new(Rest(Rc::clone(fake)));
+pub(crate) fn platform(fake: &Rc<Fake>, host: &str) -> Platform {
+    let rest = Rc::new(Rest(Rc::clone(fake), host.to_owned()));
     Platform {
-        tables: Rc::new(Tables(Rc::clone(fake))),
+        tables: Rc::new(Tables(Rc::clone(fake), host.to_owned())),
         objects: rest.clone(),
         orders: rest.clone(),
         reports: rest.clone(),
@@ -184,7 +193,8 @@
     let sockets = Sockets::bind(&settings).await.expect("sockets");
     let api = sockets.api.local_addr().expect("address");
     let rpc = sockets.rpc.address;
-    let process = Process::start(settings, platform(fake), sockets).expect("start");
+    let platform = platform(fake, &settings.host);
+    let process = Process::start(settings, platform, sockets).expect("start");
     Host { process, api, rpc }
 }
 
--- a/crates/steer/tests/resources.rs
+++ b/crates/steer/tests/resources.rs
@@ -4,7 +4,6 @@
 
 use std::rc::Rc;
 
-use agate_fake::memory::Fault;
 use agate_wire::api::{Failure, KeyIssued, Listing, Outcome, State, Watch};
 use agate_wire::sync::{self, Request, Response, Update};
 use awc::http::Method;
@@ -156,7 +155,7 @@
     let reply = host.apply(json!([put(&account("a", 1))])).await;
     assert_eq!(reply.status, 503);
     assert_eq!(reply.parse::<Failure>().code, "store_unavailable");
-    fake.tables.fault.set(Fault::None);
+    fake.set_down(false);
     assert_eq!(host.apply(json!([put(&account("a", 1))])).await.status, 200);
 }
 
