--- a/crates/gate/src/gate.rs
+++ b/crates/gate/src/gate.rs
@@ -12,7 +12,7 @@
 use tokio::time::Instant;
 
 use crate::activity::Activity;
-use crate::admission::{Admission, Fifo};
+use crate::admission::{Admission, Fair};
 use crate::choice::{Choice, Fewest};
 use crate::config::{Config, View};
 use crate::forward::client::Client;
@@ -60,7 +60,7 @@
             config: RefCell::default(),
             metrics: Metrics::default(),
             activity: Activity::default(),
-            admission: Rc::new(Fifo::default()),
+            admission: Rc::new(Fair::default()),
             choice: Rc::new(Fewest::default()),
             client,
             tables,
--- a/crates/gate/src/sync.rs
+++ b/crates/gate/src/sync.rs
@@ -22,6 +22,9 @@
 /// Calls after which all usage is sent again.
 const REPEAT_USAGE_CALLS: u64 = 120;
 
+/// Intervals for which pressure counts after it was last signalled.
+const PRESSURE_INTERVALS: u32 = 4;
+
 /// Why a call brought nothing.
 #[derive(Debug, thiserror::Error)]
 pub enum Error {
@@ -164,8 +167,10 @@
         if changed || hosts != config.live_hosts() {
             self.gate
                 .admission
-                .configure(&config.view(), config.live_hosts());
+                .configure(config.view(), config.live_hosts());
         }
+        let validity = self.gate.settings.sync_interval * PRESSURE_INTERVALS;
+        self.gate.admission.press(config.pressure(), validity);
         if changed {
             tracing::info!(
                 event = "config_applied",
