Attempts by the typestate, budget and decisions of agate-retry

"Not run" now comes from one typestate. Connecting has its own timeout in the connector, so a connection that was never accepted is told from an answer that never came.

--- a/crates/gate/src/forward/attempt.rs
+++ b/crates/gate/src/forward/attempt.rs
@@ -8,27 +8,21 @@
 use agate_model::endpoint::Endpoint;
 use agate_model::id::EndpointId;
 use agate_model::refusal::Reason;
+use agate_retry::decision::{History, Outcome};
 use awc::ClientResponse;
-use rand::Rng as _;
 use tokio::time::Instant;
 
 use super::cancel::Cancel;
 use super::client::{Cause, Outgoing};
 use super::headers;
-use crate::choice::{Flight, Outcome};
+use crate::choice::{self, Flight};
 use crate::gate::Gate;
 use crate::metrics::Retry;
 use crate::refusal::{Denial, Progress, Refusal};
 use crate::work::Work;
 
-/// Attempts to connect for one request; they cost endpoints nothing.
-const MAX_CONNECTS: u32 = 4;
-/// Times that one request is sent.
-const MAX_SENDS: u32 = 3;
 /// Media type of streamed answers.
 pub const EVENT_STREAM: &str = "text/event-stream";
-/// Upper bound of the first wait between attempts; it doubles with each.
-const BACKOFF_BASE: Duration = Duration::from_millis(10);
 
 /// An answer whose head has arrived.
 pub struct Answered {
@@ -61,8 +55,9 @@
 }
 
 impl Attempts {
-    /// No attempt yet.
+    /// No attempt yet. The request counts towards the retry budget of its class.
     pub fn new(gate: Rc<Gate>, work: Rc<Work>) -> Self {
+        gate.budgets.request(&work.class);
         Self {
             gate,
             work,
@@ -80,53 +75,61 @@
                 Err(denial) => return Err(progress.refuse(denial)),
             };
             let (retry, failed) = match self.attempt(flight, progress).await {
-                Ok((answered, progress)) if !self.is_worth_retrying(&answered) => {
-                    return Ok((answered, progress));
-                }
                 Ok((answered, sent)) => {
-                    let denial = Denial::new(Reason::EndpointFailed, "the endpoint is overloaded");
-                    if !self.may_resend(&sent) {
+                    if !self.is_worth_retrying(&answered) {
                         return Ok((answered, sent));
                     }
+                    // An answer is better than a refusal, so it is kept until a retry is granted.
+                    let Ok(wait) = self.next(Outcome::Declined) else {
+                        return Ok((answered, sent));
+                    };
                     answered.cancel.close();
-                    answered.flight.close(Outcome::Failed);
-                    (Retry::Status, (sent, denial))
+                    answered.flight.close(choice::Outcome::Failed);
+                    self.pause(Retry::Status, wait).await;
+                    progress = sent;
+                    continue;
                 }
-                Err((sent, cause)) => (retry(cause), (sent, denial(cause))),
+                Err((progress, cause)) => (retry(cause), (progress, outcome(cause))),
             };
-            progress = self.pause(retry, failed).await?;
+            let (sent, outcome) = failed;
+            progress = self.again(retry, sent, outcome).await?;
         }
     }
 
-    async fn pause(
+    /// Waits for the next attempt after a failed one, if there may be one.
+    pub async fn again(
         &mut self,
         retry: Retry,
-        (progress, denial): (Progress, Denial),
+        progress: Progress,
+        outcome: Outcome,
     ) -> Result<Progress, Refusal> {
-        let allowed = match retry {
-            Retry::Unreachable if !progress.is_sent() => self.connects < MAX_CONNECTS,
-            _ => self.may_resend(&progress),
-        };
-        if !allowed {
-            return Err(progress.refuse(denial));
+        match self.next(outcome) {
+            Ok(wait) => {
+                self.pause(retry, wait).await;
+                Ok(progress)
+            }
+            Err(reason) => Err(progress.refuse(Denial::new(reason, explain(reason, outcome)))),
         }
-        self.gate.metrics.retried(retry);
-        tracing::info!(event = "retry", request = %self.work.id, reason = retry.code());
-        tokio::time::sleep(self.backoff()).await;
-        Ok(progress)
     }
 
-    fn may_resend(&self, progress: &Progress) -> bool {
-        if !progress.is_sent() {
-            return true;
-        }
-        self.work.class.idempotent && self.sends < MAX_SENDS
+    async fn pause(&self, retry: Retry, wait: Duration) {
+        self.gate.metrics.retried(retry);
+        tracing::info!(event = "retry", request = %self.work.id, reason = retry.code());
+        tokio::time::sleep(wait).await;
     }
 
-    fn backoff(&self) -> Duration {
-        let doublings = (self.connects + self.sends).saturating_sub(1).min(6);
-        let bound = BACKOFF_BASE * 2u32.pow(doublings);
-        bound.mul_f64(rand::rng().random::<f64>())
+    /// Wait before the next attempt, or the reason for there being none.
+    fn next(&self, outcome: Outcome) -> Result<Duration, Reason> {
+        let history = History {
+            idempotent: self.work.class.idempotent,
+            resumable: false,
+            connects: self.connects,
+            sends: self.sends,
+            resumes: 0,
+            deadline: self.work.deadline.into_std(),
+            work: Duration::ZERO,
+        };
+        self.gate.budgets.next(&self.work.class, outcome, &history)
     }
 
     fn is_worth_retrying(&self, answered: &Answered) -> bool {
@@ -184,6 +187,10 @@
         flight: Flight,
         progress: Progress,
     ) -> Result<(Answered, Progress), (Progress, Cause)> {
+        let handed = match progress.hand_over() {
+            Ok(handed) => handed,
+            Err(progress) => return Err((progress, Cause::Broken)),
+        };
         let attempt_id = self.attempt_id();
         let now = Instant::now();
         let outgoing = self.outgoing(flight.endpoint(), &attempt_id, now);
@@ -191,7 +198,7 @@
         let cancel = Cancel::new(self.gate.clone(), &self.work, endpoint, attempt_id);
         self.gate.metrics.attempted(&flight.endpoint().id);
         self.connects += 1;
-        match self.gate.client.send(outgoing, progress).await {
+        match self.gate.client.send(outgoing, handed).await {
             Ok((response, sent)) => {
                 self.sends += 1;
                 let answered = Answered {
@@ -212,7 +219,7 @@
                     endpoint = %flight.endpoint().id,
                     cause = ?failure.cause,
                 );
-                flight.close(Outcome::Failed);
+                flight.close(choice::Outcome::Failed);
                 if failure.cause == Cause::Unreachable {
                     cancel.close();
                 }
@@ -221,16 +228,6 @@
         }
     }
 
-    /// Counts a broken answer as a failed sending, and says whether another one is allowed.
-    pub async fn again(
-        &mut self,
-        retry: Retry,
-        progress: Progress,
-        denial: Denial,
-    ) -> Result<Progress, Refusal> {
-        self.pause(retry, (progress, denial)).await
-    }
-
     fn attempt_id(&self) -> String {
         match self.connects {
             0 => self.work.id.clone(),
@@ -259,19 +256,28 @@
     }
 }
 
-fn denial(cause: Cause) -> Denial {
+fn outcome(cause: Cause) -> Outcome {
     match cause {
-        Cause::Unreachable => Denial::new(
-            Reason::EndpointUnreachable,
-            "no endpoint accepted a connection",
-        ),
-        Cause::Broken => Denial::new(
-            Reason::EndpointFailed,
-            "the endpoint closed the connection without a whole answer",
-        ),
-        Cause::Timeout => Denial::new(
-            Reason::EndpointTimeout,
-            "the endpoint did not answer in time",
-        ),
+        Cause::Unreachable => Outcome::Unconnected,
+        Cause::Broken => Outcome::Failed,
+        Cause::Timeout => Outcome::TimedOut,
+    }
+}
+
+/// A denial after a failed attempt that is not followed by another one.
+pub fn denial(outcome: Outcome) -> Denial {
+    let reason = outcome.reason();
+    Denial::new(reason, explain(reason, outcome))
+}
+
+fn explain(reason: Reason, outcome: Outcome) -> &'static str {
+    match (reason, outcome) {
+        (Reason::RetryBudget, _) => "the attempt failed and the retry budget of the class is spent",
+        (Reason::DeadlineUnreachable, _) => {
+            "no connection was made, and no time is left for another"
+        }
+        (_, Outcome::Unconnected) => "no endpoint accepted a connection",
+        (_, Outcome::TimedOut) => "the endpoint did not answer in time",
+        _ => "the endpoint failed before its answer was whole",
     }
 }
--- a/crates/gate/src/forward/client.rs
+++ b/crates/gate/src/forward/client.rs
@@ -7,13 +7,14 @@
 use actix_http::error::PayloadError;
 use actix_http::header::{self, HeaderMap};
 use actix_http::{Method, StatusCode, Version};
+use agate_retry::attempt::{Sent, Unconnected};
 use awc::error::{ConnectError, SendRequestError};
 use awc::{ClientResponse, Connector};
 use bytes::Bytes;
 use futures_util::StreamExt as _;
 
 use super::transport;
-use crate::refusal::{Progress, Sent, Unsent};
+use crate::refusal::{Handed, Progress};
 
 /// Idle time after which a connection is not used again.
 const KEEP_ALIVE: Duration = Duration::from_secs(10);
@@ -141,15 +142,15 @@
         }
     }
 
-    /// Sends a caller's request once. Only errors that rule out a connection give `Unsent` back.
+    /// Sends a caller's request once. Only errors that rule out a connection leave it unsent.
     pub async fn send(
         &self,
         outgoing: Outgoing,
-        progress: Progress,
+        handed: Handed,
     ) -> Result<(ClientResponse, Sent), Failure> {
         match self.exchange(outgoing).await {
-            Ok(response) => Ok((response, progress.into_sent())),
-            Err(err) => Err(failure(&err, progress)),
+            Ok(response) => Ok((response, handed.send())),
+            Err(err) => Err(failure(&err, handed)),
         }
     }
 
@@ -181,8 +182,9 @@
 
 fn build(connect_timeout: Duration, keep_alive: Duration) -> awc::Client {
     let connector = Connector::new()
-        .connector(transport::Connector::default())
-        .timeout(connect_timeout)
+        .connector(transport::Connector::new(connect_timeout))
+        // The connector's own timeout comes first and says that no connection was made.
+        .timeout(connect_timeout * 2)
         .conn_keep_alive(keep_alive)
         .limit(0);
     awc::Client::builder()
@@ -192,41 +194,33 @@
         .finish()
 }
 
-impl Progress {
-    fn into_sent(self) -> Sent {
-        match self {
-            Progress::Unsent(unsent) => unsent.send(),
-            Progress::Sent(sent) => sent,
-        }
-    }
-}
-
-fn failure(err: &SendRequestError, progress: Progress) -> Failure {
-    let cause = cause(err);
+fn failure(err: &SendRequestError, handed: Handed) -> Failure {
     tracing::debug!(event = "attempt_failed", error = %err);
-    let progress = match (cause, progress) {
-        (Cause::Unreachable, progress) => progress,
-        (_, progress) => Progress::Sent(progress.into_sent()),
-    };
-    Failure { progress, cause }
+    match unconnected(err) {
+        Some(proof) => Failure {
+            progress: handed.fail(proof),
+            cause: Cause::Unreachable,
+        },
+        None => Failure {
+            progress: Progress::Sent(handed.send()),
+            cause: cause(err),
+        },
+    }
 }
 
-/// Only errors from before the connection existed count as unreachable. Other
-/// `Connect` errors also stand for servers that read the whole request and then closed.
 fn cause(err: &SendRequestError) -> Cause {
     match err {
-        SendRequestError::Connect(ConnectError::Io(err)) if is_refused(err) => Cause::Unreachable,
-        SendRequestError::Connect(ConnectError::Timeout) => Cause::Unreachable,
+        _ if unconnected(err).is_some() => Cause::Unreachable,
         SendRequestError::Timeout => Cause::Timeout,
         _ => Cause::Broken,
     }
 }
 
-fn is_refused(err: &io::Error) -> bool {
-    err.kind() == io::ErrorKind::ConnectionRefused
-}
-
-/// Used by tests of the evidence that a request carries.
-pub fn fresh_progress() -> Progress {
-    Progress::Unsent(Unsent::received())
+/// Evidence that no connection was made. Other `Connect` errors also stand for
+/// servers that read the whole request and then closed.
+fn unconnected(err: &SendRequestError) -> Option<Unconnected> {
+    match err {
+        SendRequestError::Connect(ConnectError::Io(err)) => Unconnected::from_kind(err.kind()),
+        _ => None,
+    }
 }
--- a/crates/gate/src/forward/completion.rs
+++ b/crates/gate/src/forward/completion.rs
@@ -8,22 +8,22 @@
 use agate_wire::engine::Usage;
 use serde::Deserialize;
 
-use super::attempt::{Attempts, EVENT_STREAM};
+use super::attempt::{self, Attempts, EVENT_STREAM};
 use super::plain::{self, Whole};
 use super::relay::Relay;
 use crate::admission::{Cost, Slot};
 use crate::front::reply::Answer;
 use crate::gate::Gate;
-use crate::refusal::{Progress, Refusal, Unsent};
+use crate::refusal::{Progress, Refusal};
 use crate::work::{Kind, Work};
 
 /// Admits a chat completion, runs it on an engine, and answers.
-pub async fn run(gate: &Rc<Gate>, work: Rc<Work>, unsent: Unsent) -> Result<Answer, Refusal> {
+pub async fn run(gate: &Rc<Gate>, work: Rc<Work>) -> Result<Answer, Refusal> {
     let slot = match plain::admit(gate, &work).await {
         Ok(slot) => slot,
-        Err(denial) => return Err(unsent.refuse(denial)),
+        Err(denial) => return Err(Progress::received(false).refuse(denial)),
     };
-    let progress = Progress::Unsent(unsent);
+    let progress = Progress::received(work.class.idempotent);
     if matches!(work.kind, Kind::Completion { stream: true, .. }) {
         return streamed(gate, work, slot, progress).await;
     }
@@ -43,7 +43,7 @@
     if !answered.is_event_stream() {
         let whole = match plain::receive(gate, &work, answered).await {
             Ok(whole) => whole,
-            Err(denial) => return Err(progress.refuse(denial)),
+            Err(outcome) => return Err(progress.refuse(attempt::denial(outcome))),
         };
         let cost = cost(&whole);
         return Ok(plain::deliver(gate, &work, whole, slot, cost));
--- a/crates/gate/src/forward/plain.rs
+++ b/crates/gate/src/forward/plain.rs
@@ -4,7 +4,7 @@
 
 use actix_http::StatusCode;
 use actix_http::header::HeaderMap;
-use agate_model::refusal::Reason;
+use agate_retry::decision::Outcome;
 use agate_wire::platform::Figures;
 use bytes::{Bytes, BytesMut};
 use tokio::time::Instant;
@@ -12,11 +12,11 @@
 use super::attempt::{Answered, Attempts};
 use super::{client, headers};
 use crate::admission::{Cost, Slot};
-use crate::choice::Outcome;
+use crate::choice;
 use crate::front::reply::{self, Answer};
 use crate::gate::Gate;
 use crate::metrics::Retry;
-use crate::refusal::{Denial, Progress, Refusal, Unsent};
+use crate::refusal::{Denial, Progress, Refusal};
 use crate::work::Work;
 
 /// A whole answer of an endpoint.
@@ -30,12 +30,12 @@
 }
 
 /// Admits a call, sends it, and answers with what the endpoint said.
-pub async fn run(gate: &Rc<Gate>, work: Rc<Work>, unsent: Unsent) -> Result<Answer, Refusal> {
+pub async fn run(gate: &Rc<Gate>, work: Rc<Work>) -> Result<Answer, Refusal> {
     let slot = match admit(gate, &work).await {
         Ok(slot) => slot,
-        Err(denial) => return Err(unsent.refuse(denial)),
+        Err(denial) => return Err(Progress::received(false).refuse(denial)),
     };
-    let whole = fetch(gate, &work, Progress::Unsent(unsent)).await?;
+    let whole = fetch(gate, &work, Progress::received(work.class.idempotent)).await?;
     Ok(deliver(gate, &work, whole, slot, Cost::default()))
 }
 
@@ -57,13 +57,13 @@
         let (answered, sent) = attempts.run(progress).await?;
         match receive(gate, work, answered).await {
             Ok(whole) => return Ok(whole),
-            Err(denial) => progress = attempts.again(Retry::Broken, sent, denial).await?,
+            Err(outcome) => progress = attempts.again(Retry::Broken, sent, outcome).await?,
         }
     }
 }
 
 /// Receives the rest of an answer.
-pub async fn receive(gate: &Gate, work: &Work, answered: Answered) -> Result<Whole, Denial> {
+pub async fn receive(gate: &Gate, work: &Work, answered: Answered) -> Result<Whole, Outcome> {
     let Answered {
         response,
         flight,
@@ -73,26 +73,18 @@
     let status = response.status();
     let headers = headers::passed_back(response.headers());
     let limit = gate.settings.limits.answer.bytes();
-    let received = tokio::time::timeout_at(
-        work.deadline,
-        collect(client::Body::new(&work.method, response), limit),
-    )
-    .await;
-    let body = match received {
-        Ok(Ok(body)) => body,
-        Ok(Err(denial)) => {
-            flight.close(Outcome::Failed);
-            return Err(denial);
-        }
-        Err(_) => {
-            flight.close(Outcome::Failed);
-            let message = "the answer was not whole in time";
-            return Err(Denial::new(Reason::EndpointTimeout, message));
+    let answer = client::Body::new(&work.method, response);
+    let received = tokio::time::timeout_at(work.deadline, collect(answer, limit)).await;
+    let body = match received.unwrap_or(Err(Outcome::TimedOut)) {
+        Ok(body) => body,
+        Err(outcome) => {
+            flight.close(choice::Outcome::Failed);
+            return Err(outcome);
         }
     };
     let outcome = match status.is_server_error() {
-        true => Outcome::Failed,
-        false => Outcome::Answered(latency),
+        true => choice::Outcome::Failed,
+        false => choice::Outcome::Answered(latency),
     };
     flight.close(outcome);
     cancel.close();
@@ -103,14 +95,13 @@
     })
 }
 
-async fn collect(mut answer: client::Body, limit: usize) -> Result<Bytes, Denial> {
+async fn collect(mut answer: client::Body, limit: usize) -> Result<Bytes, Outcome> {
     let mut body = BytesMut::new();
     while let Some(chunk) = answer.next().await {
-        let broken = |err: client::Broken| Denial::new(Reason::EndpointFailed, err.to_string());
-        let chunk = chunk.map_err(broken)?;
+        let chunk = chunk.map_err(|_| Outcome::Failed)?;
         if body.len() + chunk.len() > limit {
-            let message = format!("the answer is larger than {limit} bytes");
-            return Err(Denial::new(Reason::EndpointFailed, message));
+            tracing::warn!(event = "answer_too_large", limit);
+            return Err(Outcome::Failed);
         }
         body.extend_from_slice(&chunk);
     }
--- a/crates/gate/src/forward/relay.rs
+++ b/crates/gate/src/forward/relay.rs
@@ -5,22 +5,22 @@
 use std::time::Duration;
 
 use agate_model::refusal::Reason;
+use agate_retry::decision::{MAX_RESUMES, Outcome};
 use agate_stream::assembler::{Assembler, State};
 use agate_stream::replay::{Piece, Replay};
 use agate_wire::engine::Usage;
 use agate_wire::platform::Figures;
 use bytes::{BufMut as _, Bytes, BytesMut};
-use rand::Rng as _;
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 
-use super::attempt::{Answered, Attempts};
+use super::attempt::{self, Answered, Attempts};
 use super::cancel::Cancel;
 use super::chunk::{self, Chunk};
 use super::reader::{Frame, Meter, Reader};
 use super::source::{self, Item, Source, Unresumed};
 use crate::admission::{Cost, Slot};
-use crate::choice::{Flight, Outcome};
+use crate::choice::{self, Flight};
 use crate::gate::Gate;
 use crate::metrics::Retry;
 use crate::refusal::{Denial, Progress, Refusal};
@@ -31,10 +31,6 @@
 const HELD_CHUNKS: usize = 256;
 /// Wait for a missing chunk while later ones arrive.
 const GAP_TIMEOUT: Duration = Duration::from_millis(500);
-/// Resumes of one answer on one engine.
-const MAX_RESUMES: u32 = 8;
-/// Upper bound of the first wait before a resume; it doubles with each.
-const RESUME_BACKOFF: Duration = Duration::from_millis(20);
 
 /// Why a connection is no longer read.
 enum Stop {
@@ -184,13 +180,15 @@
             match self.read(&mut upstream).await {
                 Stop::Whole => {
                     upstream.cancel.close();
-                    upstream.flight.close(Outcome::Answered(upstream.latency));
+                    upstream
+                        .flight
+                        .close(choice::Outcome::Answered(upstream.latency));
                     let done = frame(DONE, 0);
                     return self.send(done).await.is_ok() && self.send(Frame::End).await.is_ok();
                 }
                 Stop::Gone => return false,
                 Stop::Failed(denial) => {
-                    upstream.flight.close(Outcome::Failed);
+                    upstream.flight.close(choice::Outcome::Failed);
                     self.fail(denial).await;
                     return false;
                 }
@@ -296,8 +294,8 @@
                 return None;
             }
             self.gate.metrics.retried(Retry::Resume);
-            tokio::time::sleep(resume_wait(upstream.resumes)).await;
             upstream.resumes += 1;
+            tokio::time::sleep(self.gate.budgets.resume_wait(upstream.resumes)).await;
             let endpoint = upstream.flight.endpoint();
             let attempt = upstream.cancel.attempt();
             tracing::info!(event = "resume", request = %attempt, endpoint = %endpoint.id, offset = from);
@@ -311,7 +309,7 @@
                 Err(Unresumed::Unknown) => break,
             }
         }
-        upstream.flight.close(Outcome::Failed);
+        upstream.flight.close(choice::Outcome::Failed);
         match self.regenerate().await {
             Ok(regenerated) => Some(regenerated),
             Err(refusal) => {
@@ -323,21 +321,20 @@
 
     /// Has another engine generate the answer from its beginning.
     async fn regenerate(&mut self) -> Result<Upstream, Refusal> {
-        let denial = Denial::new(Reason::EndpointFailed, "the answer broke off");
+        let failed = Outcome::Failed;
         let Some(progress) = self.progress.take() else {
             unreachable!("progress is put back by each regeneration");
         };
         if !self.single {
-            return Err(progress.refuse(denial));
+            return Err(progress.refuse(attempt::denial(failed)));
         }
         let progress = self
             .attempts
-            .again(Retry::Regenerate, progress, denial)
+            .again(Retry::Regenerate, progress, failed)
             .await?;
         let (answered, progress) = self.attempts.run(progress).await?;
         if !answered.is_event_stream() {
-            let denial = Denial::new(Reason::EndpointFailed, "the answer broke off");
-            return Err(progress.refuse(denial));
+            return Err(progress.refuse(attempt::denial(failed)));
         }
         self.progress = Some(progress);
         self.text.restart();
@@ -411,11 +408,6 @@
     }
 }
 
-fn resume_wait(resumes: u32) -> Duration {
-    let bound = RESUME_BACKOFF * 2u32.pow(resumes.min(6));
-    bound.mul_f64(rand::rng().random::<f64>())
-}
-
 /// One event. Data of several lines needs several fields.
 fn frame(data: &[u8], tokens: u64) -> Frame {
     let mut bytes = BytesMut::with_capacity(data.len() + 8);
--- a/crates/gate/src/forward/transport.rs
+++ b/crates/gate/src/forward/transport.rs
@@ -7,6 +7,7 @@
 use std::io;
 use std::pin::Pin;
 use std::task::{Context, Poll};
+use std::time::Duration;
 
 use actix_http::Uri;
 use actix_rt::net::{ActixStream, Ready, TcpStream};
@@ -64,8 +65,21 @@
 }
 
 /// Makes [`Strict`] connections.
-#[derive(Clone, Debug, Default)]
-pub struct Connector(TcpConnectorService);
+#[derive(Clone, Debug)]
+pub struct Connector {
+    tcp: TcpConnectorService,
+    timeout: Duration,
+}
+
+impl Connector {
+    /// A connector that gives up after `timeout`.
+    pub fn new(timeout: Duration) -> Self {
+        Self {
+            tcp: TcpConnectorService::default(),
+            timeout,
+        }
+    }
+}
 
 impl Service<ConnectInfo<Uri>> for Connector {
     type Response = Connection<Uri, Strict>;
@@ -75,9 +89,11 @@
     actix_service::always_ready!();
 
     fn call(&self, request: ConnectInfo<Uri>) -> Self::Future {
-        let connecting = self.0.call(request);
+        let connecting = tokio::time::timeout(self.timeout, self.tcp.call(request));
         Box::pin(async move {
-            let (stream, uri) = connecting.await?.into_parts();
+            let unreachable = |_| ConnectError::Io(io::ErrorKind::HostUnreachable.into());
+            let connected = connecting.await.map_err(unreachable)?;
+            let (stream, uri) = connected?.into_parts();
             stream.set_nodelay(true).map_err(ConnectError::Io)?;
             Ok(Connection::new(uri, Strict(stream)))
         })
--- a/crates/gate/src/front/completion.rs
+++ b/crates/gate/src/front/completion.rs
@@ -14,7 +14,7 @@
 use super::route::Call;
 use crate::forward;
 use crate::gate::Gate;
-use crate::refusal::{Denial, Refusal, Unsent};
+use crate::refusal::{Denial, Progress, Refusal};
 use crate::work::{Kind, Work};
 
 #[derive(Serialize)]
@@ -61,10 +61,10 @@
 }
 
 /// Runs a chat completion.
-pub async fn run(gate: &Rc<Gate>, call: Call, unsent: Unsent) -> Result<Answer, Refusal> {
+pub async fn run(gate: &Rc<Gate>, call: Call) -> Result<Answer, Refusal> {
     match accept(gate, call).await {
-        Ok(work) => forward::completion(gate, Rc::new(work), unsent).await,
-        Err(denial) => Err(unsent.refuse(denial)),
+        Ok(work) => forward::completion(gate, Rc::new(work)).await,
+        Err(denial) => Err(Progress::received(false).refuse(denial)),
     }
 }
 
--- a/crates/gate/src/front/plain.rs
+++ b/crates/gate/src/front/plain.rs
@@ -9,7 +9,7 @@
 use super::route::Call;
 use crate::forward;
 use crate::gate::Gate;
-use crate::refusal::{Denial, Refusal, Unsent};
+use crate::refusal::{Denial, Progress, Refusal};
 use crate::work::{Kind, Work};
 
 /// Header with the caller's idempotency key.
@@ -17,10 +17,10 @@
 const IDEMPOTENCY_KEY_BYTES: usize = 255;
 
 /// Runs a call of a plain service.
-pub async fn run(gate: &Rc<Gate>, call: Call, unsent: Unsent) -> Result<Answer, Refusal> {
+pub async fn run(gate: &Rc<Gate>, call: Call) -> Result<Answer, Refusal> {
     match accept(gate, call).await {
-        Ok(work) => forward::plain(gate, Rc::new(work), unsent).await,
-        Err(denial) => Err(unsent.refuse(denial)),
+        Ok(work) => forward::plain(gate, Rc::new(work)).await,
+        Err(denial) => Err(Progress::received(false).refuse(denial)),
     }
 }
 
--- a/crates/gate/src/front/route.rs
+++ b/crates/gate/src/front/route.rs
@@ -17,7 +17,7 @@
 use super::{address, completion, plain};
 use crate::config::View;
 use crate::gate::{Gate, random_id};
-use crate::refusal::{Denial, Refusal, Unsent};
+use crate::refusal::{Denial, Progress, Refusal};
 use crate::work::Caller;
 
 /// Header with the class that the caller asks for.
@@ -75,10 +75,9 @@
 }
 
 async fn answer(gate: &Rc<Gate>, id: &str, request: &mut Request) -> Result<Answer, Refusal> {
-    let unsent = Unsent::received();
     let call = match open(id, request) {
         Ok(call) => call,
-        Err(denial) => return Err(unsent.refuse(denial)),
+        Err(denial) => return Err(Progress::received(false).refuse(denial)),
     };
     let path = call.path.clone();
     match (path.as_str(), &call.method) {
@@ -87,10 +86,10 @@
         ("/v1/addresses", &Method::GET) => Ok(address::addresses(gate).into()),
         ("/v1/models", &Method::GET) => match completion::models(gate, &call) {
             Ok(response) => Ok(response.into()),
-            Err(denial) => Err(unsent.refuse(denial)),
+            Err(denial) => Err(Progress::received(false).refuse(denial)),
         },
-        ("/v1/chat/completions", &Method::POST) => completion::run(gate, call, unsent).await,
-        _ => plain::run(gate, call, unsent).await,
+        ("/v1/chat/completions", &Method::POST) => completion::run(gate, call).await,
+        _ => plain::run(gate, call).await,
     }
 }
 
--- a/crates/gate/src/front/server.rs
+++ b/crates/gate/src/front/server.rs
@@ -20,7 +20,7 @@
 use super::{admin, route};
 use crate::activity::Phase;
 use crate::gate::{Gate, random_id};
-use crate::refusal::{Denial, Unsent};
+use crate::refusal::{Denial, Progress};
 
 /// Connections beyond the limit that still get a written refusal.
 const REFUSED_CONNECTIONS: usize = 64;
@@ -74,7 +74,9 @@
 pub async fn refusals(gate: &Rc<Gate>) -> io::Result<Rc<dyn Connection>> {
     http(gate, |_| async {
         let denial = Denial::new(Reason::ConnectionLimit, "too many connections to this host");
-        let mut response = Unsent::received().refuse(denial).response(&random_id());
+        let mut response = Progress::received(false)
+            .refuse(denial)
+            .response(&random_id());
         response
             .head_mut()
             .set_connection_type(actix_http::ConnectionType::Close);
--- a/crates/gate/src/gate.rs
+++ b/crates/gate/src/gate.rs
@@ -13,6 +13,7 @@
 
 use crate::activity::Activity;
 use crate::admission::{Admission, Fair};
+use crate::budget::Budgets;
 use crate::choice::{Choice, Fewest};
 use crate::config::{Config, View};
 use crate::forward::client::Client;
@@ -38,6 +39,8 @@
     pub activity: Activity,
     /// Decides which request starts when.
     pub admission: Rc<dyn Admission>,
+    /// Retry budgets.
+    pub budgets: Budgets,
     /// Chooses endpoints.
     pub choice: Rc<dyn Choice>,
     /// Connections to endpoints.
@@ -61,6 +64,7 @@
             metrics: Metrics::default(),
             activity: Activity::default(),
             admission: Rc::new(Fair::default()),
+            budgets: Budgets::default(),
             choice: Rc::new(Fewest::default()),
             client,
             tables,
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod activity;
 pub mod admission;
+pub mod budget;
 pub mod choice;
 pub mod config;
 pub mod explain;
--- a/crates/gate/src/refusal.rs
+++ b/crates/gate/src/refusal.rs
@@ -1,14 +1,15 @@
 //! Refusals: why a request was not answered by an endpoint, and what is known of its execution.
 //!
-//! Checks return a [`Denial`], which says nothing about execution. Only the
-//! holder of [`Unsent`] can turn it into a refusal that says "not run", and
-//! sending the request consumes that value.
+//! Checks return a [`Denial`], which says nothing about execution. Only
+//! [`Progress`] turns it into a refusal, and it says "not run" only while it holds
+//! the [`Unsent`] that sending consumes.
 
 use std::time::Duration;
 
 use actix_http::header::{self, HeaderName, HeaderValue};
 use actix_http::{Response, StatusCode, body::BoxBody};
 use agate_model::refusal::{Execution, Reason};
+use agate_retry::attempt::{Again, Opening, Sent, Unconnected, Unsent};
 use agate_wire::refusal::Body;
 
 /// Header that tells whether a refused request was executed.
@@ -47,16 +48,7 @@
     }
 }
 
-/// Evidence that no byte of a request has reached an endpoint. There is one for each
-/// caller request; it can't be copied, and sending consumes it.
-#[derive(Debug)]
-pub struct Unsent(());
-
-/// A request of which some byte may have reached an endpoint.
-#[derive(Debug)]
-pub struct Sent(());
-
-/// What is known of a request so far.
+/// What is known of a request so far. It can't be copied, and sending consumes it.
 #[derive(Debug)]
 pub enum Progress {
     /// No byte has reached an endpoint.
@@ -65,48 +57,62 @@
     Sent(Sent),
 }
 
-impl Unsent {
-    /// Evidence for a request that was just received.
-    pub(crate) fn received() -> Self {
-        Self(())
-    }
+/// A request on its way into a connection.
+#[derive(Debug)]
+pub enum Handed {
+    /// For the first time.
+    First(Opening),
+    /// Once more, which only idempotent requests allow.
+    Again(Sent, Again),
+}
 
-    /// The request is about to be sent.
-    pub(crate) fn send(self) -> Sent {
-        Sent(())
+impl Progress {
+    /// A request that was just received.
+    pub(crate) fn received(idempotent: bool) -> Self {
+        Self::Unsent(Unsent::new(idempotent))
     }
 
-    /// Refuses the request as not run.
+    /// Refuses the request with what is known of its execution.
     pub fn refuse(self, denial: Denial) -> Refusal {
-        Refusal {
-            denial,
-            execution: Execution::NotRun,
-        }
+        let execution = match self {
+            Self::Unsent(unsent) => unsent.refuse(denial.reason).execution(),
+            Self::Sent(sent) => sent.fail(denial.reason).execution(),
+        };
+        Refusal { denial, execution }
     }
-}
 
-impl Sent {
-    /// Refuses the request with unknown outcome.
-    pub fn refuse(self, denial: Denial) -> Refusal {
-        Refusal {
-            denial,
-            execution: Execution::Unknown,
+    /// Hands the request to a connection, or gives it back if it may not be sent again.
+    pub fn hand_over(self) -> Result<Handed, Progress> {
+        match self {
+            Self::Unsent(unsent) => Ok(Handed::First(unsent.open())),
+            Self::Sent(mut sent) => match sent.again() {
+                Some(again) => Ok(Handed::Again(sent, again)),
+                None => Err(Self::Sent(sent)),
+            },
         }
     }
+
+    /// Whether a byte may have reached an endpoint.
+    pub fn is_sent(&self) -> bool {
+        matches!(self, Self::Sent(_))
+    }
 }
 
-impl Progress {
-    /// Refuses the request with what is known of its execution.
-    pub fn refuse(self, denial: Denial) -> Refusal {
+impl Handed {
+    /// A byte may have been sent.
+    pub fn send(self) -> Sent {
         match self {
-            Progress::Unsent(unsent) => unsent.refuse(denial),
-            Progress::Sent(sent) => sent.refuse(denial),
+            Self::First(opening) => opening.send(),
+            Self::Again(sent, _) => sent,
         }
     }
 
-    /// Whether a byte may have reached an endpoint.
-    pub fn is_sent(&self) -> bool {
-        matches!(self, Progress::Sent(_))
+    /// No connection was made.
+    pub fn fail(self, proof: Unconnected) -> Progress {
+        match self {
+            Self::First(opening) => Progress::Unsent(opening.fail(proof)),
+            Self::Again(sent, _) => Progress::Sent(sent),
+        }
     }
 }
 
