Claims of non-idempotent requests with an idempotency key

A place is taken first and the claim committed next, so that work that is shed costs the store nothing. An execution runs in a task of its own: it is finished and recorded even if its caller leaves. A claim given up while the store was silent is released when it appears.

--- a/crates/gate/src/forward/mod.rs
+++ b/crates/gate/src/forward/mod.rs
@@ -3,6 +3,7 @@
 pub mod attempt;
 pub mod cancel;
 pub mod chunk;
+pub mod claimed;
 pub mod client;
 pub mod completion;
 pub mod headers;
--- a/crates/gate/src/forward/plain.rs
+++ b/crates/gate/src/forward/plain.rs
@@ -10,7 +10,7 @@
 use tokio::time::Instant;
 
 use super::attempt::{Answered, Attempts};
-use super::{client, headers};
+use super::{claimed, client, headers};
 use crate::admission::{Cost, Slot};
 use crate::choice;
 use crate::front::reply::{self, Answer};
@@ -27,6 +27,8 @@
     pub headers: HeaderMap,
     /// Body.
     pub body: Bytes,
+    /// Whether it answered an earlier submission, which was counted then.
+    pub replayed: bool,
 }
 
 /// Admits a call, sends it, and answers with what the endpoint said.
@@ -35,7 +37,10 @@
         Ok(slot) => slot,
         Err(denial) => return Err(Progress::received(false).refuse(denial)),
     };
-    let whole = fetch(gate, &work, Progress::received(work.class.idempotent)).await?;
+    let whole = match &work.idempotency {
+        Some(key) if !work.class.idempotent => claimed::fetch(gate, &work, key).await?,
+        _ => fetch(gate, &work, Progress::received(work.class.idempotent)).await?,
+    };
     Ok(deliver(gate, &work, whole, slot, Cost::default()))
 }
 
@@ -92,6 +97,7 @@
         status,
         headers,
         body,
+        replayed: false,
     })
 }
 
@@ -118,13 +124,13 @@
 ) -> Answer {
     slot.charge(cost);
     drop(slot);
-    let success = !whole.status.is_server_error();
+    let counted = !whole.replayed && !whole.status.is_server_error();
     let response = reply::forwarded(whole.status, whole.headers, whole.body);
     let gate = gate.clone();
     let work = work.clone();
     let answered = Instant::now();
     let delivered = move || {
-        if !success {
+        if !counted {
             return;
         }
         let latency = answered - work.arrival;
--- a/crates/gate/src/gate.rs
+++ b/crates/gate/src/gate.rs
@@ -15,6 +15,7 @@
 use crate::admission::{Admission, Fair};
 use crate::budget::Budgets;
 use crate::choice::{Choice, Fewest};
+use crate::claim::Claims;
 use crate::config::{Config, View};
 use crate::forward::client::Client;
 use crate::metrics::Metrics;
@@ -84,6 +85,19 @@
         config.is_current(Instant::now(), self.settings.freshness)
     }
 
+    /// Claims of this run; `None` without a store.
+    pub fn claims(&self) -> Option<Claims> {
+        let tables = self.tables.clone()?;
+        let host = self.settings.host.clone();
+        Some(Claims::new(tables, host, self.incarnation.clone()))
+    }
+
+    /// Whether an entry host is known to exist, or nothing is known of entry hosts.
+    pub fn is_live(&self, host: &str) -> bool {
+        let config = self.config.borrow();
+        config.hosts().is_empty() || config.hosts().iter().any(|it| it.host == host)
+    }
+
     /// Finds the account of a key, or says why it has none.
     pub fn authorize(&self, digest: &Digest) -> Result<Caller, Denial> {
         if !self.is_current() {
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod admission;
 pub mod budget;
 pub mod choice;
+pub mod claim;
 pub mod config;
 pub mod explain;
 pub mod forward;
--- a/crates/gate/src/main.rs
+++ b/crates/gate/src/main.rs
@@ -3,15 +3,20 @@
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::rc::Rc;
+use std::time::Duration;
 
 use agate_gate::gate::Gate;
 use agate_gate::program::{Loss, Program};
 use agate_gate::settings::Settings;
 use agate_gate::sync::Rpc;
+use agate_platform::interface::Tables;
 use agate_settings::signal::{Event, Listener};
 use agate_settings::{file, log};
 use bpaf::Bpaf;
 
+/// Time for one call to the platform.
+const PLATFORM_TIMEOUT: Duration = Duration::from_secs(1);
+
 type Error = Box<dyn std::error::Error>;
 
 /// Data path of agatebridge: checks keys, admits, queues and forwards requests.
@@ -54,7 +59,11 @@
 
 async fn serve(settings: Settings) -> Result<ExitCode, Error> {
     let mut signals = Listener::new()?;
-    let gate = Gate::new(settings, None);
+    let tables = settings.platform.map(|address| {
+        let client = agate_platform::http::Client::new(address, PLATFORM_TIMEOUT);
+        Rc::new(client) as Rc<dyn Tables>
+    });
+    let gate = Gate::new(settings, tables);
     let program = Program::start(gate.clone(), Rc::new(Rpc)).await?;
     println!(
         "listening address={} admin={}",
--- a/crates/gate/src/refusal.rs
+++ b/crates/gate/src/refusal.rs
@@ -124,6 +124,14 @@
 }
 
 impl Refusal {
+    /// A refusal because of an earlier submission of the same request. It speaks of that one's execution.
+    pub fn claimed(denial: Denial) -> Self {
+        Self {
+            execution: agate_claim::execution(denial.reason),
+            denial,
+        }
+    }
+
     /// Why.
     pub fn reason(&self) -> Reason {
         self.denial.reason
--- a/crates/gate/tests/at_most_once.rs
+++ b/crates/gate/tests/at_most_once.rs
@@ -51,7 +51,7 @@
 #[test]
 fn a_refused_connection_is_not_run_and_tried_elsewhere() {
     run(async {
-        let (closed, _socket) = closed_port();
+        let (closed, _socket) = support::closed_port();
         let deployment = Deployment::start(vec![service("s1", closed)]).await;
         assert_eq!(
             book(&deployment).await,
@@ -205,16 +205,6 @@
     });
 }
 
-/// A port that is taken, so that no other test gets it, and that nobody listens on.
-fn closed_port() -> (SocketAddr, tokio::net::TcpSocket) {
-    let socket = tokio::net::TcpSocket::new_v4().expect("a socket");
-    socket
-        .bind(SocketAddr::from(([127, 0, 0, 1], 0)))
-        .expect("a free port");
-    let address = socket.local_addr().expect("a bound socket");
-    (address, socket)
-}
-
 /// A listener whose queue of connections is full, so that further ones get no answer.
 async fn full_backlog() -> (SocketAddr, Vec<tokio::net::TcpStream>) {
     let socket = tokio::net::TcpSocket::new_v4().expect("a socket");
--- a/crates/gate/tests/support/mod.rs
+++ b/crates/gate/tests/support/mod.rs
@@ -18,6 +18,7 @@
 use agate_gate::settings::{Limits, Settings};
 use agate_gate::sync::{Error, Steer};
 use agate_model::key::Digest;
+use agate_platform::interface::Tables;
 use agate_wire::change;
 use agate_wire::manifest::Manifest;
 use agate_wire::sync;
@@ -262,10 +263,18 @@
     }
 
     pub async fn with(settings: Settings, endpoints: Vec<Value>) -> Self {
+        Self::with_tables(settings, endpoints, None).await
+    }
+
+    pub async fn with_tables(
+        settings: Settings,
+        endpoints: Vec<Value>,
+        tables: Option<Rc<dyn Tables>>,
+    ) -> Self {
         let mut all = resources();
         all.extend(endpoints);
         let steer = Fixed::new(all);
-        let gate = Gate::new(settings, None);
+        let gate = Gate::new(settings, tables);
         let program = Program::start(gate.clone(), steer.clone())
             .await
             .expect("free ports");
@@ -438,3 +447,13 @@
     let status = actix_http::StatusCode::from_u16(status).expect("a status");
     Response::with_body(status, BoxBody::new(body.to_owned()))
 }
+
+/// A port that is taken, so that no other test gets it, and that nobody listens on.
+pub fn closed_port() -> (SocketAddr, tokio::net::TcpSocket) {
+    let socket = tokio::net::TcpSocket::new_v4().expect("a socket");
+    socket
+        .bind(SocketAddr::from(([127, 0, 0, 1], 0)))
+        .expect("a free port");
+    let address = socket.local_addr().expect("a bound socket");
+    (address, socket)
+}
