--- /dev/null
+++ b/crates/lease/tests/rule.rs
@@ -0,0 +1,126 @@
+//! Single transitions.
+
+use std::time::{Duration, Instant};
+
+use agate_lease::{Candidate, Holder, Lost, Row, Seen, Settlement, Terms, Verdict};
+use rstest::rstest;
+
+const SECOND: Duration = Duration::from_secs(1);
+
+fn candidate() -> Candidate {
+    Candidate::new(Terms::default(), "host-1".to_owned(), "run-1".to_owned())
+}
+
+fn foreign(revision: u64, released: bool) -> Seen {
+    let row = Row {
+        epoch: 4,
+        host: "host-2".to_owned(),
+        incarnation: "run-2".to_owned(),
+        nonce: "n2".to_owned(),
+        beat: revision,
+        released,
+    };
+    Seen { row, revision }
+}
+
+fn holder(now: Instant) -> Holder {
+    candidate().acquire(None, "n1".to_owned(), now).committed(1)
+}
+
+#[test]
+fn candidate_waits_until_the_row_stood_still() {
+    let now = Instant::now();
+    let wait = Terms::default().takeover_wait();
+    let mut candidate = candidate();
+    assert_eq!(
+        candidate.observe(Some(&foreign(1, false)), now),
+        Verdict::Wait(wait)
+    );
+    let verdict = candidate.observe(Some(&foreign(2, false)), now + wait);
+    assert_eq!(
+        verdict,
+        Verdict::Wait(wait),
+        "a renewal starts the wait again"
+    );
+    let verdict = candidate.observe(Some(&foreign(2, false)), now + wait + wait);
+    assert_eq!(verdict, Verdict::Acquire);
+}
+
+#[test]
+fn released_lease_is_acquired_at_once_with_the_next_epoch() {
+    let now = Instant::now();
+    let mut candidate = candidate();
+    let seen = foreign(7, true);
+    assert_eq!(candidate.observe(Some(&seen), now), Verdict::Acquire);
+    let attempt = candidate.acquire(Some(&seen), "n1".to_owned(), now);
+    assert_eq!((attempt.check, attempt.row.epoch), (Some(7), 5));
+}
+
+#[rstest]
+#[case::landed("n1", true)]
+#[case::other("n2", false)]
+fn lost_answer_of_an_acquisition(#[case] nonce: &str, #[case] held: bool) {
+    let now = Instant::now();
+    let attempt = candidate().acquire(None, "n1".to_owned(), now);
+    assert_eq!(attempt.settle(None), Settlement::Unchanged);
+    let row = Row {
+        nonce: nonce.to_owned(),
+        ..attempt.row.clone()
+    };
+    let settlement = attempt.settle(Some(&Seen { row, revision: 1 }));
+    assert_eq!(matches!(settlement, Settlement::Held(_)), held);
+}
+
+#[test]
+fn term_counts_from_before_the_request() {
+    let now = Instant::now();
+    let mut holder = holder(now);
+    assert!(holder.is_active(now + 8 * SECOND));
+    assert!(!holder.is_active(now + 9 * SECOND));
+    holder.renew(now + 5 * SECOND);
+    holder.renewed(2);
+    assert!(holder.is_active(now + 13 * SECOND));
+    assert!(!holder.is_active(now + 14 * SECOND));
+}
+
+#[test]
+fn earlier_renewal_does_not_extend_the_term() {
+    let now = Instant::now();
+    let mut holder = holder(now);
+    let first = holder.renew(now + SECOND);
+    holder.renew(now + 2 * SECOND);
+    let seen = Seen {
+        row: first.row,
+        revision: 2,
+    };
+    assert_eq!(holder.settle(Some(&seen)), Ok(()));
+    assert_eq!(holder.revision(), 2);
+    assert!(!holder.is_active(now + 9 * SECOND));
+}
+
+#[test]
+fn foreign_row_ends_the_tenure() {
+    let mut holder = holder(Instant::now());
+    assert_eq!(
+        holder.settle(Some(&foreign(9, false))),
+        Err(Lost { epoch: 4 })
+    );
+}
+
+#[test]
+fn permit_lapses_with_the_term_in_which_it_was_recorded() {
+    let now = Instant::now();
+    let mut holder = holder(now);
+    let permit = holder.ticket(now).expect("an active holder").recorded();
+    holder.renew(now + 5 * SECOND);
+    holder.renewed(2);
+    assert!(permit.is_valid(now + 8 * SECOND));
+    assert!(!permit.is_valid(now + 9 * SECOND));
+    assert!(holder.ticket(now + 14 * SECOND).is_none());
+}
+
+#[test]
+fn default_margin_covers_clocks_that_differ_by_two_percent() {
+    assert!(Terms::default().is_covered(0.02));
+    assert!(!Terms::default().is_covered(0.1));
+}
