--- /dev/null
+++ b/crates/proof/src/relay.rs
@@ -0,0 +1,108 @@
+//! TCP relay between a process and its peer, which can be cut or hold data back.
+
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::{AbortHandle, JoinHandle};
+
+/// Bytes moved at once.
+const BUFFER_BYTES: usize = 16 * 1024;
+
+/// Time between looks of a held connection.
+const HOLD: Duration = Duration::from_millis(10);
+
+/// What the relay does with data.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Mode {
+    /// Passes everything on.
+    #[default]
+    Pass,
+    /// Passes nothing on; connections stay open, as after a cable is pulled.
+    Hold,
+    /// Passes requests on and holds answers back.
+    HoldAnswers,
+}
+
+/// A running relay.
+pub struct Relay {
+    /// Address to connect to.
+    pub address: SocketAddr,
+    mode: Rc<Cell<Mode>>,
+    streams: Rc<RefCell<Vec<AbortHandle>>>,
+    accept: JoinHandle<()>,
+}
+
+impl Relay {
+    /// Starts a relay from `listen` to `target` on the current runtime.
+    pub async fn start(listen: SocketAddr, target: SocketAddr) -> Self {
+        let listener = TcpListener::bind(listen).await.expect("relay binds");
+        let address = listener.local_addr().expect("socket is bound");
+        let mode = Rc::new(Cell::new(Mode::Pass));
+        let streams = Rc::new(RefCell::new(Vec::new()));
+        let (state, open) = (mode.clone(), streams.clone());
+        let accept = tokio::task::spawn_local(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                let task = tokio::task::spawn_local(connect(stream, target, state.clone()));
+                open.borrow_mut().push(task.abort_handle());
+            }
+        });
+        Self {
+            address,
+            mode,
+            streams,
+            accept,
+        }
+    }
+
+    /// Changes what happens to data from now on.
+    pub fn set(&self, mode: Mode) {
+        self.mode.set(mode);
+    }
+
+    /// Closes all connections.
+    pub fn reset(&self) {
+        for stream in self.streams.borrow_mut().drain(..) {
+            stream.abort();
+        }
+    }
+
+    /// Stops the relay.
+    pub fn close(self) {
+        self.accept.abort();
+        self.reset();
+    }
+}
+
+async fn connect(client: TcpStream, target: SocketAddr, mode: Rc<Cell<Mode>>) {
+    while mode.get() == Mode::Hold {
+        tokio::time::sleep(HOLD).await;
+    }
+    let Ok(server) = TcpStream::connect(target).await else {
+        return;
+    };
+    let _ = client.set_nodelay(true);
+    let _ = server.set_nodelay(true);
+    let (from_client, to_client) = client.into_split();
+    let (from_server, to_server) = server.into_split();
+    let requests = copy(from_client, to_server, || mode.get() == Mode::Hold);
+    let answers = copy(from_server, to_client, || mode.get() != Mode::Pass);
+    tokio::join!(requests, answers);
+}
+
+async fn copy(mut from: OwnedReadHalf, mut to: OwnedWriteHalf, is_held: impl Fn() -> bool) {
+    let mut buffer = vec![0; BUFFER_BYTES];
+    while let Ok(length) = from.read(&mut buffer).await {
+        while is_held() {
+            tokio::time::sleep(HOLD).await;
+        }
+        if length == 0 || to.write_all(&buffer[..length]).await.is_err() {
+            break;
+        }
+    }
+    let _ = to.shutdown().await;
+}
