--- a/crates/settings/src/log.rs
+++ b/crates/settings/src/log.rs
@@ -8,8 +8,11 @@
 /// A second call has no effect.
 pub fn init(filter: &str) {
     let filter = EnvFilter::try_new(filter).unwrap_or_else(|_| EnvFilter::new("info"));
+    let layer = tracing_logfmt::builder()
+        .layer()
+        .with_writer(std::io::stderr);
     let _ = tracing_subscriber::registry()
         .with(filter)
-        .with(tracing_logfmt::layer())
+        .with(layer)
         .try_init();
 }
