--- a/crates/proof/src/deployment.rs
+++ b/crates/proof/src/deployment.rs
@@ -13,7 +13,7 @@
 use crate::network::{HostAddresses, Network};
 use crate::operator::{CREDENTIAL, Operator};
 use crate::program::{Program, directory};
-use crate::resources;
+use crate::resources::{self, ACCOUNT};
 use crate::standin::Standin;
 use crate::wait::{START, until};
 
@@ -220,6 +220,20 @@
         self.hosts[index].addresses.gate
     }
 
+    /// A new key that every gate accepts.
+    pub async fn key(&self, id: &str) -> String {
+        let key = self.operator(0).grant(ACCOUNT, id).await.key;
+        for host in 0..self.hosts.len() {
+            let models = Request::new(Method::GET, self.gate(host), "/v1/models")
+                .header("authorization", format!("Bearer {key}"));
+            until("new key is in force", START, || async {
+                models.send().await.ok().filter(|it| it.status == 200)
+            })
+            .await;
+        }
+        key
+    }
+
     /// Index of the host that holds the lease, as far as the others know.
     pub async fn holder(&self) -> usize {
         until("some host holds the lease", START, || async {
--- a/crates/proof/src/program.rs
+++ b/crates/proof/src/program.rs
@@ -122,17 +122,23 @@
 
     /// The last lines of its log.
     pub fn log(&self) -> String {
-        let text = std::fs::read_to_string(&self.log).unwrap_or_default();
+        let text = self.whole_log();
         let lines: Vec<&str> = text.lines().collect();
         let from = lines.len().saturating_sub(LOG_LINES);
         lines[from..].join("\n")
     }
 
-    /// Its whole log.
-    pub fn whole_log(&self) -> String {
+    /// What it has printed to standard error.
+    pub fn errors(&self) -> String {
         std::fs::read_to_string(&self.log).unwrap_or_default()
     }
 
+    /// Everything that it has printed.
+    pub fn whole_log(&self) -> String {
+        let read = |path: &Path| std::fs::read_to_string(path).unwrap_or_default();
+        read(&self.out) + &read(&self.log)
+    }
+
     fn signal(&self, signal: Signal) {
         let id = i32::try_from(self.child.id()).expect("process ids are positive");
         kill(Pid::from_raw(id), signal).expect("child has not been waited for");
