Acceptance after all processes were killed

A fresh process read all witness sets of the past and waited for majorities of runs that had ended: changes stayed pending for good. The store now keeps a version known to be accepted, and a run that a later set replaces at the same address counts as ended.

--- a/crates/conf/src/acceptance.rs
+++ b/crates/conf/src/acceptance.rs
@@ -34,16 +34,12 @@
     sets: &History,
     standing: &dyn Fn(&Witness) -> Standing,
 ) -> bool {
-    sets.below(version)
-        .all(|set| is_covered(version, set, standing))
+    let rules_out = |it: &&Witness| sets.is_superseded(it) || standing(it).rules_out_below(version);
+    sets.below(version).all(|set| is_covered(set, &rules_out))
 }
 
-fn is_covered(version: Version, set: &Set, standing: &dyn Fn(&Witness) -> Standing) -> bool {
-    let count = set
-        .members
-        .iter()
-        .filter(|it| standing(it).rules_out_below(version))
-        .count();
+fn is_covered(set: &Set, rules_out: &dyn Fn(&&Witness) -> bool) -> bool {
+    let count = set.members.iter().filter(rules_out).count();
     set.members.is_empty() || count >= set.majority()
 }
 
--- a/crates/conf/src/witness.rs
+++ b/crates/conf/src/witness.rs
@@ -4,6 +4,7 @@
 //! up, so its new run is no witness until the configuration names it.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 
 use agate_model::id::{HostId, Incarnation, Version, ZoneId};
 
@@ -19,6 +20,8 @@
     pub incarnation: Incarnation,
     /// Availability zone.
     pub zone: ZoneId,
+    /// Where it answers gossip. Two live runs never share an address.
+    pub gossip: SocketAddr,
 }
 
 /// The witnesses in force from one version on.
@@ -129,6 +132,20 @@
             .map(|(_, set)| set)
     }
 
+    /// Whether a later set names another run of the same host at the same address. That run
+    /// could bind the address only after the earlier one had ended.
+    pub fn is_superseded(&self, witness: &Witness) -> bool {
+        let named = |set: &Set| set.members.contains(witness);
+        let Some(last) = self.sets.iter().rposition(|(_, set)| named(set)) else {
+            return false;
+        };
+        let later = self.sets[last + 1..]
+            .iter()
+            .flat_map(|(_, set)| &set.members);
+        let is_successor = |it: &Witness| it.host == witness.host && it.gossip == witness.gossip;
+        later.into_iter().any(is_successor)
+    }
+
     /// Forgets the sets that were replaced at or below an accepted version.
     pub fn prune(&mut self, accepted: Version) {
         let current = self
--- a/crates/steer/src/api/change.rs
+++ b/crates/steer/src/api/change.rs
@@ -204,7 +204,10 @@
     let mut outcome = handout::hand_out(context, entries, done.version).await;
     outcome.repeated = done.repeated;
     let context = context.clone();
-    actix_rt::spawn(async move { commit::store_snapshot(&context, done.version).await });
+    actix_rt::spawn(async move {
+        commit::store_accepted(&context, done.version).await;
+        commit::store_snapshot(&context, done.version).await;
+    });
     Ok(outcome)
 }
 
--- a/crates/steer/src/config/commit.rs
+++ b/crates/steer/src/config/commit.rs
@@ -271,6 +271,20 @@
     serde_json::to_string(value).expect("configuration rows are valid JSON")
 }
 
+/// Records that `version` was accepted, for processes that start later.
+pub async fn store_accepted(context: &Context, version: Version) {
+    if context.copy.accepted() < version {
+        return;
+    }
+    let transaction = Transaction {
+        checks: Vec::new(),
+        writes: vec![write(row::ACCEPTED, Some(version.to_string()))],
+    };
+    if let Err(err) = context.platform.tables.commit(&transaction).await {
+        tracing::debug!(event = "acceptance_not_stored", error = %err);
+    }
+}
+
 /// Stores a snapshot after every 64th change, and removes changes far below it.
 pub async fn store_snapshot(context: &Context, version: Version) {
     if !version.is_multiple_of(SNAPSHOT_EVERY) {
--- a/crates/steer/src/config/copy.rs
+++ b/crates/steer/src/config/copy.rs
@@ -248,6 +248,7 @@
         host: it.host,
         incarnation: it.incarnation,
         zone: it.zone,
+        gossip: it.gossip,
     }
 }
 
@@ -257,5 +258,6 @@
         host: it.host,
         incarnation: it.incarnation,
         zone: it.zone,
+        gossip: it.gossip,
     }
 }
--- a/crates/steer/src/config/reader.rs
+++ b/crates/steer/src/config/reader.rs
@@ -29,10 +29,14 @@
 
 /// Keeps this host's copy current until the task is aborted.
 pub async fn run(context: Context) {
+    let mut knows_accepted = false;
     loop {
         if is_due(&context) {
             look(&context).await;
         }
+        if !knows_accepted && context.copy.version() > 0 {
+            knows_accepted = read_accepted(&context).await.is_ok();
+        }
         sleep(jittered(context.settings.intervals.store) / 2).await;
     }
 }
@@ -85,6 +89,19 @@
     Ok(head)
 }
 
+/// Learns from the store which changes were accepted before this run.
+async fn read_accepted(context: &Context) -> Result<(), Error> {
+    let found = context
+        .platform
+        .tables
+        .get(row::TABLE, row::ACCEPTED)
+        .await?;
+    if let Some(found) = found {
+        context.copy.accept(parse(&found)?);
+    }
+    Ok(())
+}
+
 /// Reads what is missing up to `head`.
 pub async fn catch_up(context: &Context, head: Version) -> Result<(), Error> {
     if head.saturating_sub(context.copy.version()) > FAR_BEHIND {
--- a/crates/steer/src/config/row.rs
+++ b/crates/steer/src/config/row.rs
@@ -7,6 +7,8 @@
 pub const TABLE: &str = "config";
 /// Row with the newest version.
 pub const HEAD: &str = "head";
+/// Row with a version that is known to be accepted; a lower bound.
+pub const ACCEPTED: &str = "accepted";
 /// Row that names the newest snapshot object.
 pub const SNAPSHOT: &str = "snapshot";
 /// Prefix of changes.
--- a/crates/steer/src/config/witness.rs
+++ b/crates/steer/src/config/witness.rs
@@ -40,11 +40,17 @@
     if let Some(ended) = ended(context, &set) {
         return set.without(&ended);
     }
-    set.joined(&Witness {
+    set.joined(&own(context))
+}
+
+/// This run.
+pub fn own(context: &Context) -> Witness {
+    Witness {
         host: context.host.id.clone(),
         incarnation: context.host.incarnation.clone(),
         zone: context.host.zone.clone(),
-    })
+        gossip: context.host.gossip,
+    }
 }
 
 /// A host that the platform lists as gone, if this host is the first remaining witness.
@@ -75,6 +81,7 @@
         Ok(done) => {
             let entries = context.copy.entries_above(done.version.saturating_sub(1));
             handout::hand_out(context, entries.unwrap_or_default(), done.version).await;
+            commit::store_accepted(context, done.version).await;
             commit::store_snapshot(context, done.version).await;
             tracing::info!(event = "witnesses_changed", version = done.version);
         }
--- a/crates/steer/src/gossip/exchange.rs
+++ b/crates/steer/src/gossip/exchange.rs
@@ -14,8 +14,8 @@
 use tokio::net::UdpSocket;
 use tokio::time::{Instant, sleep};
 
-use crate::config::handout;
 use crate::config::reader::jittered;
+use crate::config::{handout, witness};
 use crate::context::Context;
 use crate::gossip::{rumours, statements};
 use crate::metrics::Label;
@@ -46,11 +46,7 @@
 impl Gossip {
     /// Gossip over a bound socket.
     pub fn new(context: Context, socket: UdpSocket, secret: Secret) -> Rc<Self> {
-        let own = Witness {
-            host: context.host.id.clone(),
-            incarnation: context.host.incarnation.clone(),
-            zone: context.host.zone.clone(),
-        };
+        let own = witness::own(&context);
         Rc::new(Self {
             context,
             socket,
--- a/crates/steer/tests/cluster.rs
+++ b/crates/steer/tests/cluster.rs
@@ -164,6 +164,33 @@
     assert_eq!(outcome.state, State::Accepted);
 }
 
+#[actix_rt::test]
+async fn changes_are_accepted_again_after_all_processes_were_killed() {
+    let (fake, hosts) = cluster(3).await;
+    change(&hosts[0], "a").await;
+    fake.set_down(true);
+    let addresses: Vec<_> = hosts.iter().map(|it| context(it).host.gossip).collect();
+    for host in hosts {
+        host.process.close().await;
+    }
+    fake.set_down(false);
+    let mut hosts = Vec::new();
+    for (n, gossip) in addresses.into_iter().enumerate() {
+        let mut again = settings(&format!("host-{n}"), ZONES[n], "");
+        again.gossip = gossip;
+        hosts.push(start(&fake, again).await);
+    }
+    until("the new runs are witnesses", || {
+        let set = context(&hosts[0]).copy.witnesses();
+        hosts.iter().all(|it| {
+            let run = &context(it).host;
+            set.position(&run.id, &run.incarnation).is_some()
+        })
+    })
+    .await;
+    assert_eq!(change(&hosts[1], "b").await.state, State::Accepted);
+}
+
 #[actix_rt::test]
 async fn a_leaving_host_is_no_longer_named_while_the_store_is_out() {
     let (fake, mut hosts) = cluster(3).await;
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -25,6 +25,8 @@
     pub incarnation: Incarnation,
     /// Availability zone.
     pub zone: ZoneId,
+    /// Where it answers gossip.
+    pub gossip: std::net::SocketAddr,
 }
 
 /// Row `config/change/{version:020}`: a change and its origin.
