--- a/crates/gate/src/front/body.rs
+++ b/crates/gate/src/front/body.rs
@@ -11,7 +11,6 @@
 use bytes::{Bytes, BytesMut};
 use futures_util::StreamExt as _;
 
-use crate::activity::Guard;
 use crate::refusal::Denial;
 
 /// Reads a whole request body of at most `limit` bytes.
@@ -45,16 +44,16 @@
     }
 }
 
-/// A response body that counts as running until it was handed over, and tells whether it was.
-pub struct Tracked {
+/// A response body that holds a guard until it was handed over, and tells whether it was.
+pub struct Tracked<G> {
     body: BoxBody,
     delivered: Option<Box<dyn FnOnce()>>,
-    _guard: Guard,
+    _guard: G,
 }
 
-impl Tracked {
+impl<G> Tracked<G> {
     /// Wraps `body`; `delivered` is called once all of it was handed to the connection.
-    pub fn new(body: BoxBody, guard: Guard, delivered: Option<Box<dyn FnOnce()>>) -> Self {
+    pub fn new(body: BoxBody, guard: G, delivered: Option<Box<dyn FnOnce()>>) -> Self {
         Self {
             body,
             delivered,
@@ -63,7 +62,7 @@
     }
 }
 
-impl MessageBody for Tracked {
+impl<G: Unpin> MessageBody for Tracked<G> {
     type Error = Box<dyn std::error::Error>;
 
     fn size(&self) -> BodySize {
--- a/crates/gate/src/front/mod.rs
+++ b/crates/gate/src/front/mod.rs
@@ -9,3 +9,4 @@
 pub mod reply;
 pub mod route;
 pub mod server;
+pub mod watch;
--- a/crates/gate/src/front/server.rs
+++ b/crates/gate/src/front/server.rs
@@ -9,14 +9,18 @@
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 
 use actix_http::body::BoxBody;
-use actix_http::{HttpService, Request, Response};
+use actix_http::{Extensions, HttpService, Request, Response};
 use actix_rt::net::TcpStream;
 use actix_service::{Service, ServiceFactory, fn_service};
 use agate_model::refusal::Reason;
+use futures_util::future::LocalBoxFuture;
 use tokio::net::TcpListener;
 
+use super::body::Tracked;
+use super::watch::{Watch, Watched};
 use super::{admin, route};
 use crate::activity::Phase;
 use crate::gate::{Gate, random_id};
@@ -25,23 +29,29 @@
 /// Connections beyond the limit that still get a written refusal.
 const REFUSED_CONNECTIONS: usize = 64;
 /// Pause after a failed accept, for example for want of file descriptors.
-const ACCEPT_PAUSE: std::time::Duration = std::time::Duration::from_millis(50);
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
 /// Serves one connection to its end.
 pub trait Connection {
     /// Starts serving `stream`.
-    fn serve(&self, stream: TcpStream) -> futures_util::future::LocalBoxFuture<'static, ()>;
+    fn serve(&self, stream: TcpStream) -> LocalBoxFuture<'static, ()>;
 }
 
-struct Http<S>(Rc<S>);
+struct Http<S> {
+    service: Rc<S>,
+    head_timeout: Duration,
+    keep_alive: Duration,
+}
 
 impl<S> Connection for Http<S>
 where
-    S: Service<TcpStream> + 'static,
+    S: Service<(Watched<TcpStream>, Option<SocketAddr>)> + 'static,
     S::Error: std::fmt::Debug,
 {
-    fn serve(&self, stream: TcpStream) -> futures_util::future::LocalBoxFuture<'static, ()> {
-        let served = self.0.call(stream);
+    fn serve(&self, stream: TcpStream) -> LocalBoxFuture<'static, ()> {
+        let peer = stream.peer_addr().ok();
+        let watch = Watch::new(self.head_timeout, self.keep_alive + self.head_timeout);
+        let served = self.service.call((Watched::new(stream, watch), peer));
         Box::pin(async move {
             if let Err(err) = served.await {
                 tracing::debug!(event = "connection_failed", error = ?err);
@@ -100,13 +110,24 @@
         // A caller that closes its side has gone away: its work is cancelled.
         .h1_allow_half_closed(false)
         .graceful_shutdown_signal(move || activity.reached(Phase::Closing))
+        .on_connect_ext(|io: &Watched<TcpStream>, data: &mut Extensions| {
+            data.insert(io.watch());
+        })
         .h1(fn_service(move |request: Request| {
+            let busy = request.conn_data::<Rc<Watch>>().map(Watch::begin);
             let answer = handler(request);
-            async move { Ok::<_, Infallible>(answer.await) }
-        }))
-        .tcp();
+            async move {
+                let response = answer.await;
+                let held = response.map_body(|_, it| BoxBody::new(Tracked::new(it, busy, None)));
+                Ok::<_, Infallible>(held)
+            }
+        }));
     match factory.new_service(()).await {
-        Ok(service) => Ok(Rc::new(Http(Rc::new(service)))),
+        Ok(service) => Ok(Rc::new(Http {
+            service: Rc::new(service),
+            head_timeout: limits.head_timeout,
+            keep_alive: limits.keep_alive,
+        })),
         Err(()) => Err(io::Error::other("the HTTP service could not be built")),
     }
 }
