--- a/crates/proof/src/caller.rs
+++ b/crates/proof/src/caller.rs
@@ -60,6 +60,11 @@
         .json(&name)
 }
 
+/// Asks for the models, which needs a valid key and a current configuration.
+pub fn models(gate: SocketAddr, key: &str) -> Request {
+    Request::new(Method::GET, gate, "/v1/models").header("authorization", format!("Bearer {key}"))
+}
+
 /// Sends a streamed completion and reads it to its end; `seen` is called with each state.
 pub async fn stream(request: &Request, mut seen: impl FnMut(&Streamed)) -> Streamed {
     let client = client();
--- a/crates/proof/src/deployment.rs
+++ b/crates/proof/src/deployment.rs
@@ -13,6 +13,7 @@
 use crate::network::{HostAddresses, Network};
 use crate::operator::{CREDENTIAL, Operator};
 use crate::program::{Program, directory};
+use crate::relay::Relay;
 use crate::resources::{self, ACCOUNT};
 use crate::standin::Standin;
 use crate::wait::{START, until};
@@ -40,6 +41,8 @@
     pub window: Duration,
     /// How long callers keep addresses.
     pub keep_addresses: Duration,
+    /// Numbers of the hosts whose control process takes no unsealed calls of gates.
+    pub sealed: Vec<u8>,
 }
 
 impl Default for Options {
@@ -52,6 +55,7 @@
             platform: vec!["--list-lag".to_owned(), "500ms".to_owned()],
             window: Duration::from_secs(3600),
             keep_addresses: Duration::from_secs(1),
+            sealed: Vec::new(),
         }
     }
 }
@@ -147,6 +151,19 @@
         deployment
     }
 
+    /// As [`Deployment::start`], but the last host reaches the platform through a relay.
+    pub async fn start_with_relay(options: Options) -> (Self, Relay) {
+        let mut deployment = Self::prepare(options.clone()).await;
+        let platform = deployment.platform.address;
+        let relay = Relay::start(deployment.network.relay(), platform).await;
+        for _ in 1..options.hosts {
+            deployment.add_host(platform);
+        }
+        deployment.add_host(relay.address);
+        deployment.declare().await;
+        (deployment, relay)
+    }
+
     /// Declares the base resources and all endpoints, and waits until each gate serves.
     pub async fn declare(&self) {
         let mut manifests = resources::base();
@@ -163,11 +180,22 @@
         .await;
         let text = String::from_utf8_lossy(&accepted.body).into_owned();
         assert_eq!(accepted.status, 200, "resources are declared: {text}");
-        for host in &self.hosts {
-            host.ready().await;
+        for host in self.served_hosts() {
+            self.hosts[host].ready().await;
         }
     }
 
+    /// Indexes of the hosts whose gates get a configuration.
+    fn served_hosts(&self) -> impl Iterator<Item = usize> + use<'_> {
+        let is_sealed = |it: usize| {
+            self.options
+                .sealed
+                .iter()
+                .any(|n| usize::from(*n) == it + 1)
+        };
+        (0..self.hosts.len()).filter(move |it| !is_sealed(*it))
+    }
+
     /// Declared endpoints.
     pub fn endpoints(&self) -> Vec<Endpoint> {
         let named = |name: &str, number: usize| format!("{name}-{}", number + 1);
@@ -223,7 +251,7 @@
     /// A new key that every gate accepts.
     pub async fn key(&self, id: &str) -> String {
         let key = self.operator(0).grant(ACCOUNT, id).await.key;
-        for host in 0..self.hosts.len() {
+        for host in self.served_hosts() {
             let models = Request::new(Method::GET, self.gate(host), "/v1/models")
                 .header("authorization", format!("Bearer {key}"));
             until("new key is in force", START, || async {
@@ -273,7 +301,11 @@
             .iter()
             .map(|it| format!("{it:02x}"))
             .collect();
-        let seed = self.network.host(1).peers;
+        let seeds = (1..=self.options.hosts).map(|it| self.network.host(it).peers);
+        let seeds: Vec<String> = seeds.map(|it| format!("\"{it}\"")).collect();
+        let seeds = seeds.join(", ");
+        let is_sealed = |it: &u8| self.network.host(*it).peers == addresses.peers;
+        let sealed = self.options.sealed.iter().any(is_sealed);
         let HostAddresses {
             gate,
             api,
@@ -283,8 +315,8 @@
         } = addresses;
         let text = format!(
             "host: {name}\nzone: {zone}\ngate: {gate}\nlisten: {api}\npeers_listen: {peers}\n\
-             gossip: {gossip}\nplatform: {platform}\nseeds: [\"{seed}\"]\ncluster_key: \"{CLUSTER_KEY}\"\n\
-             bootstrap_operator_digest: \"{digest}\"\nwindow: {window}s\n"
+             gossip: {gossip}\nplatform: {platform}\nseeds: [{seeds}]\ncluster_key: \"{CLUSTER_KEY}\"\n\
+             bootstrap_operator_digest: \"{digest}\"\nwindow: {window}s\nrequire_token: {sealed}\n"
         );
         self.run(&format!("steer-{name}"), "agate-steer", &text)
     }
--- a/crates/proof/src/operator.rs
+++ b/crates/proof/src/operator.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use agate_wire::api::{Apply, Item, KeyIssued, KeyRequest, Listing, Outcome, Status, Usage};
+use agate_wire::api::{Apply, Item, KeyIssued, KeyRequest, Listing, Outcome, Status, Usage, Watch};
 use agate_wire::change::Edit;
 use agate_wire::manifest::Manifest;
 use awc::http::Method;
@@ -83,6 +83,12 @@
         success(request.send().await).json()
     }
 
+    /// Changes above a version.
+    pub async fn changes(&self, from: u64) -> Watch {
+        let path = format!("/api/v1/watch?from={from}&wait=0");
+        success(self.request(Method::GET, &path).send().await).json()
+    }
+
     /// All resources of a kind.
     pub async fn list(&self, kind: &str) -> Listing {
         let request = self.request(Method::GET, &format!("/api/v1/resources?kind={kind}"));
--- a/crates/proof/src/resources.rs
+++ b/crates/proof/src/resources.rs
@@ -36,7 +36,7 @@
         pool(FLOOR, None),
         route("prism", Some(MODEL), None, "chat", ENGINES),
         route("spindles", None, Some("/spindles"), "booking", FLOOR),
-        route("catalogue", None, Some("/catalogue"), "lookup", FLOOR),
+        open_route("catalogue", "/catalogue", "lookup", FLOOR),
     ]
 }
 
@@ -88,6 +88,29 @@
     })
 }
 
+/// A route that is open to all.
+pub fn open_route(id: &str, prefix: &str, class: &str, pool: &str) -> Manifest {
+    Manifest::Route(Route {
+        id: id.to_owned(),
+        model: None,
+        prefix: Some(prefix.to_owned()),
+        access: Access::Open,
+        class: class.to_owned(),
+        pools: vec![pool.to_owned()],
+    })
+}
+
+/// The pool of the engines, for endpoints that are ordered.
+pub fn ordered_pool(min: u32, max: u32, reclaimable: bool) -> Manifest {
+    Manifest::Pool(Pool {
+        id: ENGINES.to_owned(),
+        model: Some(MODEL.to_owned()),
+        min_endpoints: min,
+        max_endpoints: max,
+        reclaimable,
+    })
+}
+
 /// An engine.
 pub fn engine(id: &str, address: SocketAddr, slots: u32) -> Endpoint {
     Endpoint {
