--- a/crates/fake/src/main.rs
+++ b/crates/fake/src/main.rs
@@ -34,7 +34,8 @@
         /// Table and object writes per second; 0 is unlimited
         #[bpaf(argument("N"), fallback(0))]
         writes: u32,
-        /// Whether old epochs of endpoint orders are refused: checked or ignored
+        /// Whether the platform and the endpoints that it starts refuse orders with an old
+        /// epoch: checked or ignored
         #[bpaf(argument::<Reaction>("KIND"), map(|it| it.0), fallback(Fencing::Checked))]
         fencing: Fencing,
         /// From an order to the endpoint's first request
@@ -174,7 +175,8 @@
             zone_capacity,
             model,
         } => {
-            let engine_listen = SocketAddr::new(common.listen.ip(), 0);
+            let mut engine = model.settings(SocketAddr::new(common.listen.ip(), 0), common.seed);
+            engine.fencing = fencing;
             let running = platform::start(&platform::Settings {
                 server: common.options(Duration::from_secs(1)),
                 list_lag,
@@ -184,7 +186,7 @@
                 boot,
                 stop_grace,
                 zone_capacity,
-                engine: model.settings(engine_listen, common.seed),
+                engine,
             })?;
             announce(running.address)?;
             signals.next().await;
