--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -5,11 +5,14 @@
 //! and `TryFrom`; the fallible direction collects every fault.
 
 pub mod address;
+pub mod api;
 pub mod change;
+pub mod claim;
 pub mod engine;
 pub mod fault;
 pub mod manifest;
 pub mod order;
+pub mod peer;
 pub mod platform;
 pub mod refusal;
 pub mod sync;
