Endpoints by the picker of agate-pick, load reports and hedges

The endpoint is chosen when a request is started, so the queue and the picker agree on which endpoints have room.

--- a/crates/gate/src/admission.rs
+++ b/crates/gate/src/admission.rs
@@ -1,25 +1,22 @@
 //! Admission: which request starts when.
 
-mod estimate;
 mod fair;
 mod place;
 
 pub use fair::Fair;
 
+use std::rc::Rc;
 use std::time::Duration;
 
 use agate_model::id::PoolId;
 use agate_wire::sync::{Demand, Pressure};
 use futures_util::future::LocalBoxFuture;
 
+use crate::choice::Flight;
 use crate::config::View;
 use crate::refusal::Denial;
 use crate::work::Work;
 
-/// Places of all hosts together, as a multiple of the slots of a pool. Callers
-/// do not spread evenly over hosts, and engines order what they queue by priority.
-const OVERSUBSCRIPTION: u32 = 2;
-
 /// What the admitted work turned out to cost.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Cost {
@@ -39,15 +36,17 @@
 /// A started request. Dropping it frees its place.
 pub struct Slot {
     pool: PoolId,
+    flight: Option<Flight>,
     release: Option<Box<dyn FnOnce(Cost)>>,
     cost: Cost,
 }
 
 impl Slot {
-    /// A place in `pool`; `release` is called once, with the cost.
-    pub fn new(pool: PoolId, release: impl FnOnce(Cost) + 'static) -> Self {
+    /// A place on the endpoint of `flight`; `release` is called once, with the cost.
+    pub fn new(flight: Flight, release: impl FnOnce(Cost) + 'static) -> Self {
         Self {
-            pool,
+            pool: flight.endpoint().pool.clone(),
+            flight: Some(flight),
             release: Some(Box::new(release)),
             cost: Cost::default(),
         }
@@ -58,6 +57,11 @@
         &self.pool
     }
 
+    /// The endpoint that was chosen for the first attempt, once.
+    pub fn take_flight(&mut self) -> Option<Flight> {
+        self.flight.take()
+    }
+
     /// Notes the cost so far.
     pub fn charge(&mut self, cost: Cost) {
         self.cost = cost;
@@ -66,6 +70,8 @@
 
 impl Drop for Slot {
     fn drop(&mut self) {
+        // The endpoint must be free again when the next request is started.
+        drop(self.flight.take());
         if let Some(release) = self.release.take() {
             release(self.cost);
         }
@@ -75,10 +81,13 @@
 /// Decides which request starts when.
 pub trait Admission {
     /// Waits for a place. Dropping the future gives the place in the queue up.
-    fn admit<'a>(&'a self, work: &'a Work) -> LocalBoxFuture<'a, Result<Slot, Denial>>;
+    fn admit<'a>(&'a self, work: &'a Rc<Work>) -> LocalBoxFuture<'a, Result<Slot, Denial>>;
 
-    /// A new configuration or number of live hosts is in force.
-    fn configure(&self, view: std::rc::Rc<View>, live_hosts: u32);
+    /// A new configuration is in force. The choice knows it already.
+    fn configure(&self, view: Rc<View>);
+
+    /// Endpoints may have room again.
+    fn wake(&self);
 
     /// Peers have signalled pressure that counts for `validity`.
     fn press(&self, pressure: &[Pressure], validity: Duration);
@@ -89,9 +98,3 @@
     /// Pressure to signal to peers.
     fn pressure(&self) -> Vec<Pressure>;
 }
-
-/// Places of this host in a pool with this many slots, at least one.
-pub fn share(slots: u32, live_hosts: u32) -> u32 {
-    let places = slots.saturating_mul(OVERSUBSCRIPTION);
-    places.div_ceil(live_hosts.max(1)).min(slots).max(1)
-}
--- a/crates/gate/src/admission/fair.rs
+++ b/crates/gate/src/admission/fair.rs
@@ -1,20 +1,21 @@
 //! Admission by tiers, with fair shares between accounts.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use agate_model::id::{ClassId, PoolId};
+use agate_model::endpoint::{Endpoint, Kind};
+use agate_model::id::PoolId;
 use agate_model::refusal::Reason;
 use agate_queue::limit::{Excess, Limit, Limiter, Permit};
-use agate_queue::{Charge, Item, Offer, Ticket};
+use agate_queue::{Charge, Item, Offer, Room, Ticket};
 use agate_wire::sync::{Demand, Pressure};
 use futures_util::future::LocalBoxFuture;
 use tokio::sync::oneshot;
 
-use super::estimate::Estimates;
 use super::place::{Lane, LaneKey, Places, Waiter};
-use super::{Admission, Cost, Slot, share};
+use super::{Admission, Cost, Slot};
+use crate::choice::Choice;
 use crate::config::View;
 use crate::refusal::Denial;
 use crate::work::Work;
@@ -24,30 +25,46 @@
 type Verdict = oneshot::Receiver<Result<Slot, Denial>>;
 
 /// Admission by the scheduler and limiter of `agate-queue`.
-#[derive(Default)]
 pub struct Fair {
     state: Rc<State>,
 }
 
-#[derive(Default)]
 struct State {
+    choice: Rc<dyn Choice>,
     view: RefCell<Rc<View>>,
     places: RefCell<Places>,
     limiter: RefCell<Limiter>,
-    estimates: RefCell<Estimates>,
+}
+
+impl Fair {
+    /// Starts requests on the endpoints that `choice` finds.
+    pub fn new(choice: Rc<dyn Choice>) -> Self {
+        Self {
+            state: Rc::new(State {
+                choice,
+                view: RefCell::default(),
+                places: RefCell::default(),
+                limiter: RefCell::default(),
+            }),
+        }
+    }
 }
 
 impl Admission for Fair {
-    fn admit<'a>(&'a self, work: &'a Work) -> LocalBoxFuture<'a, Result<Slot, Denial>> {
+    fn admit<'a>(&'a self, work: &'a Rc<Work>) -> LocalBoxFuture<'a, Result<Slot, Denial>> {
         Box::pin(self.state.clone().admit(work))
     }
 
-    fn configure(&self, view: Rc<View>, live_hosts: u32) {
-        self.state.configure(&view, live_hosts);
+    fn configure(&self, view: Rc<View>) {
+        self.state.configure(&view);
         *self.state.view.borrow_mut() = view;
         self.state.dispatch();
     }
 
+    fn wake(&self) {
+        self.state.dispatch();
+    }
+
     fn press(&self, pressure: &[Pressure], validity: Duration) {
         let until = now() + validity;
         let mut places = self.state.places.borrow_mut();
@@ -77,7 +94,7 @@
 }
 
 impl State {
-    async fn admit(self: Rc<Self>, work: &Work) -> Result<Slot, Denial> {
+    async fn admit(self: Rc<Self>, work: &Rc<Work>) -> Result<Slot, Denial> {
         let (place, verdict) = self.clone().enter(work)?;
         self.dispatch();
         let deadline = tokio::time::sleep_until(work.deadline);
@@ -94,15 +111,15 @@
         verdict.unwrap_or_else(|_| Err(Denial::new(Reason::ShuttingDown, "the queue is gone")))
     }
 
-    fn enter(self: Rc<Self>, work: &Work) -> Result<(Place, Verdict), Denial> {
+    fn enter(self: Rc<Self>, work: &Rc<Work>) -> Result<(Place, Verdict), Denial> {
         let now = now();
         let key = work.route.pools.clone();
         self.note_arrival(&key);
-        if !self.places.borrow().is_served(&key) {
+        if !self.is_served(work) {
             let message = "no endpoint of this route takes new work";
             return Err(Denial::new(Reason::NoEndpoint, message));
         }
-        let tokens = self.estimates.borrow().units(work);
+        let tokens = work.estimate.units();
         let permit = self.permit(work, now, tokens)?;
         let item = self.item(work, tokens);
         let mut places = self.places.borrow_mut();
@@ -121,12 +138,19 @@
             let _ = victim.verdict.send(Err(denial));
         }
         let (verdict, receiver) = oneshot::channel();
-        lane.waiters.insert(ticket, Waiter { verdict, permit });
+        let shared = Rc::new(Cell::new(ticket));
+        let waiter = Waiter {
+            work: work.clone(),
+            ticket: shared.clone(),
+            verdict,
+            permit,
+        };
+        lane.waiters.insert(ticket, waiter);
         drop(places);
         let place = Place {
             state: self,
             key,
-            ticket,
+            ticket: shared,
         };
         Ok((place, receiver))
     }
@@ -166,6 +190,7 @@
             work: Duration::ZERO,
             tokens,
             idempotent: work.class.idempotent,
+            reclaimable: work.class.reclaimable,
         }
     }
 
@@ -178,25 +203,40 @@
     }
 
     fn start(self: &Rc<Self>) -> Option<(oneshot::Sender<Result<Slot, Denial>>, Slot)> {
-        let now = now();
+        let lanes = self.places.borrow_mut().startable(now(), &*self.choice);
+        lanes
+            .into_iter()
+            .find_map(|(key, room)| self.start_from(key, room))
+    }
+
+    fn start_from(
+        self: &Rc<Self>,
+        key: LaneKey,
+        room: Room,
+    ) -> Option<(oneshot::Sender<Result<Slot, Denial>>, Slot)> {
         let mut places = self.places.borrow_mut();
-        let (key, pool) = places.startable(now)?;
         let lane = places.lanes.get_mut(&key)?;
-        let start = lane.scheduler.next(now)?;
+        let start = lane.scheduler.next(now(), room)?;
         let waiter = lane
             .waiters
             .remove(start.ticket)
             .expect("each queued request has a waiter");
+        let Some(flight) = self.choice.clone().choose(&waiter.work, &[]) else {
+            let ticket = lane.scheduler.put_back(start);
+            waiter.ticket.set(ticket);
+            lane.waiters.insert(ticket, waiter);
+            return None;
+        };
+        let pool = flight.endpoint().pool.clone();
         places.pools.entry(pool.clone()).or_default().running += 1;
         let running = Running {
             state: self.clone(),
             key,
-            pool: pool.clone(),
-            class: start.item.class,
+            pool,
             charge: start.charge,
             permit: waiter.permit,
         };
-        let slot = Slot::new(pool, move |cost| running.close(cost));
+        let slot = Slot::new(flight, move |cost| running.close(cost));
         Some((waiter.verdict, slot))
     }
 
@@ -206,24 +246,28 @@
         }
     }
 
-    fn configure(&self, view: &View, live_hosts: u32) {
+    fn configure(&self, view: &View) {
         let mut places = self.places.borrow_mut();
-        for pool in places.pools.values_mut() {
-            pool.capacity = 0;
-        }
-        for (id, endpoints) in view.pools() {
-            let slots = endpoints.iter().map(|it| it.slots).sum();
-            places.pools.entry(id.clone()).or_default().capacity = share(slots, live_hosts);
+        places.pools.retain(|id, pool| {
+            pool.running > 0 || pool.arrivals > 0 || !view.endpoints(id).is_empty()
+        });
+        for (id, _) in view.pools() {
+            places.pools.entry(id.clone()).or_default();
         }
-        places
-            .pools
-            .retain(|_, pool| pool.capacity > 0 || pool.running > 0 || pool.arrivals > 0);
-        let routes: Vec<_> = view.snapshot.routes().map(|it| &it.pools).collect();
+        let routes: Vec<&LaneKey> = view.snapshot.routes().map(|it| &it.pools).collect();
         places
             .lanes
             .retain(|key, lane| !lane.waiters.is_empty() || routes.contains(&key));
     }
 
+    /// Whether some pool has endpoints that the request may use and that take new work.
+    fn is_served(&self, work: &Work) -> bool {
+        let view = self.view.borrow();
+        let usable = |it: &Rc<Endpoint>| work.class.reclaimable || it.kind == Kind::Standard;
+        let mut pools = work.route.pools.iter();
+        pools.any(|pool| view.endpoints(pool).iter().any(usable))
+    }
+
     fn demand(&self) -> Vec<Demand> {
         let now = now();
         let mut places = self.places.borrow_mut();
@@ -257,7 +301,7 @@
 struct Place {
     state: Rc<State>,
     key: LaneKey,
-    ticket: Ticket,
+    ticket: Rc<Cell<Ticket>>,
 }
 
 impl Drop for Place {
@@ -266,10 +310,11 @@
         let Some(lane) = places.lanes.get_mut(&self.key) else {
             return;
         };
-        let Some(waiter) = lane.waiters.remove(self.ticket) else {
+        let ticket = self.ticket.get();
+        let Some(waiter) = lane.waiters.remove(ticket) else {
             return;
         };
-        lane.scheduler.remove(self.ticket);
+        lane.scheduler.remove(ticket);
         drop(places);
         self.state.release(waiter.permit, 0);
     }
@@ -280,7 +325,6 @@
     state: Rc<State>,
     key: LaneKey,
     pool: PoolId,
-    class: ClassId,
     charge: Charge,
     permit: Option<Permit>,
 }
@@ -297,7 +341,6 @@
         }
         drop(places);
         self.state.release(self.permit, units);
-        self.state.estimates.borrow_mut().observe(&self.class, cost);
         self.state.dispatch();
     }
 }
--- a/crates/gate/src/admission/place.rs
+++ b/crates/gate/src/admission/place.rs
@@ -1,41 +1,40 @@
-//! Places of this host in pools, and the lanes that share them.
+//! Queues of this host, one for each list of pools.
 
-use std::collections::BTreeMap;
+use std::cell::Cell;
+use std::collections::{BTreeMap, HashMap};
+use std::rc::Rc;
 use std::time::Instant;
 
 use agate_model::id::{PoolId, Tier};
 use agate_queue::limit::Permit;
-use agate_queue::{Scheduler, Ticket};
+use agate_queue::{Room, Scheduler, Ticket};
 use slotmap::SecondaryMap;
 use tokio::sync::oneshot;
 
 use super::Slot;
+use crate::choice::Choice;
 use crate::refusal::Denial;
+use crate::work::Work;
 
-/// Lists of pools, in order of preference; routes with the same list share a lane.
+/// Pools in order of preference. Routes with the same list share a queue.
 pub(super) type LaneKey = Vec<PoolId>;
 
-/// Places of one pool.
+/// Counters of one pool.
 #[derive(Debug, Default)]
 pub(super) struct Pool {
-    pub(super) capacity: u32,
     pub(super) running: u32,
     pub(super) arrivals: u64,
 }
 
-impl Pool {
-    fn is_free(&self) -> bool {
-        self.running < self.capacity
-    }
-}
-
-/// A queued request's end of the line.
+/// A queued request and where its verdict is awaited.
 pub(super) struct Waiter {
+    pub(super) work: Rc<Work>,
+    pub(super) ticket: Rc<Cell<Ticket>>,
     pub(super) verdict: oneshot::Sender<Result<Slot, Denial>>,
     pub(super) permit: Option<Permit>,
 }
 
-/// Queue of the routes with one list of pools.
+/// Queue of the requests with one key.
 #[derive(Default)]
 pub(super) struct Lane {
     pub(super) scheduler: Scheduler,
@@ -49,10 +48,10 @@
     }
 }
 
-/// All pools and lanes.
+/// All lanes, and counters of the pools.
 #[derive(Default)]
 pub(super) struct Places {
-    pub(super) pools: BTreeMap<PoolId, Pool>,
+    pub(super) pools: HashMap<PoolId, Pool>,
     pub(super) lanes: BTreeMap<LaneKey, Lane>,
     turn: usize,
 }
@@ -61,13 +60,11 @@
 const TURN: usize = 10;
 
 impl Places {
-    /// A lane with queued work and the pool in which its next request may run.
-    pub(super) fn startable(&mut self, now: Instant) -> Option<(LaneKey, PoolId)> {
-        let mut ready: Vec<(&LaneKey, &Lane, PoolId)> = self
-            .lanes
-            .iter()
-            .filter(|(_, lane)| !lane.scheduler.is_empty())
-            .filter_map(|(key, lane)| Some((key, lane, self.free(key)?)))
+    /// Lanes with queued work and endpoints that have room, the one to start from first.
+    pub(super) fn startable(&mut self, now: Instant, choice: &dyn Choice) -> Vec<(LaneKey, Room)> {
+        let waiting = self.lanes.iter().filter(|it| !it.1.scheduler.is_empty());
+        let mut ready: Vec<(&LaneKey, &Lane, Room)> = waiting
+            .filter_map(|(key, lane)| Some((key, lane, choice.room(key)?)))
             .collect();
         if ready.len() > 1 {
             self.turn += 1;
@@ -77,18 +74,7 @@
                 ready.sort_by_key(|(_, lane, _)| lane.first_tier(now));
             }
         }
-        let (key, _, pool) = ready.into_iter().next()?;
-        Some((key.clone(), pool))
-    }
-
-    fn free(&self, pools: &[PoolId]) -> Option<PoolId> {
-        let free = |id: &&PoolId| self.pools.get(*id).is_some_and(Pool::is_free);
-        pools.iter().find(free).cloned()
-    }
-
-    /// Whether some pool of the list has endpoints.
-    pub(super) fn is_served(&self, pools: &[PoolId]) -> bool {
-        let served = |id: &PoolId| self.pools.get(id).is_some_and(|pool| pool.capacity > 0);
-        pools.iter().any(served)
+        let keys = ready.into_iter().map(|(key, _, room)| (key.clone(), room));
+        keys.collect()
     }
 }
--- a/crates/gate/src/choice.rs
+++ b/crates/gate/src/choice.rs
@@ -1,20 +1,31 @@
 //! Choice of an endpoint for one attempt.
 
 use std::cell::RefCell;
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use agate_model::endpoint::Endpoint;
-use agate_model::id::EndpointId;
+use agate_model::id::{EndpointId, PoolId, ZoneId};
+use agate_pick::{Picker, Report, Wish, wish};
+use agate_queue::Room;
+use agate_wire::engine::Load;
 
+use crate::config::View;
 use crate::work::Work;
 
 /// How an attempt ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Outcome {
-    /// A whole answer, after this time to its first byte.
-    Answered(Duration),
+    /// A whole answer.
+    Answered {
+        /// From sending to its end.
+        total: Duration,
+        /// Prompt tokens.
+        prompt_tokens: u64,
+        /// Answer tokens.
+        answer_tokens: u64,
+    },
     /// The endpoint failed or could not be reached.
     Failed,
     /// The caller went away or a faster attempt won.
@@ -23,14 +34,20 @@
 
 /// Chooses endpoints and learns from attempts.
 pub trait Choice {
-    /// One of `candidates`, which is not empty, or `None` if none takes work now.
-    fn choose(&self, work: &Work, candidates: &[Rc<Endpoint>]) -> Option<Rc<Endpoint>>;
+    /// Which endpoints of the pools take a request now, if any do.
+    fn room(&self, pools: &[PoolId]) -> Option<Room>;
 
-    /// An attempt begins.
-    fn begin(&self, endpoint: &EndpointId);
+    /// An endpoint for `work` other than those in `excluded`, counted as in use.
+    fn choose(self: Rc<Self>, work: &Work, excluded: &[EndpointId]) -> Option<Flight>;
 
     /// An attempt has ended.
-    fn end(&self, endpoint: &EndpointId, outcome: Outcome);
+    fn finish(&self, flight: agate_pick::Flight, outcome: Outcome);
+
+    /// A new configuration or number of live hosts is in force.
+    fn configure(&self, view: &View, live_hosts: u32);
+
+    /// An engine has reported its load.
+    fn report(&self, endpoint: &EndpointId, load: &Load);
 
     /// Attempts in flight from this host.
     fn in_flight(&self, endpoint: &EndpointId) -> u32;
@@ -40,20 +57,10 @@
 pub struct Flight {
     choice: Rc<dyn Choice>,
     endpoint: Rc<Endpoint>,
-    ended: bool,
+    flight: Option<agate_pick::Flight>,
 }
 
 impl Flight {
-    /// Begins an attempt.
-    pub fn begin(choice: Rc<dyn Choice>, endpoint: Rc<Endpoint>) -> Self {
-        choice.begin(&endpoint.id);
-        Self {
-            choice,
-            endpoint,
-            ended: false,
-        }
-    }
-
     /// Endpoint of the attempt.
     pub fn endpoint(&self) -> &Rc<Endpoint> {
         &self.endpoint
@@ -61,53 +68,149 @@
 
     /// Ends the attempt.
     pub fn close(mut self, outcome: Outcome) {
-        self.ended = true;
-        self.choice.end(&self.endpoint.id, outcome);
+        self.end(outcome);
+    }
+
+    fn end(&mut self, outcome: Outcome) {
+        if let Some(flight) = self.flight.take() {
+            self.choice.finish(flight, outcome);
+        }
     }
 }
 
 impl Drop for Flight {
     fn drop(&mut self) {
-        if !self.ended {
-            self.choice.end(&self.endpoint.id, Outcome::Abandoned);
-        }
+        self.end(Outcome::Abandoned);
     }
 }
 
-/// Fewest attempts in flight for each slot.
-#[derive(Debug, Default)]
-pub struct Fewest {
-    in_flight: RefCell<HashMap<EndpointId, u32>>,
+/// Choice by the picker of `agate-pick`.
+pub struct Picked {
+    zone: ZoneId,
+    picker: RefCell<Picker>,
+    endpoints: RefCell<HashMap<EndpointId, Rc<Endpoint>>>,
+    draining: RefCell<HashSet<EndpointId>>,
+}
+
+impl Picked {
+    /// A choice for a host in `zone` that knows no endpoint yet.
+    pub fn new(zone: ZoneId) -> Self {
+        Self {
+            zone,
+            picker: RefCell::default(),
+            endpoints: RefCell::default(),
+            draining: RefCell::default(),
+        }
+    }
+
+    fn forget_unused(&self) {
+        let mut picker = self.picker.borrow_mut();
+        let used = |id: &EndpointId| picker.key(id).is_some_and(|key| picker.in_flight(key) > 0);
+        let known = self.endpoints.borrow();
+        let gone: Vec<EndpointId> = known.keys().filter(|id| !used(id)).cloned().collect();
+        drop(known);
+        for id in gone {
+            picker.remove(&id);
+            self.endpoints.borrow_mut().remove(&id);
+        }
+    }
 }
 
-impl Choice for Fewest {
-    fn choose(&self, _: &Work, candidates: &[Rc<Endpoint>]) -> Option<Rc<Endpoint>> {
-        let load = |it: &&Rc<Endpoint>| {
-            let in_flight = u64::from(self.in_flight(&it.id));
-            (in_flight << u32::BITS) / u64::from(it.slots.max(1))
+impl Choice for Picked {
+    fn room(&self, pools: &[PoolId]) -> Option<Room> {
+        let room = self.picker.borrow_mut().room(now(), pools);
+        match (room.standard, room.reclaimable) {
+            (true, _) => Some(Room::Any),
+            (false, true) => Some(Room::Reclaimable),
+            (false, false) => None,
+        }
+    }
+
+    fn choose(self: Rc<Self>, work: &Work, excluded: &[EndpointId]) -> Option<Flight> {
+        let now = now();
+        let wish = Wish {
+            pools: &work.route.pools,
+            prefix: &work.prefix,
+            zone: &self.zone,
+            reclaimable: work.class.reclaimable,
+            excluded,
+            tokens: wish::work_tokens(work.estimate.prompt_tokens, work.estimate.answer_tokens),
+        };
+        let mut picker = self.picker.borrow_mut();
+        let choice = picker.choose(now, &wish, &mut rand::rng())?;
+        let endpoint = self.endpoints.borrow().get(&choice.id)?.clone();
+        let flight = picker.start(now, choice.key);
+        drop(picker);
+        Some(Flight {
+            choice: self,
+            endpoint,
+            flight: Some(flight),
+        })
+    }
+
+    fn finish(&self, flight: agate_pick::Flight, outcome: Outcome) {
+        let outcome = match outcome {
+            Outcome::Answered {
+                total,
+                prompt_tokens,
+                answer_tokens,
+            } => agate_pick::Outcome::Success(agate_pick::Latency {
+                total,
+                tokens: wish::work_tokens(prompt_tokens, answer_tokens),
+            }),
+            Outcome::Failed => agate_pick::Outcome::Failure,
+            Outcome::Abandoned => agate_pick::Outcome::Cancelled,
         };
-        candidates.iter().min_by_key(load).cloned()
+        self.picker.borrow_mut().finish(now(), flight, outcome);
     }
 
-    fn begin(&self, endpoint: &EndpointId) {
-        *self
-            .in_flight
+    fn configure(&self, view: &View, live_hosts: u32) {
+        let now = now();
+        let mut picker = self.picker.borrow_mut();
+        picker.set_live_hosts(live_hosts);
+        for id in self.endpoints.borrow().keys() {
+            picker.set_leaving(id, true);
+        }
+        let draining = self.draining.borrow();
+        for endpoint in view.pools().flat_map(|(_, endpoints)| endpoints) {
+            picker.upsert(now, endpoint);
+            picker.set_leaving(&endpoint.id, draining.contains(&endpoint.id));
+        }
+        drop(picker);
+        // Those that have left stay known while requests run on them.
+        let current = view.pools().flat_map(|(_, endpoints)| endpoints);
+        let current: HashMap<_, _> = current.map(|it| (it.id.clone(), it.clone())).collect();
+        self.endpoints
             .borrow_mut()
-            .entry(endpoint.clone())
-            .or_default() += 1;
+            .retain(|id, _| !current.contains_key(id));
+        self.forget_unused();
+        self.endpoints.borrow_mut().extend(current);
     }
 
-    fn end(&self, endpoint: &EndpointId, _: Outcome) {
-        let mut in_flight = self.in_flight.borrow_mut();
-        if let Some(count) = in_flight.get_mut(endpoint) {
-            *count -= 1;
-            if *count == 0 {
-                in_flight.remove(endpoint);
-            }
+    fn report(&self, endpoint: &EndpointId, load: &Load) {
+        let mut draining = self.draining.borrow_mut();
+        let changed = match load.draining {
+            true => draining.insert(endpoint.clone()),
+            false => draining.remove(endpoint),
+        };
+        let mut picker = self.picker.borrow_mut();
+        if changed {
+            picker.set_leaving(endpoint, load.draining);
         }
+        let report = Report {
+            running: load.running,
+            queued: load.queued,
+            age: Duration::from_millis(load.age_ms),
+        };
+        picker.report(now(), endpoint, &report);
     }
 
     fn in_flight(&self, endpoint: &EndpointId) -> u32 {
-        self.in_flight.borrow().get(endpoint).copied().unwrap_or(0)
+        let picker = self.picker.borrow();
+        picker.key(endpoint).map_or(0, |key| picker.in_flight(key))
     }
 }
+
+fn now() -> Instant {
+    tokio::time::Instant::now().into_std()
+}
--- a/crates/gate/src/admission/estimate.rs
+++ b/crates/gate/src/estimate.rs
@@ -4,8 +4,8 @@
 
 use agate_model::id::ClassId;
 
-use super::Cost;
-use crate::work::{Kind, Work};
+use crate::admission::Cost;
+use crate::work::Kind;
 
 const BYTES_PER_TOKEN: u64 = 4;
 /// Answer of a class that has not answered yet, in tokens.
@@ -15,25 +15,27 @@
 
 /// Moving averages of answer lengths, by class.
 #[derive(Debug, Default)]
-pub(super) struct Estimates {
+pub struct Estimates {
     answers: HashMap<ClassId, f64>,
 }
 
 impl Estimates {
-    /// Units that a request will cost.
-    pub(super) fn units(&self, work: &Work) -> u64 {
-        let Kind::Completion { max_tokens, .. } = work.kind else {
-            return 1;
+    /// Cost of a request with a body of this many bytes.
+    pub fn cost(&self, class: &ClassId, kind: &Kind, body: usize) -> Cost {
+        let Kind::Completion { max_tokens, .. } = kind else {
+            return Cost::default();
         };
-        let mean = self.answers.get(&work.class.id).copied();
+        let mean = self.answers.get(class).copied();
         let answer = mean.unwrap_or(FIRST_ANSWER_TOKENS);
         let bound = max_tokens.map_or(f64::INFINITY, f64::from);
-        let prompt = work.body.len() as u64 / BYTES_PER_TOKEN;
-        prompt + answer.min(bound).max(1.0) as u64
+        Cost {
+            prompt_tokens: body as u64 / BYTES_PER_TOKEN,
+            answer_tokens: answer.min(bound).max(1.0) as u64,
+        }
     }
 
     /// Learns from an answer.
-    pub(super) fn observe(&mut self, class: &ClassId, cost: Cost) {
+    pub fn observe(&mut self, class: &ClassId, cost: Cost) {
         if cost.answer_tokens == 0 {
             return;
         }
--- a/crates/gate/src/forward/attempt.rs
+++ b/crates/gate/src/forward/attempt.rs
@@ -1,5 +1,6 @@
 //! Attempts: choosing an endpoint, sending, and deciding what follows a failure.
 
+use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -21,6 +22,8 @@
 use crate::refusal::{Denial, Progress, Refusal};
 use crate::work::Work;
 
+/// Pause before an endpoint is looked for again when none has room.
+const ROOM_INTERVAL: Duration = Duration::from_millis(20);
 /// Media type of streamed answers.
 pub const EVENT_STREAM: &str = "text/event-stream";
 
@@ -32,8 +35,8 @@
     pub flight: Flight,
     /// Cancels the request unless it is closed.
     pub cancel: Cancel,
-    /// Time from sending to the head of the answer.
-    pub latency: Duration,
+    /// When it was sent.
+    pub sent: Instant,
 }
 
 impl Answered {
@@ -45,23 +48,40 @@
     }
 }
 
+/// Endpoints tried for one request.
+type Tried = Rc<RefCell<Vec<EndpointId>>>;
+
 /// All attempts for one request.
 pub struct Attempts {
     gate: Rc<Gate>,
     work: Rc<Work>,
-    tried: Vec<EndpointId>,
+    first: Option<Flight>,
+    tried: Tried,
     connects: u32,
     sends: u32,
 }
 
 impl Attempts {
     /// No attempt yet. The request counts towards the retry budget of its class.
-    pub fn new(gate: Rc<Gate>, work: Rc<Work>) -> Self {
+    pub fn new(gate: Rc<Gate>, work: Rc<Work>, first: Option<Flight>) -> Self {
         gate.budgets.request(&work.class);
         Self {
             gate,
             work,
-            tried: Vec::new(),
+            first,
+            tried: Tried::default(),
+            connects: 0,
+            sends: 0,
+        }
+    }
+
+    /// Attempts next to these, for a hedge. They share the endpoints that were tried.
+    pub fn beside(&self) -> Self {
+        Self {
+            gate: self.gate.clone(),
+            work: self.work.clone(),
+            first: None,
+            tried: self.tried.clone(),
             connects: 0,
             sends: 0,
         }
@@ -70,7 +90,7 @@
     /// Tries until an endpoint answers or nothing more may be tried.
     pub async fn run(&mut self, mut progress: Progress) -> Result<(Answered, Progress), Refusal> {
         loop {
-            let flight = match self.choose() {
+            let flight = match self.choose().await {
                 Ok(flight) => flight,
                 Err(denial) => return Err(progress.refuse(denial)),
             };
@@ -144,45 +164,44 @@
     }
 
     /// Chooses an endpoint. Key, configuration and deadline are checked again first.
-    pub fn choose(&mut self) -> Result<Flight, Denial> {
+    async fn choose(&mut self) -> Result<Flight, Denial> {
         self.gate.recheck(&self.work)?;
-        let candidates = self.candidates();
-        if candidates.is_empty() {
-            let message = "no endpoint of this route takes new work";
-            return Err(Denial::new(Reason::NoEndpoint, message));
-        }
-        let chosen = self.gate.choice.choose(&self.work, &candidates);
-        let none = || Denial::new(Reason::NoEndpoint, "no endpoint takes work now");
-        let endpoint = chosen.ok_or_else(none)?;
-        self.tried.push(endpoint.id.clone());
-        Ok(Flight::begin(self.gate.choice.clone(), endpoint))
+        let flight = match self.first.take() {
+            Some(flight) => flight,
+            None => self.choose_again().await?,
+        };
+        let id = flight.endpoint().id.clone();
+        self.tried.borrow_mut().push(id);
+        Ok(flight)
     }
 
-    /// Endpoints of the first pool that has any, those not tried yet first.
-    fn candidates(&self) -> Vec<Rc<Endpoint>> {
-        let view = self.gate.view();
-        let untried = |it: &&Rc<Endpoint>| !self.tried.contains(&it.id);
-        for pool in &self.work.route.pools {
-            let fresh: Vec<_> = view
-                .endpoints(pool)
-                .iter()
-                .filter(untried)
-                .cloned()
-                .collect();
-            if !fresh.is_empty() {
-                return fresh;
+    /// Waits until an endpoint has room; those not tried yet come first.
+    async fn choose_again(&self) -> Result<Flight, Denial> {
+        loop {
+            let choice = &self.gate.choice;
+            let untried = choice.clone().choose(&self.work, &self.tried.borrow());
+            let found = untried.or_else(|| choice.clone().choose(&self.work, &[]));
+            if let Some(flight) = found {
+                return Ok(flight);
+            }
+            let now = Instant::now();
+            if now + ROOM_INTERVAL >= self.work.deadline || !self.is_served() {
+                let message = "no endpoint of this route takes new work";
+                return Err(Denial::new(Reason::NoEndpoint, message));
             }
+            tokio::time::sleep(ROOM_INTERVAL).await;
+            self.gate.recheck(&self.work)?;
         }
-        let pools = &self.work.route.pools;
-        pools
-            .iter()
-            .flat_map(|pool| view.endpoints(pool))
-            .cloned()
-            .collect()
+    }
+
+    fn is_served(&self) -> bool {
+        let view = self.gate.view();
+        let mut pools = self.work.route.pools.iter();
+        pools.any(|pool| !view.endpoints(pool).is_empty())
     }
 
     /// Sends the request once.
-    pub async fn attempt(
+    async fn attempt(
         &mut self,
         flight: Flight,
         progress: Progress,
@@ -197,6 +216,7 @@
         let endpoint = flight.endpoint().clone();
         let cancel = Cancel::new(self.gate.clone(), &self.work, endpoint, attempt_id);
         self.gate.metrics.attempted(&flight.endpoint().id);
+        self.gate.load.note(&flight.endpoint().id);
         self.connects += 1;
         match self.gate.client.send(outgoing, handed).await {
             Ok((response, sent)) => {
@@ -205,7 +225,7 @@
                     response,
                     flight,
                     cancel,
-                    latency: now.elapsed(),
+                    sent: now,
                 };
                 Ok((answered, Progress::Sent(sent)))
             }
@@ -229,8 +249,8 @@
     }
 
     fn attempt_id(&self) -> String {
-        match self.connects {
-            0 => self.work.id.clone(),
+        match self.tried.borrow().len() {
+            0 | 1 => self.work.id.clone(),
             count => format!("{}-{count}", self.work.id),
         }
     }
--- a/crates/gate/src/forward/claimed.rs
+++ b/crates/gate/src/forward/claimed.rs
@@ -8,6 +8,7 @@
 use bytes::Bytes;
 
 use super::plain::{self, Whole};
+use crate::choice::Flight;
 use crate::claim::{Claims, Declined, End};
 use crate::gate::Gate;
 use crate::refusal::{Denial, Progress, Refusal};
@@ -17,13 +18,18 @@
 ///
 /// Runs as a task of its own: an execution that has begun is finished and
 /// recorded even if the caller goes away.
-pub async fn fetch(gate: &Rc<Gate>, work: &Rc<Work>, key: &str) -> Result<Whole, Refusal> {
+pub async fn fetch(
+    gate: &Rc<Gate>,
+    work: &Rc<Work>,
+    first: Option<Flight>,
+    key: &str,
+) -> Result<Whole, Refusal> {
     let Some(claims) = gate.claims() else {
         let message = "this host has no store for claims";
         let denial = Denial::new(Reason::ClaimUnavailable, message);
         return Err(Progress::received(false).refuse(denial));
     };
-    let task = execute(gate.clone(), work.clone(), claims, key.to_owned());
+    let task = execute(gate.clone(), work.clone(), first, claims, key.to_owned());
     match actix_rt::spawn(task).await {
         Ok(result) => result,
         Err(_) => Err(Refusal::claimed(Denial::new(
@@ -36,6 +42,7 @@
 async fn execute(
     gate: Rc<Gate>,
     work: Rc<Work>,
+    first: Option<Flight>,
     claims: Claims,
     key: String,
 ) -> Result<Whole, Refusal> {
@@ -48,7 +55,7 @@
         Err(Declined::Replay(answer)) => return Ok(replayed(answer)),
         Err(Declined::Refused(denial)) => return Err(Refusal::claimed(denial)),
     };
-    let result = plain::fetch(&gate, &work, Progress::received(false)).await;
+    let result = plain::fetch(&gate, &work, first).await;
     let end = match &result {
         Ok(whole) => End::Done(kept(whole)),
         Err(refusal) if refusal.execution() == Execution::NotRun => End::NotRun,
--- a/crates/gate/src/forward/completion.rs
+++ b/crates/gate/src/forward/completion.rs
@@ -12,6 +12,7 @@
 use super::plain::{self, Whole};
 use super::relay::Relay;
 use crate::admission::{Cost, Slot};
+use crate::choice::Flight;
 use crate::front::reply::Answer;
 use crate::gate::Gate;
 use crate::refusal::{Progress, Refusal};
@@ -19,15 +20,15 @@
 
 /// Admits a chat completion, runs it on an engine, and answers.
 pub async fn run(gate: &Rc<Gate>, work: Rc<Work>) -> Result<Answer, Refusal> {
-    let slot = match plain::admit(gate, &work).await {
+    let mut slot = match plain::admit(gate, &work).await {
         Ok(slot) => slot,
         Err(denial) => return Err(Progress::received(false).refuse(denial)),
     };
-    let progress = Progress::received(work.class.idempotent);
+    let first = slot.take_flight();
     if matches!(work.kind, Kind::Completion { stream: true, .. }) {
-        return streamed(gate, work, slot, progress).await;
+        return streamed(gate, work, slot, first).await;
     }
-    let whole = plain::fetch(gate, &work, progress).await?;
+    let whole = plain::fetch(gate, &work, first).await?;
     let cost = cost(&whole);
     Ok(plain::deliver(gate, &work, whole, slot, cost))
 }
@@ -36,9 +37,10 @@
     gate: &Rc<Gate>,
     work: Rc<Work>,
     slot: Slot,
-    progress: Progress,
+    first: Option<Flight>,
 ) -> Result<Answer, Refusal> {
-    let mut attempts = Attempts::new(gate.clone(), work.clone());
+    let mut attempts = Attempts::new(gate.clone(), work.clone(), first);
+    let progress = Progress::received(work.class.idempotent);
     let (answered, progress) = attempts.run(progress).await?;
     if !answered.is_event_stream() {
         let whole = match plain::receive(gate, &work, answered).await {
--- a/crates/gate/src/forward/mod.rs
+++ b/crates/gate/src/forward/mod.rs
@@ -7,6 +7,7 @@
 pub mod client;
 pub mod completion;
 pub mod headers;
+pub mod hedged;
 pub mod plain;
 pub mod reader;
 pub mod relay;
--- a/crates/gate/src/forward/plain.rs
+++ b/crates/gate/src/forward/plain.rs
@@ -10,9 +10,9 @@
 use tokio::time::Instant;
 
 use super::attempt::{Answered, Attempts};
-use super::{claimed, client, headers};
+use super::{claimed, client, headers, hedged};
 use crate::admission::{Cost, Slot};
-use crate::choice;
+use crate::choice::{self, Flight};
 use crate::front::reply::{self, Answer};
 use crate::gate::Gate;
 use crate::metrics::Retry;
@@ -33,31 +33,43 @@
 
 /// Admits a call, sends it, and answers with what the endpoint said.
 pub async fn run(gate: &Rc<Gate>, work: Rc<Work>) -> Result<Answer, Refusal> {
-    let slot = match admit(gate, &work).await {
+    let mut slot = match admit(gate, &work).await {
         Ok(slot) => slot,
         Err(denial) => return Err(Progress::received(false).refuse(denial)),
     };
+    let first = slot.take_flight();
     let whole = match &work.idempotency {
-        Some(key) if !work.class.idempotent => claimed::fetch(gate, &work, key).await?,
-        _ => fetch(gate, &work, Progress::received(work.class.idempotent)).await?,
+        Some(key) if !work.class.idempotent => claimed::fetch(gate, &work, first, key).await?,
+        _ if work.class.hedge => hedged::fetch(gate, &work, first).await?,
+        _ => fetch(gate, &work, first).await?,
     };
     Ok(deliver(gate, &work, whole, slot, Cost::default()))
 }
 
 /// Waits for a place.
-pub async fn admit(gate: &Gate, work: &Work) -> Result<Slot, Denial> {
+pub async fn admit(gate: &Gate, work: &Rc<Work>) -> Result<Slot, Denial> {
     let slot = gate.admission.admit(work).await?;
     gate.metrics.started(&work.class.id, work.arrival.elapsed());
     Ok(slot)
 }
 
-/// Fetches a whole answer.
+/// Fetches a whole answer, from the endpoint of `first` if it can.
 pub async fn fetch(
     gate: &Rc<Gate>,
     work: &Rc<Work>,
-    mut progress: Progress,
+    first: Option<Flight>,
 ) -> Result<Whole, Refusal> {
-    let mut attempts = Attempts::new(gate.clone(), work.clone());
+    let attempts = Attempts::new(gate.clone(), work.clone(), first);
+    fetch_by(gate, work, attempts).await
+}
+
+/// Fetches a whole answer by these attempts.
+pub async fn fetch_by(
+    gate: &Rc<Gate>,
+    work: &Rc<Work>,
+    mut attempts: Attempts,
+) -> Result<Whole, Refusal> {
+    let mut progress = Progress::received(work.class.idempotent);
     loop {
         let (answered, sent) = attempts.run(progress).await?;
         match receive(gate, work, answered).await {
@@ -73,7 +85,7 @@
         response,
         flight,
         cancel,
-        latency,
+        sent,
     } = answered;
     let status = response.status();
     let headers = headers::passed_back(response.headers());
@@ -89,7 +101,11 @@
     };
     let outcome = match status.is_server_error() {
         true => choice::Outcome::Failed,
-        false => choice::Outcome::Answered(latency),
+        false => choice::Outcome::Answered {
+            total: sent.elapsed(),
+            prompt_tokens: 0,
+            answer_tokens: 1,
+        },
     };
     flight.close(outcome);
     cancel.close();
@@ -136,6 +152,8 @@
         let latency = answered - work.arrival;
         let attained = latency <= work.class.target.first_token && answered <= work.deadline;
         gate.metrics.first_token(&work.class.id, latency);
+        gate.hedges.observe(&work.class.id, latency);
+        gate.estimates.borrow_mut().observe(&work.class.id, cost);
         gate.metrics.answered(&work.class.id, latency, attained);
         let figures = Figures {
             requests: 1,
--- a/crates/gate/src/forward/relay.rs
+++ b/crates/gate/src/forward/relay.rs
@@ -44,7 +44,7 @@
 struct Upstream {
     flight: Flight,
     cancel: Cancel,
-    latency: Duration,
+    sent: Instant,
     source: Source,
     assembler: Assembler<Bytes>,
     sequence: u64,
@@ -57,7 +57,7 @@
         Self {
             flight: answered.flight,
             cancel: answered.cancel,
-            latency: answered.latency,
+            sent: answered.sent,
             source: Source::new(answered.response, bound),
             assembler: Assembler::new(HELD_CHUNKS),
             sequence: 0,
@@ -180,9 +180,7 @@
             match self.read(&mut upstream).await {
                 Stop::Whole => {
                     upstream.cancel.close();
-                    upstream
-                        .flight
-                        .close(choice::Outcome::Answered(upstream.latency));
+                    upstream.flight.close(self.answered(upstream.sent));
                     let done = frame(DONE, 0);
                     return self.send(done).await.is_ok() && self.send(Frame::End).await.is_ok();
                 }
@@ -200,6 +198,15 @@
         }
     }
 
+    fn answered(&self, sent: Instant) -> choice::Outcome {
+        let usage = self.usage.unwrap_or_default();
+        choice::Outcome::Answered {
+            total: sent.elapsed(),
+            prompt_tokens: usage.prompt_tokens,
+            answer_tokens: self.tokens.max(usage.completion_tokens),
+        }
+    }
+
     async fn read(&mut self, upstream: &mut Upstream) -> Stop {
         let stall = self.gate.settings.limits.stall_timeout;
         loop {
@@ -389,6 +396,11 @@
             },
         );
         if whole {
+            let cost = Cost {
+                prompt_tokens: usage.prompt_tokens,
+                answer_tokens: received,
+            };
+            self.gate.estimates.borrow_mut().observe(&class.id, cost);
             let end = self.last_token.unwrap_or_else(Instant::now);
             let duration = end - self.work.arrival;
             self.gate
--- a/crates/gate/src/front/completion.rs
+++ b/crates/gate/src/front/completion.rs
@@ -14,6 +14,7 @@
 use super::route::Call;
 use crate::forward;
 use crate::gate::Gate;
+use crate::prefix;
 use crate::refusal::{Denial, Progress, Refusal};
 use crate::work::{Kind, Work};
 
@@ -85,15 +86,20 @@
     let class = call.class(&view, route, caller.as_ref())?;
     let headers = forward::headers::passed_on(&call.headers);
     call.check_secrecy(&headers, &body)?;
+    let account = caller.as_ref().map_or("", |it| &it.account);
+    let prefix = prefix::blocks(account, &request.messages);
+    let kind = Kind::Completion {
+        model: request.model,
+        stream: request.stream,
+        max_tokens: request.max_tokens,
+    };
     gate.metrics.accepted(&class.id);
     Ok(Work {
         deadline: call.deadline(&class)?,
         id: call.id,
-        kind: Kind::Completion {
-            model: request.model,
-            stream: request.stream,
-            max_tokens: request.max_tokens,
-        },
+        estimate: gate.estimates.borrow().cost(&class.id, &kind, body.len()),
+        prefix,
+        kind,
         route: route.clone(),
         class: Rc::new(class),
         caller,
--- a/crates/gate/src/front/plain.rs
+++ b/crates/gate/src/front/plain.rs
@@ -7,6 +7,7 @@
 use super::body;
 use super::reply::Answer;
 use super::route::Call;
+use crate::admission::Cost;
 use crate::forward;
 use crate::gate::Gate;
 use crate::refusal::{Denial, Progress, Refusal};
@@ -44,6 +45,8 @@
         deadline: call.deadline(&class)?,
         id: call.id,
         kind: Kind::Plain,
+        prefix: Vec::new(),
+        estimate: Cost::default(),
         route: route.clone(),
         class: Rc::new(class),
         caller,
--- a/crates/gate/src/gate.rs
+++ b/crates/gate/src/gate.rs
@@ -14,10 +14,13 @@
 use crate::activity::Activity;
 use crate::admission::{Admission, Fair};
 use crate::budget::Budgets;
-use crate::choice::{Choice, Fewest};
+use crate::choice::{Choice, Picked};
 use crate::claim::Claims;
 use crate::config::{Config, View};
+use crate::estimate::Estimates;
 use crate::forward::client::Client;
+use crate::hedge::Delays;
+use crate::load;
 use crate::metrics::Metrics;
 use crate::refusal::Denial;
 use crate::settings::Settings;
@@ -44,6 +47,12 @@
     pub budgets: Budgets,
     /// Chooses endpoints.
     pub choice: Rc<dyn Choice>,
+    /// Expected cost of requests.
+    pub estimates: RefCell<Estimates>,
+    /// When calls are hedged.
+    pub hedges: Delays,
+    /// Engines in use.
+    pub load: load::Usage,
     /// Connections to endpoints.
     pub client: Client,
     /// Store for claims.
@@ -58,15 +67,19 @@
     /// A gate that knows nothing yet.
     pub fn new(settings: Settings, tables: Option<Rc<dyn Tables>>) -> Rc<Self> {
         let client = Client::new(settings.limits.connect_timeout);
+        let choice: Rc<dyn Choice> = Rc::new(Picked::new(settings.zone.clone()));
         Rc::new(Self {
             settings,
             incarnation: random_id(),
             config: RefCell::default(),
             metrics: Metrics::default(),
             activity: Activity::default(),
-            admission: Rc::new(Fair::default()),
+            admission: Rc::new(Fair::new(choice.clone())),
             budgets: Budgets::default(),
-            choice: Rc::new(Fewest::default()),
+            choice,
+            estimates: RefCell::default(),
+            hedges: Delays::default(),
+            load: load::Usage::default(),
             client,
             tables,
             usage: RefCell::default(),
--- a/crates/gate/src/program.rs
+++ b/crates/gate/src/program.rs
@@ -11,6 +11,7 @@
 use crate::activity::Phase;
 use crate::front::server::{self, Connection, Listener};
 use crate::gate::Gate;
+use crate::load;
 use crate::sync::{Steer, Syncer};
 
 /// Time for the last usage to be taken over by a control process.
@@ -44,6 +45,7 @@
     callers: JoinHandle<()>,
     operators: JoinHandle<()>,
     sync: JoinHandle<()>,
+    load: JoinHandle<()>,
 }
 
 impl Program {
@@ -65,6 +67,7 @@
             )),
             operators: actix_rt::spawn(operators.serve_operators(admin)),
             sync: actix_rt::spawn(async move { syncer.run().await }),
+            load: actix_rt::spawn(load::run(gate.clone())),
             service,
             steer,
             gate,
@@ -102,6 +105,7 @@
             requests: gate.activity.running(),
             counters: hand_over(gate, self.steer.clone()).await,
         };
+        self.load.abort();
         self.operators.abort();
         loss
     }
--- a/crates/gate/src/sync.rs
+++ b/crates/gate/src/sync.rs
@@ -165,10 +165,11 @@
         let changed = self.gate.config.borrow_mut().apply(response, sent)?;
         let config = self.gate.config.borrow();
         if changed || hosts != config.live_hosts() {
-            self.gate
-                .admission
-                .configure(config.view(), config.live_hosts());
+            let view = config.view();
+            self.gate.choice.configure(&view, config.live_hosts());
+            self.gate.admission.configure(view);
         }
+        self.gate.admission.wake();
         let validity = self.gate.settings.sync_interval * PRESSURE_INTERVALS;
         self.gate.admission.press(config.pressure(), validity);
         if changed {
--- a/crates/gate/src/work.rs
+++ b/crates/gate/src/work.rs
@@ -12,6 +12,8 @@
 use bytes::Bytes;
 use tokio::time::Instant;
 
+use crate::admission::Cost;
+
 /// The key that came with a request, and the account that it belongs to.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Caller {
@@ -64,6 +66,10 @@
     pub headers: HeaderMap,
     /// Body.
     pub body: Bytes,
+    /// Hashes of the prompt's prefix blocks.
+    pub prefix: Vec<u64>,
+    /// Expected cost.
+    pub estimate: Cost,
     /// Idempotency key of the caller, scoped by account.
     pub idempotency: Option<String>,
 }
--- a/crates/gate/tests/support/mod.rs
+++ b/crates/gate/tests/support/mod.rs
@@ -230,6 +230,12 @@
         "protocol": "plain", "slots": 4})
 }
 
+/// The endpoint in another availability zone, so that it is chosen after those in the gate's own.
+pub fn remote(mut endpoint: Value) -> Value {
+    endpoint["zone"] = json!("b");
+    endpoint
+}
+
 pub fn settings() -> Settings {
     let any = SocketAddr::from(([127, 0, 0, 1], 0));
     Settings {
