--- a/crates/gate/src/forward/attempt.rs
+++ b/crates/gate/src/forward/attempt.rs
@@ -75,6 +75,13 @@
         }
     }
 
+    /// Reserves an endpoint that was not tried. Returns whether there is one.
+    pub fn reserve(&mut self) -> bool {
+        let choice = self.gate.choice.clone();
+        self.first = choice.choose(&self.work, &self.tried.borrow());
+        self.first.is_some()
+    }
+
     /// Attempts next to these, for a hedge. They share the endpoints that were tried.
     pub fn beside(&self) -> Self {
         Self {
--- a/crates/gate/src/forward/hedged.rs
+++ b/crates/gate/src/forward/hedged.rs
@@ -16,14 +16,14 @@
 
 /// Fetches a whole answer from whichever of two endpoints answers first. The
 /// second is asked after the latency that most answers of the class stay below,
-/// and only within the retry budget.
+/// only if there is another endpoint, and within the retry budget.
 pub async fn fetch(
     gate: &Rc<Gate>,
     work: &Rc<Work>,
     first: Option<Flight>,
 ) -> Result<Whole, Refusal> {
     let attempts = Attempts::new(gate.clone(), work.clone(), first);
-    let beside = attempts.beside();
+    let mut beside = attempts.beside();
     let mut one = pin!(plain::fetch_by(gate, work, attempts));
     let Some(delay) = gate.hedges.get(&work.class.id) else {
         return one.await;
@@ -31,7 +31,8 @@
     if let Ok(result) = tokio::time::timeout(delay, one.as_mut()).await {
         return result;
     }
-    if !gate.budgets.hedge(&work.class) {
+    if !beside.reserve() || !gate.budgets.hedge(&work.class) {
+        drop(beside);
         return one.await;
     }
     gate.metrics.retried(Retry::Hedge);
