--- /dev/null
+++ b/crates/steer/tests/dissemination.rs
@@ -0,0 +1,229 @@
+//! How fast statements and versions spread, by the rule of one question to a random peer at each
+//! interval. Frames are those of the program; datagrams arrive at once. Time is simulated, choices are seeded.
+
+use std::time::Duration;
+
+use agate_conf::witness::Witness;
+use agate_member::frame::{Answer, Frame, HEADER_BYTES};
+use agate_member::secret::Secret;
+use agate_model::version::FRESHNESS_LIMIT;
+use agate_steer::config::copy::Copy;
+use agate_steer::gossip::statements;
+use agate_steer::settings::Intervals;
+use agate_wire::change::Change;
+use agate_wire::peer;
+use rand::{Rng as _, SeedableRng as _};
+use rand_chacha::ChaCha8Rng;
+use rstest::rstest;
+use tokio::time::{Instant, advance};
+
+const STEP: Duration = Duration::from_millis(10);
+
+/// One simulated host.
+struct Node {
+    copy: Copy,
+    own: Witness,
+    next: Instant,
+    sent: usize,
+}
+
+struct Simulation {
+    nodes: Vec<Node>,
+    random: ChaCha8Rng,
+    secret: Secret,
+    interval: Duration,
+}
+
+impl Simulation {
+    fn new(count: usize) -> Self {
+        let mut random = ChaCha8Rng::seed_from_u64(7);
+        let interval = Intervals::default().gossip;
+        let start = Instant::now();
+        let nodes = (0..count).map(|n| {
+            let own = Witness {
+                host: format!("host-{n}"),
+                incarnation: "run".to_owned(),
+                zone: "z".to_owned(),
+                gossip: "10.0.0.1:1".parse().expect("an address"),
+            };
+            let copy = Copy::default();
+            copy.extend(vec![entry(1, count.min(15))])
+                .expect("an entry");
+            let offset = random.random_range(0.0..1.0);
+            Node {
+                copy,
+                own,
+                next: start + interval.mul_f64(offset),
+                sent: 0,
+            }
+        });
+        Self {
+            nodes: nodes.collect(),
+            secret: Secret::from_hex(&"a".repeat(64)).expect("a cluster key"),
+            random,
+            interval,
+        }
+    }
+
+    /// Lets `time` pass.
+    async fn run(&mut self, time: Duration) {
+        let until = Instant::now() + time;
+        while Instant::now() < until {
+            for n in 0..self.nodes.len() {
+                if self.nodes[n].next <= Instant::now() {
+                    self.exchange(n);
+                    let pause = self.interval.mul_f64(self.random.random_range(0.5..1.5));
+                    self.nodes[n].next += pause;
+                }
+            }
+            advance(STEP).await;
+        }
+    }
+
+    fn exchange(&mut self, n: usize) {
+        let others = self.nodes.len() - 1;
+        let peer = (n + 1 + self.random.random_range(0..others)) % self.nodes.len();
+        let question = self.frame(n, None);
+        self.nodes[n].sent += question.encode(&self.secret).len() + HEADER_BYTES;
+        self.nodes[peer].copy.hear_of(question.version);
+        let answer = statements::answer(&self.nodes[peer].copy, &self.nodes[peer].own);
+        let answer = self.frame(peer, Some(answer));
+        let datagram = answer.encode(&self.secret);
+        self.nodes[peer].sent += datagram.len() + HEADER_BYTES;
+        let answer = Frame::decode(&self.secret, &datagram).expect("the answer");
+        statements::take(&self.nodes[n].copy, &answer, Instant::now());
+    }
+
+    fn frame(&mut self, n: usize, answer: Option<Answer>) -> Frame {
+        let copy = &self.nodes[n].copy;
+        Frame {
+            host: self.random.random(),
+            incarnation: self.random.random(),
+            nonce: self.random.random(),
+            version: copy.version(),
+            accepted: copy.accepted(),
+            epoch: 1000,
+            rumours: Vec::new(),
+            answer,
+        }
+    }
+
+    /// Ages of the proofs, youngest first; a missing proof counts as a minute.
+    fn ages(&self) -> Vec<Duration> {
+        let age = |it: &Node| it.copy.proof_age().unwrap_or(Duration::from_secs(60));
+        let mut ages: Vec<Duration> = self.nodes.iter().map(age).collect();
+        ages.sort();
+        ages
+    }
+
+    /// Bytes sent by a host in a second, headers of IP and UDP included.
+    fn rate(&self, time: Duration) -> f64 {
+        let sent: usize = self.nodes.iter().map(|it| it.sent).sum();
+        sent as f64 / self.nodes.len() as f64 / time.as_secs_f64()
+    }
+}
+
+fn entry(version: u64, witnesses: usize) -> peer::Entry {
+    let member = |n| peer::Witness {
+        host: format!("host-{n}"),
+        incarnation: "run".to_owned(),
+        zone: "z".to_owned(),
+        gossip: "10.0.0.1:1".parse().expect("an address"),
+    };
+    peer::Entry {
+        change: Change {
+            version,
+            edits: Vec::new(),
+        },
+        nonce: String::new(),
+        author: String::new(),
+        witnesses: Some((0..witnesses).map(member).collect()),
+    }
+}
+
+/// Without the store, the attestations of a majority reach every host young enough; and the
+/// bytes stay below the budget of 2 KB a second, sent and received together.
+#[rstest]
+#[case(9)]
+#[case(95)]
+#[case(380)]
+#[tokio::test(start_paused = true)]
+async fn attestations_keep_all_hosts_current(#[case] count: usize) {
+    let mut simulation = Simulation::new(count);
+    let warm_up = Duration::from_secs(5);
+    simulation.run(warm_up).await;
+    let mut all = Vec::new();
+    let mut stale = 0;
+    for _ in 0..20 {
+        simulation.run(Duration::from_millis(250)).await;
+        let ages = simulation.ages();
+        stale += ages.iter().filter(|it| **it > FRESHNESS_LIMIT).count();
+        all.extend(ages);
+    }
+    all.sort();
+    let at = |share: f64| all[((all.len() - 1) as f64 * share) as usize];
+    let rate = simulation.rate(warm_up + Duration::from_secs(5));
+    println!(
+        "{count} hosts: proof age p50 {:?} p99 {:?} worst {:?}, stale {stale} of {}, {rate:.0} B/s sent",
+        at(0.5),
+        at(0.99),
+        at(1.0),
+        all.len()
+    );
+    assert_eq!(stale, 0);
+    assert!(2.0 * rate < 2048.0, "{rate} B/s sent and as much received");
+}
+
+/// A store proof read by one host reaches the others.
+#[rstest]
+#[case(9)]
+#[case(95)]
+#[case(380)]
+#[tokio::test(start_paused = true)]
+async fn a_new_version_is_heard_of_everywhere(#[case] count: usize) {
+    let mut simulation = Simulation::new(count);
+    simulation.run(Duration::from_secs(1)).await;
+    simulation.nodes[0]
+        .copy
+        .extend(vec![entry(2, count.min(15))])
+        .expect("an entry");
+    let start = Instant::now();
+    while simulation.nodes.iter().any(|it| it.copy.head() < 2) {
+        simulation.run(STEP).await;
+        let heard: Vec<usize> = (0..count)
+            .filter(|n| simulation.nodes[*n].copy.head() == 2)
+            .collect();
+        for n in heard {
+            if simulation.nodes[n].copy.version() < 2 {
+                let entry = entry(2, count.min(15));
+                simulation.nodes[n]
+                    .copy
+                    .extend(vec![entry])
+                    .expect("an entry");
+            }
+        }
+    }
+    let spread = start.elapsed();
+    println!("{count} hosts: a version without a push was everywhere after {spread:?}");
+    assert!(spread < Duration::from_millis(2500), "{spread:?}");
+}
+
+/// A process that was frozen between question and answer counts the time.
+#[tokio::test(start_paused = true)]
+async fn an_answer_read_late_is_old() {
+    let mut simulation = Simulation::new(2);
+    let sent = Instant::now();
+    let answer = statements::answer(&simulation.nodes[1].copy, &simulation.nodes[1].own);
+    simulation.nodes[0]
+        .copy
+        .observe(1, sent - Duration::from_secs(10));
+    let answer = simulation.frame(1, Some(answer));
+    advance(Duration::from_secs(10)).await;
+    statements::take(&simulation.nodes[0].copy, &answer, sent);
+    let own = &simulation.nodes[0].own;
+    simulation.nodes[0]
+        .copy
+        .attest(own.clone(), 1, Instant::now());
+    let age = simulation.nodes[0].copy.proof_age();
+    assert!(age >= Some(Duration::from_secs(10)), "{age:?}");
+}
