--- a/crates/ctl/src/cmd/watch.rs
+++ b/crates/ctl/src/cmd/watch.rs
@@ -6,7 +6,6 @@
 use agate_wire::change::{Change, Edit};
 use bpaf::Bpaf;
 
-use crate::cmd::manifest;
 use crate::config::{Connection, Format, connection, format, print};
 use crate::error::Error;
 
@@ -74,7 +73,7 @@
 
 fn line(edit: &Edit) -> String {
     match edit {
-        Edit::Put { manifest } => format!("put {}", manifest::name(manifest)),
+        Edit::Put { manifest } => format!("put {}", manifest.name()),
         Edit::Delete { kind, id } => format!("delete {kind}/{id}"),
     }
 }
