--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -1,6 +1,7 @@
 //! The platform over HTTP.
 
 mod call;
+mod engine;
 mod fresh;
 mod path;
 
@@ -15,6 +16,8 @@
 
 use crate::error::Error;
 use crate::interface::{Answer, Hosts, Objects, Orders, Reports, Tables};
+pub use engine::EngineClient;
+
 use call::Reply;
 use fresh::Post;
 use path::encode;
@@ -144,6 +147,7 @@
                 address: self.address,
                 path: "/endpoints/orders",
                 idempotency_key: &order.id,
+                credential: None,
                 body: call::body(order)?,
             };
             let reply = post.send(deadline, may_send).await?;
@@ -172,6 +176,7 @@
                 address: self.address,
                 path: "/reports",
                 idempotency_key: id,
+                credential: None,
                 body: call::body(report)?,
             };
             let reply = post.send(deadline, may_send).await?;
--- a/crates/platform/src/http/fresh.rs
+++ b/crates/platform/src/http/fresh.rs
@@ -29,6 +29,8 @@
     pub(super) path: &'a str,
     /// Identity of the call for the receiver.
     pub(super) idempotency_key: &'a str,
+    /// Credential shown to the receiver.
+    pub(super) credential: Option<&'a str>,
     /// JSON.
     pub(super) body: Bytes,
 }
@@ -47,13 +49,16 @@
             stream,
             written: Rc::clone(&written),
         });
-        let request = client
+        let mut request = client
             .post(format!("http://{}{}", self.address, self.path))
             .force_close()
             .no_decompress()
             .content_type("application/json")
             .insert_header(("idempotency-key", self.idempotency_key))
             .timeout(deadline);
+        if let Some(credential) = self.credential {
+            request = request.bearer_auth(credential);
+        }
         let call = guard(call::run(request, self.body), &written, may_send);
         let outcome = timeout_at(until, call).await;
         match outcome {
--- a/crates/platform/src/interface.rs
+++ b/crates/platform/src/interface.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use agate_model::endpoint::Endpoint;
+use agate_wire::engine::{self, Fenced, Load};
 use agate_wire::order::{Machine, Order, Receipt};
 use agate_wire::platform::{Listing, Report};
 use agate_wire::table::{Commit, Page, Row, Transaction};
@@ -73,3 +75,18 @@
     /// The list.
     fn list(&self) -> Answer<'_, Listing>;
 }
+
+/// Model engines, as far as orders to them go.
+pub trait Engines {
+    /// Load of an engine; lags.
+    fn load<'a>(&'a self, engine: &'a Endpoint) -> Answer<'a, Load>;
+
+    /// Sends an order over a new connection. `deadline` and `may_send` as for [`Orders::order`].
+    fn order<'a>(
+        &'a self,
+        engine: &'a Endpoint,
+        order: &'a engine::Order,
+        deadline: Duration,
+        may_send: &'a dyn Fn() -> bool,
+    ) -> Answer<'a, Result<(), Fenced>>;
+}
--- a/crates/steer/src/context.rs
+++ b/crates/steer/src/context.rs
@@ -8,6 +8,7 @@
 
 use crate::api::usage::Source;
 use crate::config::copy::Copy;
+use crate::duty;
 use crate::endpoints::Board;
 use crate::gossip::rumours::Rumours;
 use crate::inbox::Inbox;
@@ -51,6 +52,8 @@
     pub lease: Rc<RefCell<Option<Lease>>>,
     /// Reader of the usage of all hosts; without it the API shows what this host received.
     pub usage: Rc<RefCell<Option<Rc<dyn Source>>>>,
+    /// State of the lease holder's work.
+    pub duty: Rc<duty::State>,
     /// Set once this host shuts down.
     pub leaving: Rc<Cell<bool>>,
     /// Counters and gauges.
--- /dev/null
+++ b/crates/steer/src/duty/mirror.rs
@@ -0,0 +1,137 @@
+//! Copies of usage totals to a peer in another availability zone.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use agate_model::host::Host;
+use agate_model::id::{HostId, Incarnation};
+use agate_usage::Row;
+use agate_usage::row::Source;
+use agate_wire::mirror::{self, Ack, Push, Totals};
+use agate_wire::usage;
+use tokio::time::{Instant, sleep, timeout};
+
+use crate::config::reader::jittered;
+use crate::context::Context;
+use crate::duty::metrics::count;
+use crate::duty::usage::{absorb, is_plausible};
+
+/// Longest time for the last copy at shutdown.
+const FLUSH_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// What a peer has acknowledged.
+#[derive(Debug, Default)]
+pub struct Mirror {
+    peer: Option<Peer>,
+    acked: BTreeMap<Source, Row>,
+}
+
+/// One run of a peer.
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct Peer {
+    host: HostId,
+    incarnation: Incarnation,
+}
+
+/// Copies totals until the task is aborted.
+pub async fn run(context: Context) {
+    let mut mirror = Mirror::default();
+    loop {
+        sleep(jittered(context.settings.intervals.mirror)).await;
+        mirror.step(&context).await;
+    }
+}
+
+/// Copies everything once more.
+pub async fn flush(context: &Context) {
+    let mut mirror = Mirror::default();
+    let _ = timeout(FLUSH_TIMEOUT, mirror.step(context)).await;
+}
+
+/// Takes up the totals of a peer.
+pub fn take(context: &Context, push: Push) -> Ack {
+    let now = Instant::now();
+    for gate in push.gates {
+        let source = Source {
+            host: gate.host,
+            incarnation: gate.incarnation,
+        };
+        let mut totals = Row::from(gate.totals);
+        totals
+            .parts
+            .retain(|part, _| is_plausible(context, part.origin));
+        context.duty.books.take(source, &totals, now, false);
+    }
+    Ack {}
+}
+
+impl Mirror {
+    /// Sends what the peer has not acknowledged. An empty message shows that this host lives.
+    pub async fn step(&mut self, context: &Context) {
+        absorb(context);
+        let Some(host) = choose(context) else { return };
+        self.meet(&host);
+        let own = context.duty.books.own();
+        let push = Push {
+            gates: own
+                .iter()
+                .map(|(source, row)| self.news(source, row))
+                .collect(),
+        };
+        let answer: Result<Ack, _> = context.peers.call(host.steer, mirror::METHOD, &push).await;
+        match answer {
+            Ok(Ack {}) => {
+                count(&context.duty.metrics.mirror, "done");
+                self.acked = own;
+            }
+            Err(err) => {
+                count(&context.duty.metrics.mirror, "failed");
+                tracing::debug!(event = "mirror_failed", peer = host.id, error = %err);
+            }
+        }
+    }
+
+    /// A peer that is new has nothing.
+    fn meet(&mut self, host: &Host) {
+        let peer = Some(Peer {
+            host: host.id.clone(),
+            incarnation: host.incarnation.clone(),
+        });
+        if self.peer != peer {
+            self.peer = peer;
+            self.acked.clear();
+        }
+    }
+
+    fn news(&self, source: &Source, row: &Row) -> Totals {
+        let acked = self.acked.get(source);
+        let mut news = row.clone();
+        news.parts
+            .retain(|part, figures| acked.is_none_or(|it| it.get(part) != *figures));
+        Totals {
+            host: source.host.clone(),
+            incarnation: source.incarnation.clone(),
+            totals: usage::Row::from(&news),
+        }
+    }
+}
+
+/// A live peer, in another availability zone if there is one. The choice stays
+/// the same while the peer lives, and is spread over the peers.
+fn choose(context: &Context) -> Option<Host> {
+    let live = context.members.live();
+    let hosts = live.into_iter().map(|it| it.host);
+    hosts.min_by_key(|it| {
+        let pair = format!("{}/{}", context.host.id, it.id);
+        (it.zone == context.host.zone, rank(&pair), it.id.clone())
+    })
+}
+
+/// Rank in rendezvous hashing (FNV-1a).
+fn rank(text: &str) -> u64 {
+    const OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
+    const PRIME: u64 = 0x0100_0000_01b3;
+    text.bytes().fold(OFFSET, |hash, byte| {
+        (hash ^ u64::from(byte)).wrapping_mul(PRIME)
+    })
+}
--- a/crates/steer/src/lib.rs
+++ b/crates/steer/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod config;
 pub mod context;
 pub mod directory;
+pub mod duty;
 pub mod endpoints;
 pub mod gossip;
 pub mod inbox;
--- a/crates/steer/src/platform.rs
+++ b/crates/steer/src/platform.rs
@@ -4,8 +4,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use agate_platform::http::Client;
-use agate_platform::interface::{Hosts, Objects, Orders, Reports, Tables};
+use agate_platform::http::{Client, EngineClient};
+use agate_platform::interface::{Engines, Hosts, Objects, Orders, Reports, Tables};
 
 /// Handles of all interfaces.
 #[derive(Clone)]
@@ -20,6 +20,8 @@
     pub reports: Rc<dyn Reports>,
     /// Lagging list of hosts and endpoints.
     pub hosts: Rc<dyn Hosts>,
+    /// Orders to model engines.
+    pub engines: Rc<dyn Engines>,
 }
 
 impl Platform {
@@ -32,6 +34,7 @@
             orders: client.clone(),
             reports: client.clone(),
             hosts: client,
+            engines: Rc::new(EngineClient::new(timeout)),
         }
     }
 }
--- a/crates/steer/src/rpc/peer.rs
+++ b/crates/steer/src/rpc/peer.rs
@@ -4,6 +4,8 @@
 use std::time::Duration;
 
 use agate_model::id::HostId;
+use agate_wire::demand;
+use agate_wire::mirror;
 use agate_wire::peer::{self, Announce, Fetch, Fetched, Push, Standing};
 use agate_wire::sync;
 use futures_util::future::LocalBoxFuture;
@@ -12,6 +14,7 @@
 
 use crate::config::copy;
 use crate::context::Context;
+use crate::duty;
 use crate::rpc::server::{Failure, Handler, Handlers};
 
 /// Answers a call with a typed body.
@@ -48,7 +51,14 @@
 }
 
 /// Methods of every control process.
-pub const METHODS: [&str; 4] = [sync::METHOD, peer::PUSH, peer::FETCH, peer::STANDING];
+pub const METHODS: [&str; 6] = [
+    sync::METHOD,
+    peer::PUSH,
+    peer::FETCH,
+    peer::STANDING,
+    mirror::METHOD,
+    demand::METHOD,
+];
 
 /// Handlers of [`METHODS`].
 pub fn handlers(context: &Context) -> Handlers {
@@ -72,6 +82,17 @@
         })
     });
     handlers.insert(peer::STANDING, standing);
+    let mirror = Method::shared(context, |context, _, push| {
+        Box::pin(async move { Ok(duty::mirror::take(&context, push)) })
+    });
+    handlers.insert(mirror::METHOD, mirror);
+    let demand = Method::shared(context, |context, sender, push| {
+        Box::pin(async move {
+            context.duty.demand.take(sender, push);
+            Ok(demand::Ack {})
+        })
+    });
+    handlers.insert(demand::METHOD, demand);
     handlers
 }
 
--- a/crates/steer/src/run.rs
+++ b/crates/steer/src/run.rs
@@ -14,6 +14,7 @@
 use crate::config::copy::Copy;
 use crate::config::{reader, witness};
 use crate::context::Context;
+use crate::duty::Duty;
 use crate::endpoints::Board;
 use crate::gossip::exchange::Gossip;
 use crate::inbox::Inbox;
@@ -81,6 +82,7 @@
     pub context: Context,
     rpc: Server,
     tasks: Vec<JoinHandle<()>>,
+    duty: Duty,
 }
 
 impl Process {
@@ -113,6 +115,7 @@
             rumours: Rc::default(),
             lease: Rc::new(RefCell::new(None)),
             usage: Rc::new(RefCell::new(None)),
+            duty: Rc::default(),
             leaving: Rc::new(Cell::new(false)),
             metrics,
         };
@@ -133,10 +136,12 @@
             actix_rt::spawn(witness::run(context.clone())),
             actix_rt::spawn(api::server::run(context.clone(), sockets.api)),
         ];
+        let duty = Duty::start(&context);
         Ok(Self {
             context,
             rpc: sockets.rpc,
             tasks,
+            duty,
         })
     }
 
@@ -147,6 +152,7 @@
         context.members.leave();
         report(directory::register(context).await);
         wait_for_gate(context).await;
+        self.duty.close(context).await;
         witness::leave(context).await;
         report(directory::remove(context).await);
         for task in &self.tasks {
--- a/crates/steer/src/settings.rs
+++ b/crates/steer/src/settings.rs
@@ -4,6 +4,7 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
+use agate_lease::Terms;
 use agate_member::secret::{Malformed, Secret};
 use agate_model::finding::Report;
 use agate_model::key::{DIGEST_BYTES, Digest};
@@ -11,6 +12,9 @@
 use agate_settings::file::Check;
 use serde::{Deserialize, Serialize};
 
+/// Share by which clocks may run too fast or too slow.
+const CLOCK_RATE: f64 = 0.001;
+
 const REDACTED: &str = "(redacted)";
 
 /// The settings file.
@@ -55,6 +59,12 @@
     /// Length of a reporting window.
     #[serde(default = "window", with = "humantime_serde")]
     pub window: Duration,
+    /// Time between the end of a window and its closing.
+    #[serde(default = "window_grace", with = "humantime_serde")]
+    pub window_grace: Duration,
+    /// Lease of the host that orders endpoints and reports usage; the same on all hosts.
+    #[serde(default)]
+    pub lease: Lease,
     /// Log directives, such as `info,agate_steer=debug`.
     #[serde(default = "log")]
     pub log: String,
@@ -73,6 +83,65 @@
     /// Between gossip exchanges.
     #[serde(with = "humantime_serde")]
     pub gossip: Duration,
+    /// Between writes of usage rows.
+    #[serde(with = "humantime_serde")]
+    pub usage: Duration,
+    /// Between copies of usage to a peer.
+    #[serde(with = "humantime_serde")]
+    pub mirror: Duration,
+    /// Between reports of demand to the holder of the lease.
+    #[serde(with = "humantime_serde")]
+    pub demand: Duration,
+    /// Between looks at the number of endpoints.
+    #[serde(with = "humantime_serde")]
+    pub fleet: Duration,
+}
+
+/// See [`agate_lease::Terms`].
+#[derive(Clone, Debug, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Lease {
+    /// How long a renewal lasts.
+    #[serde(with = "humantime_serde")]
+    pub term: Duration,
+    /// How much earlier the holder stops.
+    #[serde(with = "humantime_serde")]
+    pub margin: Duration,
+    /// Between renewals.
+    #[serde(with = "humantime_serde")]
+    pub renewal: Duration,
+    /// Longest time of an order on its way.
+    #[serde(with = "humantime_serde")]
+    pub flight: Duration,
+    /// Idle timeout of the receivers' connections.
+    #[serde(with = "humantime_serde")]
+    pub idle: Duration,
+}
+
+impl Lease {
+    /// The durations.
+    pub fn terms(&self) -> Terms {
+        Terms {
+            term: self.term,
+            margin: self.margin,
+            renewal: self.renewal,
+            flight: self.flight,
+            idle: self.idle,
+        }
+    }
+}
+
+impl Default for Lease {
+    fn default() -> Self {
+        let terms = Terms::default();
+        Self {
+            term: terms.term,
+            margin: terms.margin,
+            renewal: terms.renewal,
+            flight: terms.flight,
+            idle: terms.idle,
+        }
+    }
 }
 
 /// Timeouts.
@@ -99,6 +168,10 @@
             store: Duration::from_secs(1),
             hosts: Duration::from_secs(2),
             gossip: Duration::from_millis(200),
+            usage: Duration::from_secs(10),
+            mirror: Duration::from_secs(2),
+            demand: Duration::from_secs(5),
+            fleet: Duration::from_secs(5),
         }
     }
 }
@@ -118,6 +191,10 @@
     Duration::from_secs(3600)
 }
 
+fn window_grace() -> Duration {
+    Duration::from_secs(120)
+}
+
 fn log() -> String {
     "info".to_owned()
 }
@@ -186,8 +263,26 @@
                 );
             }
         }
-        if self.intervals.hosts.is_zero() {
-            report.push("intervals.hosts", "needs to be above 0s");
+        for (place, value) in [
+            ("intervals.hosts", self.intervals.hosts),
+            ("intervals.usage", self.intervals.usage),
+            ("intervals.mirror", self.intervals.mirror),
+            ("intervals.demand", self.intervals.demand),
+            ("intervals.fleet", self.intervals.fleet),
+            ("lease.renewal", self.lease.renewal),
+        ] {
+            if value.is_zero() {
+                report.push(place, "needs to be above 0s");
+            }
+        }
+        if !self.lease.terms().is_covered(CLOCK_RATE) {
+            report.push("lease.margin", "does not cover clocks that differ by 0.1 %");
+        }
+        if self.lease.renewal * 2 > self.lease.term.saturating_sub(self.lease.margin) {
+            report.push(
+                "lease.renewal",
+                "needs to be at most half of term less margin",
+            );
         }
     }
 }
--- a/crates/steer/tests/common/mod.rs
+++ b/crates/steer/tests/common/mod.rs
@@ -8,13 +8,15 @@
 use std::time::Duration;
 
 use agate_fake::memory::{Fault, Memory};
+use agate_model::endpoint::Endpoint;
 use agate_model::key::Digest;
 use agate_platform::Error;
-use agate_platform::interface::{Answer, Hosts, Objects, Orders, Reports};
+use agate_platform::interface::{Answer, Engines, Hosts, Objects, Orders, Reports};
 use agate_settings::file;
 use agate_steer::platform::Platform;
 use agate_steer::run::{Process, Sockets};
 use agate_steer::settings::Settings;
+use agate_wire::engine::{self, Fenced, Load};
 use agate_wire::order::{Machine, Order, Receipt};
 use agate_wire::platform::{Listing, Report};
 use awc::http::Method;
@@ -97,6 +99,22 @@
     }
 }
 
+impl Engines for Rest {
+    fn load<'a>(&'a self, _: &'a Endpoint) -> Answer<'a, Load> {
+        Box::pin(async { Err(Error::Unreached("no engines".to_owned())) })
+    }
+
+    fn order<'a>(
+        &'a self,
+        _: &'a Endpoint,
+        _: &'a engine::Order,
+        _: Duration,
+        _: &'a dyn Fn() -> bool,
+    ) -> Answer<'a, Result<(), Fenced>> {
+        Box::pin(async { Err(Error::Unreached("no engines".to_owned())) })
+    }
+}
+
 impl Reports for Rest {
     fn send<'a>(
         &'a self,
@@ -167,7 +185,8 @@
         objects: rest.clone(),
         orders: rest.clone(),
         reports: rest.clone(),
-        hosts: rest,
+        hosts: rest.clone(),
+        engines: rest,
     }
 }
 
--- a/crates/wire/src/order.rs
+++ b/crates/wire/src/order.rs
@@ -94,3 +94,28 @@
     /// Price, in thousandths of the standard price per hour.
     pub price_milli: u32,
 }
+
+/// What is known of a recorded order.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(tag = "progress", rename_all = "snake_case")]
+pub enum Progress {
+    /// Recorded; no answer yet, or the answer was lost.
+    Open,
+    /// Carried out.
+    Done {
+        /// Name of the endpoint.
+        endpoint: String,
+    },
+    /// Refused for good.
+    Refused,
+}
+
+/// Row `order/{epoch:020}/{order}`.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Record {
+    /// The order as it was last sent.
+    pub order: Order,
+    /// What is known of it.
+    #[serde(flatten)]
+    pub progress: Progress,
+}
