--- a/crates/proof/tests/cutoff.rs
+++ b/crates/proof/tests/cutoff.rs
@@ -116,3 +116,23 @@
     .await;
     relay.close();
 }
+
+#[actix_rt::test]
+async fn gate_serves_on_when_its_control_process_ends() {
+    let mut deployment = Deployment::start(three_hosts()).await;
+    let key = deployment.key("withdrawn").await;
+    let kept = deployment.key("kept").await;
+    deployment.hosts[CUT_OFF].steer.kill();
+    let gate = deployment.gate(CUT_OFF);
+    let end = Instant::now() + IN_FORCE + SLACK;
+    while Instant::now() < end {
+        let response = models(gate, &kept).send().await.expect("gate answers");
+        assert_eq!(
+            response.status, 200,
+            "the control processes of its peers serve it"
+        );
+        tokio::time::sleep(POLL).await;
+    }
+    deployment.operator(0).withdraw("withdrawn").await;
+    stops(&deployment, &key).await;
+}
