--- a/crates/gate/src/forward/plain.rs
+++ b/crates/gate/src/forward/plain.rs
@@ -4,19 +4,19 @@
 
 use actix_http::StatusCode;
 use actix_http::header::HeaderMap;
-use agate_model::refusal::Reason;
+use agate_retry::decision::Outcome;
 use agate_wire::platform::Figures;
 use bytes::{Bytes, BytesMut};
 use tokio::time::Instant;
 
 use super::attempt::{Answered, Attempts};
-use super::{client, headers};
+use super::{claimed, client, headers};
 use crate::admission::{Cost, Slot};
-use crate::choice::Outcome;
+use crate::choice;
 use crate::front::reply::{self, Answer};
 use crate::gate::Gate;
 use crate::metrics::Retry;
-use crate::refusal::{Denial, Progress, Refusal, Unsent};
+use crate::refusal::{Denial, Progress, Refusal};
 use crate::work::Work;
 
 /// A whole answer of an endpoint.
@@ -27,15 +27,20 @@
     pub headers: HeaderMap,
     /// Body.
     pub body: Bytes,
+    /// Whether it answered an earlier submission, which was counted then.
+    pub replayed: bool,
 }
 
 /// Admits a call, sends it, and answers with what the endpoint said.
-pub async fn run(gate: &Rc<Gate>, work: Rc<Work>, unsent: Unsent) -> Result<Answer, Refusal> {
+pub async fn run(gate: &Rc<Gate>, work: Rc<Work>) -> Result<Answer, Refusal> {
     let slot = match admit(gate, &work).await {
         Ok(slot) => slot,
-        Err(denial) => return Err(unsent.refuse(denial)),
+        Err(denial) => return Err(Progress::received(false).refuse(denial)),
+    };
+    let whole = match &work.idempotency {
+        Some(key) if !work.class.idempotent => claimed::fetch(gate, &work, key).await?,
+        _ => fetch(gate, &work, Progress::received(work.class.idempotent)).await?,
     };
-    let whole = fetch(gate, &work, Progress::Unsent(unsent)).await?;
     Ok(deliver(gate, &work, whole, slot, Cost::default()))
 }
 
@@ -57,13 +62,13 @@
         let (answered, sent) = attempts.run(progress).await?;
         match receive(gate, work, answered).await {
             Ok(whole) => return Ok(whole),
-            Err(denial) => progress = attempts.again(Retry::Broken, sent, denial).await?,
+            Err(outcome) => progress = attempts.again(Retry::Broken, sent, outcome).await?,
         }
     }
 }
 
 /// Receives the rest of an answer.
-pub async fn receive(gate: &Gate, work: &Work, answered: Answered) -> Result<Whole, Denial> {
+pub async fn receive(gate: &Gate, work: &Work, answered: Answered) -> Result<Whole, Outcome> {
     let Answered {
         response,
         flight,
@@ -73,26 +78,18 @@
     let status = response.status();
     let headers = headers::passed_back(response.headers());
     let limit = gate.settings.limits.answer.bytes();
-    let received = tokio::time::timeout_at(
-        work.deadline,
-        collect(client::Body::new(&work.method, response), limit),
-    )
-    .await;
-    let body = match received {
-        Ok(Ok(body)) => body,
-        Ok(Err(denial)) => {
-            flight.close(Outcome::Failed);
-            return Err(denial);
-        }
-        Err(_) => {
-            flight.close(Outcome::Failed);
-            let message = "the answer was not whole in time";
-            return Err(Denial::new(Reason::EndpointTimeout, message));
+    let answer = client::Body::new(&work.method, response);
+    let received = tokio::time::timeout_at(work.deadline, collect(answer, limit)).await;
+    let body = match received.unwrap_or(Err(Outcome::TimedOut)) {
+        Ok(body) => body,
+        Err(outcome) => {
+            flight.close(choice::Outcome::Failed);
+            return Err(outcome);
         }
     };
     let outcome = match status.is_server_error() {
-        true => Outcome::Failed,
-        false => Outcome::Answered(latency),
+        true => choice::Outcome::Failed,
+        false => choice::Outcome::Answered(latency),
     };
     flight.close(outcome);
     cancel.close();
@@ -100,17 +97,17 @@
         status,
         headers,
         body,
+        replayed: false,
     })
 }
 
-async fn collect(mut answer: client::Body, limit: usize) -> Result<Bytes, Denial> {
+async fn collect(mut answer: client::Body, limit: usize) -> Result<Bytes, Outcome> {
     let mut body = BytesMut::new();
     while let Some(chunk) = answer.next().await {
-        let broken = |err: client::Broken| Denial::new(Reason::EndpointFailed, err.to_string());
-        let chunk = chunk.map_err(broken)?;
+        let chunk = chunk.map_err(|_| Outcome::Failed)?;
         if body.len() + chunk.len() > limit {
-            let message = format!("the answer is larger than {limit} bytes");
-            return Err(Denial::new(Reason::EndpointFailed, message));
+            tracing::warn!(event = "answer_too_large", limit);
+            return Err(Outcome::Failed);
         }
         body.extend_from_slice(&chunk);
     }
@@ -127,13 +124,13 @@
 ) -> Answer {
     slot.charge(cost);
     drop(slot);
-    let success = !whole.status.is_server_error();
+    let counted = !whole.replayed && !whole.status.is_server_error();
     let response = reply::forwarded(whole.status, whole.headers, whole.body);
     let gate = gate.clone();
     let work = work.clone();
     let answered = Instant::now();
     let delivered = move || {
-        if !success {
+        if !counted {
             return;
         }
         let latency = answered - work.arrival;
