queue, pick: room by tier

A slot freed on an engine went to whichever host had work, so lower tiers of a quiet host ran while a higher one waited on a busy host. Higher tiers may now fill more of an endpoint, whose own queue knows priorities. Starts from the reserve count as the highest tier, so that they find room.

--- a/crates/load/src/sim/attempt.rs
+++ b/crates/load/src/sim/attempt.rs
@@ -48,6 +48,7 @@
             pools: std::slice::from_ref(&self.pools[request.pool]),
             prefix: &request.blocks,
             zone: &host.zone,
+            tier: run.urgency,
             reclaimable: class.reclaimable,
             excluded: &run.tried,
             tokens: work_tokens(u64::from(request.prompt), expected),
--- a/crates/load/src/sim/policy.rs
+++ b/crates/load/src/sim/policy.rs
@@ -16,6 +16,7 @@
 pub(crate) struct Begun {
     pub(crate) ticket: Ticket,
     pub(crate) item: Item,
+    pub(crate) urgency: Tier,
     pub(crate) charge: Option<Charge>,
 }
 
@@ -42,6 +43,7 @@
         Some(Begun {
             ticket: start.ticket,
             item: start.item,
+            urgency: start.urgency,
             charge: Some(start.charge),
         })
     }
@@ -53,6 +55,7 @@
                 ticket: begun.ticket,
                 item: begun.item,
                 waited: Default::default(),
+                urgency: begun.urgency,
                 charge: begun.charge.expect("a scheduler charges every start"),
             },
         )
--- a/crates/load/src/sim/world.rs
+++ b/crates/load/src/sim/world.rs
@@ -5,7 +5,7 @@
 
 use agate_model::class::Class;
 use agate_model::endpoint::Kind;
-use agate_model::id::{EndpointId, PoolId};
+use agate_model::id::{EndpointId, PoolId, Tier};
 use agate_model::refusal::Reason;
 use agate_model::resource::Spec;
 use agate_queue::{Charge, Item, Offer, Room};
@@ -41,6 +41,7 @@
     pub(crate) active: Vec<attempt::Key>,
     pub(crate) tried: Vec<EndpointId>,
     pub(crate) sends: u32,
+    pub(crate) urgency: Tier,
     pub(crate) first_token: Option<Instant>,
     done: bool,
 }
@@ -86,6 +87,7 @@
             active: Vec::new(),
             tried: Vec::new(),
             sends: 0,
+            urgency: 0,
             first_token: None,
             done: false,
         };
@@ -279,11 +281,13 @@
             let room = host
                 .placement
                 .room(self.now, std::slice::from_ref(&self.pools[pool]));
-            let room = match (room.standard, room.reclaimable) {
-                (true, _) => Room::Any,
-                (false, true) => Room::Reclaimable,
-                (false, false) => return,
+            let room = Room {
+                standard: room.standard,
+                reclaimable: room.reclaimable,
             };
+            if room.is_full() {
+                return;
+            }
             let lane = &mut host.lanes[pool];
             let Some(begun) = lane.queue.next(self.now, room) else {
                 return;
@@ -296,6 +300,7 @@
                 self.finish(no, End::Refused(Reason::DeadlinePassed), 0);
                 continue;
             }
+            self.runs[no].urgency = begun.urgency;
             if !self.send(no, false) {
                 let lane = &mut self.hosts[host_no].lanes[pool];
                 let ticket = lane.queue.put_back(begun);
--- a/crates/pick/src/endpoint.rs
+++ b/crates/pick/src/endpoint.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use agate_model::endpoint::Kind;
-use agate_model::id::{EndpointId, ZoneId};
+use agate_model::id::{EndpointId, TIER_COUNT, ZoneId};
 
 use crate::health::Health;
 use crate::pool;
@@ -121,11 +121,11 @@
         f64::from(self.slots) * warm.clamp(SLOW_START_MIN, 1.0)
     }
 
-    /// Own requests that this host may have in flight.
-    pub(crate) fn cap(&self, live_hosts: u32, sharing: Sharing) -> u32 {
-        let slots = f64::from(self.slots);
+    /// Own requests in flight up to which a request of this tier may be added.
+    pub(crate) fn cap(&self, live_hosts: u32, tier: usize, tuning: &Tuning) -> u32 {
+        let slots = f64::from(self.slots) * tuning.headroom[tier];
         let part = slots / f64::from(live_hosts.max(1));
-        let cap = match sharing {
+        let cap = match tuning.sharing {
             Sharing::Whole => slots,
             Sharing::Equal { factor } => part * factor,
             Sharing::Borrow { fraction } => {
@@ -133,7 +133,13 @@
                 part.max(part + fraction * (free - part))
             }
         };
-        (cap.ceil() as u32).clamp(1, self.slots)
+        (cap.ceil() as u32).max(1)
+    }
+
+    /// The lowest tier for which another request may be added.
+    pub(crate) fn lowest_tier(&self, live_hosts: u32, tuning: &Tuning) -> Option<usize> {
+        let fits = |&tier: &usize| self.own < self.cap(live_hosts, tier, tuning);
+        (0..TIER_COUNT).rev().find(fits)
     }
 
     /// Ends an ejection; the endpoint starts slowly again.
--- a/crates/pick/src/picker.rs
+++ b/crates/pick/src/picker.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use agate_model::endpoint::{Endpoint, Kind};
-use agate_model::id::{EndpointId, PoolId};
+use agate_model::id::{EndpointId, PoolId, TIER_COUNT};
 use rand::RngCore;
 use slotmap::SlotMap;
 
@@ -136,8 +136,8 @@
         let mut room = Room::default();
         for key in pools.iter().filter_map(|id| self.pool_names.get(id)) {
             let pool = &self.pools[*key];
-            room.standard |= pool.standard.len() > 0;
-            room.reclaimable |= pool.reclaimable.len() > 0;
+            room.standard = room.standard.max(pool.lowest_tier(Kind::Standard));
+            room.reclaimable = room.reclaimable.max(pool.lowest_tier(Kind::Reclaimable));
         }
         room
     }
@@ -272,9 +272,11 @@
     /// Updates whether an endpoint may be chosen.
     fn refresh(&mut self, key: Key) {
         let entry = &self.entries[key];
-        let cap = entry.cap(self.live_hosts, self.tuning.sharing);
-        let open = !entry.leaving && !entry.health.is_ejected() && entry.own < cap;
-        self.pools[entry.pool].available(entry.kind).set(key, open);
+        let lowest = match entry.leaving || entry.health.is_ejected() {
+            true => None,
+            false => entry.lowest_tier(self.live_hosts, &self.tuning),
+        };
+        self.pools[entry.pool].set_open(entry.kind, key, lowest);
     }
 
     /// Ejects an outlier, unless too few endpoints would be left.
@@ -357,12 +359,12 @@
     ) -> Option<Key> {
         let pool = &self.pools[pool];
         let empty = Set::default();
-        let reclaimable = if wish.reclaimable {
-            &pool.reclaimable
-        } else {
-            &empty
+        let tier = tier(wish);
+        let standard = pool.open(Kind::Standard, tier);
+        let reclaimable = match wish.reclaimable {
+            true => pool.open(Kind::Reclaimable, tier),
+            false => &empty,
         };
-        let standard = &pool.standard;
         let fits = |key: Key| Some(key) != but && !wish.excluded.contains(&self.entries[key].id);
         let prefer = but.is_none() && reclaimable.len() > 0;
         for _ in 0..MAX_DRAWS {
@@ -385,6 +387,7 @@
         let blocks = &wish.prefix[..wish.prefix.len().min(MAX_BLOCKS)];
         self.pools[pool].popularity.observe(blocks);
         let pool = &self.pools[pool];
+        let tier = tier(wish);
         let most = SPECIFIC / pool.members.max(1) as f64;
         let block = *blocks
             .iter()
@@ -392,8 +395,8 @@
         let bound = (pool.mean_load() * self.tuning.affinity_bound).max(AFFINITY_FREE);
         pool.table.get(block).find(|&key| {
             let entry = &self.entries[key];
-            let open =
-                pool.standard.contains(key) || (wish.reclaimable && pool.reclaimable.contains(key));
+            let open = pool.open(Kind::Standard, tier).contains(key)
+                || (wish.reclaimable && pool.open(Kind::Reclaimable, tier).contains(key));
             open && !wish.excluded.contains(&entry.id) && self.load(now, key) <= bound
         })
     }
@@ -423,3 +426,7 @@
         score
     }
 }
+
+fn tier(wish: &Wish<'_>) -> usize {
+    usize::from(wish.tier).min(TIER_COUNT - 1)
+}
--- a/crates/pick/src/pool.rs
+++ b/crates/pick/src/pool.rs
@@ -1,7 +1,9 @@
 //! Endpoints of one pool.
 
 use agate_model::endpoint::Kind;
+use agate_model::id::{TIER_COUNT, Tier};
 
+use crate::endpoint;
 use crate::popularity::Popularity;
 use crate::set::Set;
 use crate::table::Table;
@@ -17,9 +19,9 @@
 /// Endpoints of a pool and the figures that they are compared with.
 #[derive(Debug, Default)]
 pub(crate) struct Pool {
-    /// Endpoints that may be chosen now, by kind.
-    pub(crate) standard: Set,
-    pub(crate) reclaimable: Set,
+    /// Endpoints that may be chosen now, by kind and by tier of the request.
+    standard: [Set; TIER_COUNT],
+    reclaimable: [Set; TIER_COUNT],
     /// All endpoints that take new work, for prefix affinity.
     pub(crate) table: Table,
     pub(crate) popularity: Popularity,
@@ -36,13 +38,32 @@
 }
 
 impl Pool {
-    pub(crate) fn available(&mut self, kind: Kind) -> &mut Set {
+    /// Endpoints that may be chosen for a tier.
+    pub(crate) fn open(&self, kind: Kind, tier: usize) -> &Set {
         match kind {
+            Kind::Standard => &self.standard[tier],
+            Kind::Reclaimable => &self.reclaimable[tier],
+        }
+    }
+
+    /// Notes the lowest tier for which an endpoint may be chosen.
+    pub(crate) fn set_open(&mut self, kind: Kind, key: endpoint::Key, lowest: Option<usize>) {
+        let sets = match kind {
             Kind::Standard => &mut self.standard,
             Kind::Reclaimable => &mut self.reclaimable,
+        };
+        for (tier, set) in sets.iter_mut().enumerate() {
+            set.set(key, lowest.is_some_and(|lowest| tier <= lowest));
         }
     }
 
+    /// The lowest tier for which some endpoint may be chosen.
+    pub(crate) fn lowest_tier(&self, kind: Kind) -> Option<Tier> {
+        let mut tiers = (0..TIER_COUNT).rev();
+        let lowest = tiers.find(|&tier| self.open(kind, tier).len() > 0)?;
+        Some(lowest as Tier)
+    }
+
     /// Median time per token over all answers.
     pub(crate) fn median(&self) -> Option<f64> {
         self.median
--- a/crates/pick/src/tuning.rs
+++ b/crates/pick/src/tuning.rs
@@ -2,7 +2,10 @@
 
 use std::time::Duration;
 
-/// How much of an endpoint one host may use.
+use agate_model::id::TIER_COUNT;
+
+/// How much of an endpoint one host may use. The slots meant here are those
+/// for the tier of the request, see [`Tuning::headroom`].
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Sharing {
     /// All slots.
@@ -24,6 +27,10 @@
 pub struct Tuning {
     /// Part of an endpoint's slots for this host.
     pub sharing: Sharing,
+    /// Slots counted for each tier, relative to the endpoint's slots. Above 1 requests
+    /// may wait on the endpoint, which starts higher tiers first; falling with the tier,
+    /// so that lower tiers leave room for higher ones.
+    pub headroom: [f64; TIER_COUNT],
     /// Age at which a load report has lost most of its weight.
     pub report_memory: Duration,
     /// Load of the endpoint preferred for its prefix cache, relative to the
@@ -53,6 +60,7 @@
     fn default() -> Self {
         Self {
             sharing: Sharing::Borrow { fraction: 0.5 },
+            headroom: [2.0, 1.5, 1.2, 1.0, 0.9],
             report_memory: Duration::from_secs(5),
             affinity_bound: 1.25,
             zone_cost: Duration::from_millis(2),
--- a/crates/pick/src/wish.rs
+++ b/crates/pick/src/wish.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use agate_model::id::{EndpointId, PoolId, ZoneId};
+use agate_model::id::{EndpointId, PoolId, Tier, ZoneId};
 
 use crate::endpoint::Key;
 
@@ -13,6 +13,8 @@
     pub pools: &'a [PoolId],
     /// Hashes of the prompt's prefix blocks; each covers the blocks before it too.
     pub prefix: &'a [u64],
+    /// Priority; 0 is the highest. Higher tiers may fill more of an endpoint.
+    pub tier: Tier,
     /// Availability zone of this host.
     pub zone: &'a ZoneId,
     /// Whether it may run on reclaimable endpoints.
@@ -31,13 +33,14 @@
     (answer + prompt / PROMPT_PER_ANSWER).max(1)
 }
 
-/// Whether endpoints may be chosen now, by kind.
+/// The lowest tier for which an endpoint may be chosen now, by kind; `None` if
+/// there is none for any tier.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Room {
-    /// Some standard endpoint.
-    pub standard: bool,
-    /// Some reclaimable endpoint.
-    pub reclaimable: bool,
+    /// On standard endpoints.
+    pub standard: Option<Tier>,
+    /// On reclaimable endpoints.
+    pub reclaimable: Option<Tier>,
 }
 
 /// A chosen endpoint.
--- a/crates/pick/tests/common/mod.rs
+++ b/crates/pick/tests/common/mod.rs
@@ -4,7 +4,7 @@
 use std::net::{Ipv4Addr, SocketAddr};
 
 use agate_model::endpoint::{Endpoint, Fencing, Kind, Protocol};
-use agate_model::id::{EndpointId, PoolId, ZoneId};
+use agate_model::id::{EndpointId, PoolId, Tier, ZoneId};
 use agate_pick::Wish;
 use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
 
@@ -40,6 +40,7 @@
     pub(crate) prefix: Vec<u64>,
     pub(crate) excluded: Vec<EndpointId>,
     pub(crate) reclaimable: bool,
+    pub(crate) tier: Tier,
 }
 
 impl Asked {
@@ -50,6 +51,7 @@
             prefix: Vec::new(),
             excluded: Vec::new(),
             reclaimable: false,
+            tier: 3,
         }
     }
 
@@ -58,6 +60,7 @@
             pools: &self.pools,
             prefix: &self.prefix,
             zone: &self.zone,
+            tier: self.tier,
             reclaimable: self.reclaimable,
             excluded: &self.excluded,
             tokens: 100,
--- a/crates/queue/src/class.rs
+++ b/crates/queue/src/class.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeSet, HashMap};
 
-use agate_model::id::{AccountId, ClassId};
+use agate_model::id::{AccountId, ClassId, Tier};
 
 use crate::flow;
 use crate::item::Room;
@@ -56,9 +56,15 @@
         }
     }
 
-    /// Whether its work can run where there is room.
+    /// Whether there is room for its work.
     pub(crate) fn fits(&self, room: Room) -> bool {
-        self.reclaimable || room == Room::Any
+        let has = |lowest: Option<Tier>| lowest.is_some_and(|it| self.tier <= usize::from(it));
+        has(room.standard) || (self.reclaimable && has(room.reclaimable))
+    }
+
+    /// Whether there is room for its work if it counts as the highest tier.
+    pub(crate) fn fits_urgently(&self, room: Room) -> bool {
+        room.standard.is_some() || (self.reclaimable && room.reclaimable.is_some())
     }
 
     /// The flow most over its share, and how far it is over.
--- a/crates/queue/src/item.rs
+++ b/crates/queue/src/item.rs
@@ -63,13 +63,27 @@
     Refused(Reason),
 }
 
-/// Which endpoints have a free slot.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Room {
-    /// At least one that every class may use.
-    Any,
-    /// Only reclaimable ones.
-    Reclaimable,
+/// Which endpoints have a free slot, and for whom: the lowest tier that may
+/// take one, by kind.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Room {
+    /// On standard endpoints, which every class may use.
+    pub standard: Option<Tier>,
+    /// On reclaimable endpoints.
+    pub reclaimable: Option<Tier>,
+}
+
+impl Room {
+    /// Room for every class.
+    pub const ANY: Room = Room {
+        standard: Some(Tier::MAX),
+        reclaimable: Some(Tier::MAX),
+    };
+
+    /// Whether there is no room for anybody.
+    pub fn is_full(&self) -> bool {
+        self.standard.is_none() && self.reclaimable.is_none()
+    }
 }
 
 /// A request to run now.
@@ -81,6 +95,8 @@
     pub item: Item,
     /// Time spent in the queue.
     pub waited: Duration,
+    /// Tier to choose an endpoint with; the highest one for a start from the reserve.
+    pub urgency: Tier,
     /// Tokens charged; hand it to [`crate::Scheduler::settle`] when the request ends.
     pub charge: Charge,
 }
--- a/crates/queue/src/scheduler.rs
+++ b/crates/queue/src/scheduler.rs
@@ -139,8 +139,13 @@
     /// Takes the request to run next. Call it when an endpoint has a free slot.
     pub fn next(&mut self, now: Instant, room: Room) -> Option<Start> {
         self.rate.advance(now, !self.entries.is_empty());
-        let strict = self.strict(room)?;
-        let class = self.reserved(strict, room).unwrap_or(strict);
+        let strict = self.strict(room);
+        let reserved = self.reserved(strict, room);
+        let class = reserved.or(strict)?;
+        let urgency = match reserved {
+            Some(_) => 0,
+            None => self.classes[class].tier as Tier,
+        };
         let flow = self.classes[class]
             .flows
             .first()
@@ -158,6 +163,7 @@
             ticket,
             waited: now.saturating_duration_since(entry.item.arrival),
             item: entry.item,
+            urgency,
             charge,
         })
     }
@@ -283,8 +289,10 @@
     }
 
     /// The class that gets this start from the reserve, if any.
-    fn reserved(&mut self, strict: class::Key, room: Room) -> Option<class::Key> {
-        self.credit = (self.credit + RESERVE_MILLI).min(MAX_CREDIT_MILLI);
+    fn reserved(&mut self, strict: Option<class::Key>, room: Room) -> Option<class::Key> {
+        if strict.is_some() {
+            self.credit = (self.credit + RESERVE_MILLI).min(MAX_CREDIT_MILLI);
+        }
         if self.credit < START_MILLI {
             return None;
         }
@@ -293,14 +301,16 @@
         let class = &mut self.classes[key];
         class.reserved = counter + SCALE / u64::from(class.weight);
         self.reserve.update(key, counter, class.reserved);
-        self.skip(strict, counter);
+        if let Some(strict) = strict {
+            self.skip(strict, counter);
+        }
         Some(key)
     }
 
     /// The class with the fewest starts from the reserve, other than `strict`.
-    fn passed_over(&self, strict: class::Key, room: Room) -> Option<(Counter, class::Key)> {
-        let mut others = self.reserve.iter().filter(|&(_, key)| key != strict);
-        others.find(|&(_, key)| self.classes[key].fits(room))
+    fn passed_over(&self, strict: Option<class::Key>, room: Room) -> Option<(Counter, class::Key)> {
+        let mut others = self.reserve.iter().filter(|&(_, key)| Some(key) != strict);
+        others.find(|&(_, key)| self.classes[key].fits_urgently(room))
     }
 
     /// Keeps a class that was passed over, as it is served anyway, from saving up.
