Gate: endpoints are chosen with the urgency of the start

Cause: the scheduler names the tier to choose with, the highest one for a start from the reserve; with the class's own tier such a start would find no room and wait.

--- a/crates/gate/src/admission/fair.rs
+++ b/crates/gate/src/admission/fair.rs
@@ -221,7 +221,7 @@
             .waiters
             .remove(start.ticket)
             .expect("each queued request has a waiter");
-        let Some(flight) = self.choice.clone().choose(&waiter.work, &[]) else {
+        let Some(flight) = self.choice.clone().choose(&waiter.work, start.urgency, &[]) else {
             let ticket = lane.scheduler.put_back(start);
             waiter.ticket.set(ticket);
             lane.waiters.insert(ticket, waiter);
--- a/crates/gate/src/choice.rs
+++ b/crates/gate/src/choice.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use agate_model::endpoint::Endpoint;
-use agate_model::id::{EndpointId, PoolId, ZoneId};
+use agate_model::id::{EndpointId, PoolId, Tier, ZoneId};
 use agate_pick::{Picker, Report, Wish, wish};
 use agate_queue::Room;
 use agate_wire::engine::Load;
@@ -38,7 +38,13 @@
     fn room(&self, pools: &[PoolId]) -> Option<Room>;
 
     /// An endpoint for `work` other than those in `excluded`, counted as in use.
-    fn choose(self: Rc<Self>, work: &Work, excluded: &[EndpointId]) -> Option<Flight>;
+    /// Room is judged by the tier `urgency`.
+    fn choose(
+        self: Rc<Self>,
+        work: &Work,
+        urgency: Tier,
+        excluded: &[EndpointId],
+    ) -> Option<Flight>;
 
     /// An attempt has ended.
     fn finish(&self, flight: agate_pick::Flight, outcome: Outcome);
@@ -119,18 +125,24 @@
 impl Choice for Picked {
     fn room(&self, pools: &[PoolId]) -> Option<Room> {
         let room = self.picker.borrow_mut().room(now(), pools);
-        match (room.standard, room.reclaimable) {
-            (true, _) => Some(Room::Any),
-            (false, true) => Some(Room::Reclaimable),
-            (false, false) => None,
-        }
+        let room = Room {
+            standard: room.standard,
+            reclaimable: room.reclaimable,
+        };
+        (!room.is_full()).then_some(room)
     }
 
-    fn choose(self: Rc<Self>, work: &Work, excluded: &[EndpointId]) -> Option<Flight> {
+    fn choose(
+        self: Rc<Self>,
+        work: &Work,
+        urgency: Tier,
+        excluded: &[EndpointId],
+    ) -> Option<Flight> {
         let now = now();
         let wish = Wish {
             pools: &work.route.pools,
             prefix: &work.prefix,
+            tier: urgency,
             zone: &self.zone,
             reclaimable: work.class.reclaimable,
             excluded,
--- a/crates/gate/src/forward/attempt.rs
+++ b/crates/gate/src/forward/attempt.rs
@@ -78,7 +78,7 @@
     /// Reserves an endpoint that was not tried. Returns whether there is one.
     pub fn reserve(&mut self) -> bool {
         let choice = self.gate.choice.clone();
-        self.first = choice.choose(&self.work, &self.tried.borrow());
+        self.first = choice.choose(&self.work, self.work.class.tier, &self.tried.borrow());
         self.first.is_some()
     }
 
@@ -186,8 +186,11 @@
     async fn choose_again(&self) -> Result<Flight, Denial> {
         loop {
             let choice = &self.gate.choice;
-            let untried = choice.clone().choose(&self.work, &self.tried.borrow());
-            let found = untried.or_else(|| choice.clone().choose(&self.work, &[]));
+            let tier = self.work.class.tier;
+            let untried = choice
+                .clone()
+                .choose(&self.work, tier, &self.tried.borrow());
+            let found = untried.or_else(|| choice.clone().choose(&self.work, tier, &[]));
             if let Some(flight) = found {
                 return Ok(flight);
             }
