TLS towards callers, with the certificate read again on SIGHUP

actix-tls was in the tree already; its acceptor feeds the same HTTP service. New connections get the new certificate, open ones keep theirs, and one that can't be used changes nothing.

--- a/crates/gate/src/front/server.rs
+++ b/crates/gate/src/front/server.rs
@@ -15,8 +15,10 @@
 use actix_http::{Extensions, HttpService, Request, Response};
 use actix_rt::net::TcpStream;
 use actix_service::{Service, ServiceFactory, fn_service};
+use actix_tls::accept::rustls_0_23::{Acceptor, AcceptorService, TlsStream};
 use agate_model::refusal::Reason;
 use futures_util::future::LocalBoxFuture;
+use tokio::io::{AsyncRead, AsyncWrite};
 use tokio::net::TcpListener;
 
 use super::body::Tracked;
@@ -25,12 +27,24 @@
 use crate::activity::Phase;
 use crate::gate::{Gate, random_id};
 use crate::refusal::{Denial, Progress};
+use crate::tls;
 
 /// Connections beyond the limit that still get a written refusal.
 const REFUSED_CONNECTIONS: usize = 64;
 /// Pause after a failed accept, for example for want of file descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
+/// Why a listener can't serve.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// The address can't be used.
+    #[error(transparent)]
+    Io(#[from] io::Error),
+    /// The certificate can't be used.
+    #[error(transparent)]
+    Tls(#[from] tls::Error),
+}
+
 /// Serves one connection to its end.
 pub trait Connection {
     /// Starts serving `stream`.
@@ -43,6 +57,13 @@
     keep_alive: Duration,
 }
 
+impl<S> Http<S> {
+    fn watch<T>(&self, io: T) -> Watched<T> {
+        let watch = Watch::new(self.head_timeout, self.keep_alive + self.head_timeout);
+        Watched::new(io, watch)
+    }
+}
+
 impl<S> Connection for Http<S>
 where
     S: Service<(Watched<TcpStream>, Option<SocketAddr>)> + 'static,
@@ -50,53 +71,98 @@
 {
     fn serve(&self, stream: TcpStream) -> LocalBoxFuture<'static, ()> {
         let peer = stream.peer_addr().ok();
-        let watch = Watch::new(self.head_timeout, self.keep_alive + self.head_timeout);
-        let served = self.service.call((Watched::new(stream, watch), peer));
+        let served = self.service.call((self.watch(stream), peer));
+        Box::pin(async move { note(served.await) })
+    }
+}
+
+struct Https<S> {
+    acceptor: Rc<AcceptorService>,
+    http: Rc<Http<S>>,
+}
+
+impl<S> Connection for Https<S>
+where
+    S: Service<(Watched<TlsStream<TcpStream>>, Option<SocketAddr>)> + 'static,
+    S::Error: std::fmt::Debug,
+{
+    fn serve(&self, stream: TcpStream) -> LocalBoxFuture<'static, ()> {
+        let peer = stream.peer_addr().ok();
+        let accepted = self.acceptor.call(stream);
+        let http = self.http.clone();
         Box::pin(async move {
-            if let Err(err) = served.await {
-                tracing::debug!(event = "connection_failed", error = ?err);
+            match accepted.await {
+                Ok(stream) => note(http.service.call((http.watch(stream), peer)).await),
+                Err(err) => note::<(), _>(Err(err)),
             }
         })
     }
 }
 
-/// Builds the HTTP service for callers.
-pub async fn callers(gate: &Rc<Gate>) -> io::Result<Rc<dyn Connection>> {
-    let handler = gate.clone();
-    http(gate, move |request| {
-        let gate = handler.clone();
+fn note<T, E: std::fmt::Debug>(result: Result<T, E>) {
+    if let Err(err) = result {
+        tracing::debug!(event = "connection_failed", error = ?err);
+    }
+}
+
+/// Builds the service for callers, with TLS if there is a certificate.
+pub async fn callers(gate: &Rc<Gate>) -> Result<Rc<dyn Connection>, Error> {
+    let state = gate.clone();
+    let handler = move |request| {
+        let gate = state.clone();
         async move { route::handle(gate, request).await }
-    })
-    .await
+    };
+    let Some(settings) = &gate.settings.tls else {
+        return Ok(Rc::new(http::<TcpStream, _, _>(gate, handler).await?));
+    };
+    let mut acceptor = Acceptor::new(tls::load(settings)?);
+    acceptor.set_handshake_timeout(gate.settings.limits.head_timeout);
+    let acceptor = ServiceFactory::<TcpStream>::new_service(&acceptor, ())
+        .await
+        .map_err(|()| unbuilt())?;
+    Ok(Rc::new(Https {
+        acceptor: Rc::new(acceptor),
+        http: Rc::new(http::<TlsStream<TcpStream>, _, _>(gate, handler).await?),
+    }))
 }
 
-/// Builds the HTTP service for operators.
-pub async fn operators(gate: &Rc<Gate>) -> io::Result<Rc<dyn Connection>> {
-    let handler = gate.clone();
-    http(gate, move |request| {
-        let response = admin::handle(&handler, &request);
+/// Builds the service for operators.
+pub async fn operators(gate: &Rc<Gate>) -> Result<Rc<dyn Connection>, Error> {
+    let state = gate.clone();
+    let handler = move |request: Request| {
+        let response = admin::handle(&state, &request);
         async move { response }
-    })
-    .await
+    };
+    Ok(Rc::new(http::<TcpStream, _, _>(gate, handler).await?))
 }
 
-/// Builds the HTTP service for connections beyond the limit.
-pub async fn refusals(gate: &Rc<Gate>) -> io::Result<Rc<dyn Connection>> {
-    http(gate, |_| async {
+/// Builds the service for connections beyond the limit. They are refused in plain HTTP.
+pub async fn refusals(gate: &Rc<Gate>) -> Result<Rc<dyn Connection>, Error> {
+    let handler = |_| async {
         let denial = Denial::new(Reason::ConnectionLimit, "too many connections to this host");
-        let mut response = Progress::received(false)
-            .refuse(denial)
-            .response(&random_id());
+        let refusal = Progress::received(false).refuse(denial);
+        let mut response = refusal.response(&random_id());
         response
             .head_mut()
             .set_connection_type(actix_http::ConnectionType::Close);
         response
-    })
-    .await
+    };
+    Ok(Rc::new(http::<TcpStream, _, _>(gate, handler).await?))
 }
 
-async fn http<F, A>(gate: &Rc<Gate>, handler: F) -> io::Result<Rc<dyn Connection>>
+fn unbuilt() -> Error {
+    Error::Io(io::Error::other("the HTTP service could not be built"))
+}
+
+async fn http<T, F, A>(
+    gate: &Rc<Gate>,
+    handler: F,
+) -> Result<
+    Http<impl Service<(Watched<T>, Option<SocketAddr>), Error: std::fmt::Debug> + 'static>,
+    Error,
+>
 where
+    T: AsyncRead + AsyncWrite + Unpin + 'static,
     F: Fn(Request) -> A + Clone + 'static,
     A: Future<Output = Response<BoxBody>> + 'static,
 {
@@ -106,11 +172,10 @@
         .client_request_timeout(limits.head_timeout)
         .client_disconnect_timeout(limits.head_timeout)
         .keep_alive(limits.keep_alive)
-        .tcp_nodelay(true)
         // A caller that closes its side has gone away: its work is cancelled.
         .h1_allow_half_closed(false)
         .graceful_shutdown_signal(move || activity.reached(Phase::Closing))
-        .on_connect_ext(|io: &Watched<TcpStream>, data: &mut Extensions| {
+        .on_connect_ext(|io: &Watched<T>, data: &mut Extensions| {
             data.insert(io.watch());
         })
         .h1(fn_service(move |request: Request| {
@@ -123,12 +188,12 @@
             }
         }));
     match factory.new_service(()).await {
-        Ok(service) => Ok(Rc::new(Http {
+        Ok(service) => Ok(Http {
             service: Rc::new(service),
             head_timeout: limits.head_timeout,
             keep_alive: limits.keep_alive,
-        })),
-        Err(()) => Err(io::Error::other("the HTTP service could not be built")),
+        }),
+        Err(()) => Err(unbuilt()),
     }
 }
 
@@ -212,7 +277,11 @@
 
 async fn accept(socket: &TcpListener) -> Option<TcpStream> {
     match socket.accept().await {
-        Ok((stream, _)) => Some(stream),
+        Ok((stream, _)) => {
+            // Without it answers are only later, not wrong.
+            let _ = stream.set_nodelay(true);
+            Some(stream)
+        }
         Err(err) => {
             tracing::warn!(event = "accept_failed", error = %err);
             tokio::time::sleep(ACCEPT_PAUSE).await;
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -24,5 +24,6 @@
 pub mod refusal;
 pub mod settings;
 pub mod sync;
+pub mod tls;
 pub mod usage;
 pub mod work;
--- a/crates/gate/src/main.rs
+++ b/crates/gate/src/main.rs
@@ -70,7 +70,12 @@
         program.address(),
         program.admin()
     );
-    while signals.next().await != Event::Stop {}
+    while signals.next().await == Event::Reload {
+        match program.reload().await {
+            Ok(()) => tracing::info!(event = "reloaded"),
+            Err(err) => tracing::error!(event = "reload_failed", error = %err),
+        }
+    }
     let mut closing = std::pin::pin!(program.close());
     let loss = loop {
         tokio::select! {
--- a/crates/gate/src/program.rs
+++ b/crates/gate/src/program.rs
@@ -1,7 +1,6 @@
 //! A running gate: its listeners, its sync task and its shutdown.
 
 use std::cell::RefCell;
-use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -50,7 +49,7 @@
 
 impl Program {
     /// Binds both listeners and starts to serve.
-    pub async fn start(gate: Rc<Gate>, steer: Rc<dyn Steer>) -> io::Result<Self> {
+    pub async fn start(gate: Rc<Gate>, steer: Rc<dyn Steer>) -> Result<Self, server::Error> {
         let callers = Listener::bind(gate.settings.listen).await?;
         let operators = Listener::bind(gate.settings.admin).await?;
         let service = Rc::new(RefCell::new(server::callers(&gate).await?));
@@ -84,9 +83,12 @@
         self.admin
     }
 
-    /// Serves new connections by another service, for example with another certificate.
-    pub fn replace(&self, service: Rc<dyn Connection>) {
+    /// Reads the certificate again. Connections that are open keep the one they began
+    /// with, and a certificate that can't be used changes nothing.
+    pub async fn reload(&self) -> Result<(), server::Error> {
+        let service = server::callers(&self.gate).await?;
         *self.service.borrow_mut() = service;
+        Ok(())
     }
 
     /// Shuts down without cutting a request off, as far as the drain timeout allows.
--- /dev/null
+++ b/crates/gate/tests/tls.rs
@@ -0,0 +1,140 @@
+//! TLS towards callers, and replacing the certificate.
+
+mod support;
+
+use std::io::{Read as _, Write as _};
+use std::net::{SocketAddr, TcpStream};
+use std::path::Path;
+use std::sync::Arc;
+use std::time::Duration;
+
+use rustls::crypto::ring;
+use rustls::{ClientConfig, ClientConnection, RootCertStore, StreamOwned};
+use support::{Deployment, Endpoint, run, service, settings, text};
+use tempfile::TempDir;
+
+type Stream = StreamOwned<ClientConnection, TcpStream>;
+
+fn data(name: &str) -> std::path::PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR"))
+        .join("tests/data")
+        .join(name)
+}
+
+/// Copies the certificate `name` to where the gate reads it.
+fn install(directory: &TempDir, name: &str) {
+    let copy = |from: String, to: &str| {
+        std::fs::copy(data(&from), directory.path().join(to)).expect("a copy");
+    };
+    copy(format!("{name}.pem"), "certificate.pem");
+    copy(format!("{name}.key.pem"), "key.pem");
+}
+
+/// Connects as a caller that trusts only the certificate `name`.
+fn connect(address: SocketAddr, name: &str) -> Stream {
+    let pem = std::fs::read(data(&format!("{name}.pem"))).expect("a certificate");
+    let mut roots = RootCertStore::empty();
+    for certificate in rustls_pemfile::certs(&mut pem.as_slice()) {
+        roots
+            .add(certificate.expect("PEM"))
+            .expect("a trust anchor");
+    }
+    let config = ClientConfig::builder_with_provider(Arc::new(ring::default_provider()))
+        .with_safe_default_protocol_versions()
+        .expect("protocol versions")
+        .with_root_certificates(roots)
+        .with_no_client_auth();
+    let name = "gate.test".try_into().expect("a name");
+    let connection = ClientConnection::new(Arc::new(config), name).expect("a connection");
+    let socket = TcpStream::connect(address).expect("the gate listens");
+    socket
+        .set_read_timeout(Some(Duration::from_secs(10)))
+        .expect("an open socket");
+    StreamOwned::new(connection, socket)
+}
+
+fn get(stream: &mut Stream) -> std::io::Result<String> {
+    stream.write_all(b"GET /prices/1 HTTP/1.1\r\nhost: gate.test\r\n\r\n")?;
+    let mut buffer = [0; 4096];
+    let mut seen = Vec::new();
+    while !seen.ends_with(b"price") {
+        match stream.read(&mut buffer)? {
+            0 => return Err(std::io::ErrorKind::UnexpectedEof.into()),
+            count => seen.extend_from_slice(&buffer[..count]),
+        }
+    }
+    Ok(String::from_utf8(seen).expect("text"))
+}
+
+async fn blocking<T: Send + 'static>(action: impl FnOnce() -> T + Send + 'static) -> T {
+    actix_rt::task::spawn_blocking(action)
+        .await
+        .expect("no panic")
+}
+
+#[test]
+fn a_new_certificate_serves_new_connections_and_cuts_none() {
+    run(async {
+        let directory = TempDir::new().expect("a directory");
+        install(&directory, "one");
+        let upstream = Endpoint::start(|_| async { text(200, "price") }).await;
+        let mut settings = settings();
+        settings.tls = Some(agate_gate::settings::Tls {
+            certificate: directory.path().join("certificate.pem"),
+            key: directory.path().join("key.pem"),
+        });
+        let deployment = Deployment::with(settings, vec![service("s1", upstream.address)]).await;
+        let address = deployment.program.address();
+        let (first, reply) = blocking(move || {
+            let mut stream = connect(address, "one");
+            let reply = get(&mut stream);
+            (stream, reply)
+        })
+        .await;
+        assert!(reply.expect("an answer").starts_with("HTTP/1.1 200"));
+
+        install(&directory, "two");
+        deployment.program.reload().await.expect("a certificate");
+        let (old, new, kept) = blocking(move || {
+            let mut first = first;
+            let old = get(&mut connect(address, "one"));
+            let new = get(&mut connect(address, "two"));
+            (old, new, get(&mut first))
+        })
+        .await;
+        assert!(old.is_err());
+        assert!(new.expect("an answer").starts_with("HTTP/1.1 200"));
+        assert!(kept.expect("an answer").starts_with("HTTP/1.1 200"));
+
+        std::fs::write(directory.path().join("key.pem"), "broken").expect("a file");
+        assert!(deployment.program.reload().await.is_err());
+        let still = blocking(move || get(&mut connect(address, "two"))).await;
+        assert!(still.expect("an answer").starts_with("HTTP/1.1 200"));
+    });
+}
+
+#[test]
+fn a_caller_that_does_not_shake_hands_is_cut_off() {
+    run(async {
+        let directory = TempDir::new().expect("a directory");
+        install(&directory, "one");
+        let mut settings = settings();
+        settings.limits.head_timeout = Duration::from_millis(200);
+        settings.tls = Some(agate_gate::settings::Tls {
+            certificate: directory.path().join("certificate.pem"),
+            key: directory.path().join("key.pem"),
+        });
+        let deployment = Deployment::with(settings, vec![]).await;
+        let address = deployment.program.address();
+        let read = blocking(move || {
+            let mut silent = TcpStream::connect(address).expect("the gate listens");
+            silent
+                .set_read_timeout(Some(Duration::from_secs(10)))
+                .expect("an open socket");
+            silent.read(&mut [0; 16]).expect("a closed connection")
+        })
+        .await;
+        assert_eq!(read, 0);
+        support::until(|| deployment.gate.connections.get() == 0).await;
+    });
+}
