--- a/crates/gate/src/main.rs
+++ b/crates/gate/src/main.rs
@@ -9,6 +9,7 @@
 use agate_gate::program::{Loss, Program};
 use agate_gate::settings::Settings;
 use agate_gate::sync::Rpc;
+use agate_gate::tls;
 use agate_platform::interface::Tables;
 use agate_settings::signal::{Event, Listener};
 use agate_settings::{file, log};
@@ -51,12 +52,19 @@
         return Ok(ExitCode::SUCCESS);
     }
     if arguments.check {
-        return Ok(ExitCode::SUCCESS);
+        return check(&settings);
     }
     log::init(&settings.log);
     actix_rt::System::new().block_on(serve(settings))
 }
 
+fn check(settings: &Settings) -> Result<ExitCode, Error> {
+    if let Some(certificate) = &settings.tls {
+        tls::load(certificate)?;
+    }
+    Ok(ExitCode::SUCCESS)
+}
+
 async fn serve(settings: Settings) -> Result<ExitCode, Error> {
     let mut signals = Listener::new()?;
     let tables = settings.platform.map(|address| {
@@ -64,7 +72,7 @@
         Rc::new(client) as Rc<dyn Tables>
     });
     let gate = Gate::new(settings, tables);
-    let program = Program::start(gate.clone(), Rc::new(Rpc)).await?;
+    let program = Program::start(gate.clone(), Rc::new(Rpc::default())).await?;
     println!(
         "listening address={} admin={}",
         program.address(),
--- a/crates/gate/src/program.rs
+++ b/crates/gate/src/program.rs
@@ -124,8 +124,10 @@
 async fn hand_over(gate: &Rc<Gate>, steer: Rc<dyn Steer>) -> usize {
     let mut syncer = Syncer::new(gate.clone(), steer);
     let handover = async {
-        while !syncer.round().await || !gate.usage.borrow().is_settled() {
-            tokio::time::sleep(HANDOVER_PAUSE).await;
+        while !gate.usage.borrow().is_settled() {
+            if !syncer.round().await {
+                tokio::time::sleep(HANDOVER_PAUSE).await;
+            }
         }
     };
     let _ = tokio::time::timeout(HANDOVER_TIMEOUT, handover).await;
--- a/crates/gate/src/sync.rs
+++ b/crates/gate/src/sync.rs
@@ -1,5 +1,7 @@
 //! Calls to control processes: configuration in, usage and demand out.
 
+use std::cell::RefCell;
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -51,7 +53,23 @@
 
 /// Calls by JSON-RPC over HTTP.
 #[derive(Debug, Default)]
-pub struct Rpc;
+pub struct Rpc {
+    clients: RefCell<HashMap<SocketAddr, HttpClient>>,
+}
+
+impl Rpc {
+    fn client(&self, address: SocketAddr) -> Result<HttpClient, Error> {
+        if let Some(client) = self.clients.borrow().get(&address) {
+            return Ok(client.clone());
+        }
+        let client = HttpClientBuilder::default()
+            .max_response_size(MAX_ANSWER_BYTES)
+            .request_timeout(CALL_TIMEOUT)
+            .build(format!("http://{address}"))?;
+        self.clients.borrow_mut().insert(address, client.clone());
+        Ok(client)
+    }
+}
 
 impl Steer for Rpc {
     fn sync(
@@ -60,10 +78,7 @@
         request: Request,
     ) -> LocalBoxFuture<'_, Result<Response, Error>> {
         Box::pin(async move {
-            let client: HttpClient = HttpClientBuilder::default()
-                .max_response_size(MAX_ANSWER_BYTES)
-                .request_timeout(CALL_TIMEOUT)
-                .build(format!("http://{address}"))?;
+            let client = self.client(address)?;
             let call = client.request(METHOD, rpc_params![request]);
             let answer = tokio::time::timeout(CALL_TIMEOUT, call).await;
             Ok(answer.map_err(|_| Error::Timeout)??)
