Calls without a seal only from the own host

The configuration that gates get holds endpoint credentials. The origin of each connection now decides: a gate on the same host may call without the cluster key unless require_token is set, everybody else must seal. Gates that fall back to a peer's control process need the seal: member::token::request and open_answer with METHOD as the method. Revisions of endpoint states start at a random number, so that a gate that turns to another process gets its states.

--- a/crates/steer/src/endpoints.rs
+++ b/crates/steer/src/endpoints.rs
@@ -18,12 +18,28 @@
     Gossip,
 }
 
-/// The states, with a revision that grows with every change.
-#[derive(Debug, Default)]
+/// The states, with a revision that grows with every change. It starts at a random number,
+/// so that a gate that turns to another process does not take its states for known.
+#[derive(Debug)]
 pub struct Board {
     state: RefCell<State>,
 }
 
+impl Default for Board {
+    fn default() -> Self {
+        let state = State {
+            revision: u64::from(rand::random::<u32>()) << FIRST_REVISION_SHIFT,
+            ..State::default()
+        };
+        Self {
+            state: RefCell::new(state),
+        }
+    }
+}
+
+/// Bits below the random part of a revision.
+const FIRST_REVISION_SHIFT: u32 = 20;
+
 #[derive(Debug, Default)]
 struct State {
     revision: u64,
--- a/crates/steer/src/rpc/server.rs
+++ b/crates/steer/src/rpc/server.rs
@@ -4,18 +4,23 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::SystemTime;
+use std::time::{Duration, SystemTime};
 
 use agate_member::secret::Secret;
 use agate_member::token::{self, Sealed};
 use agate_model::id::HostId;
 use agate_wire::sync;
 use futures_util::future::LocalBoxFuture;
-use jsonrpsee::RpcModule;
-use jsonrpsee::server::{ServerBuilder, ServerConfig, ServerHandle};
+use jsonrpsee::server::{
+    ServerBuilder, ServerConfig, ServerHandle, StopHandle, serve_with_graceful_shutdown,
+    stop_channel,
+};
 use jsonrpsee::types::ErrorObjectOwned;
+use jsonrpsee::{Methods, RpcModule};
 use serde_json::Value;
+use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{mpsc, oneshot};
+use tokio::time::sleep;
 
 use crate::metrics::{Label, Metrics};
 
@@ -27,6 +32,9 @@
 
 const CONNECTION_LIMIT: u32 = 4096;
 
+/// Pause after a failed accept.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
 const CODE_REFUSED: i32 = -32001;
 const CODE_FAILED: i32 = -32002;
 
@@ -44,9 +52,25 @@
 /// Handlers by method.
 pub type Handlers = BTreeMap<&'static str, Rc<dyn Handler>>;
 
+/// Where a connection comes from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Origin {
+    /// A process on this host.
+    OwnHost,
+    /// Anywhere else.
+    Elsewhere,
+}
+
+/// Methods by origin.
+struct Modules {
+    own_host: Methods,
+    elsewhere: Methods,
+}
+
 /// A call on its way to the state's thread.
 struct Call {
     method: &'static str,
+    origin: Origin,
     param: Value,
     answer: oneshot::Sender<Result<Value, ErrorObjectOwned>>,
 }
@@ -56,6 +80,7 @@
     /// Where it listens.
     pub address: SocketAddr,
     handle: ServerHandle,
+    accepting: actix_rt::task::JoinHandle<()>,
     calls: Option<mpsc::Receiver<Call>>,
 }
 
@@ -66,7 +91,7 @@
     pub own: HostId,
     /// Cluster key.
     pub secret: Secret,
-    /// Whether gates must seal their calls.
+    /// Whether gates on this host must seal their calls; those elsewhere always must.
     pub require_token: bool,
     /// Handlers.
     pub handlers: Rc<Handlers>,
@@ -80,26 +105,20 @@
         address: SocketAddr,
         methods: impl IntoIterator<Item = &'static str>,
     ) -> std::io::Result<Self> {
-        let config = ServerConfig::builder()
-            .http_only()
-            .max_connections(CONNECTION_LIMIT)
-            .max_request_body_size(MESSAGE_BYTES)
-            .max_response_body_size(MESSAGE_BYTES)
-            .set_tcp_no_delay(true)
-            .build();
-        let server = ServerBuilder::new()
-            .set_config(config)
-            .build(address)
-            .await?;
-        let address = server.local_addr()?;
+        let listener = TcpListener::bind(address).await?;
+        let address = listener.local_addr()?;
+        let methods: Vec<&'static str> = methods.into_iter().collect();
         let (sender, calls) = mpsc::channel(QUEUE_CALLS);
-        let mut module = RpcModule::new(sender);
-        for method in methods {
-            register(&mut module, method);
-        }
+        let modules = Modules {
+            own_host: module(&sender, &methods, Origin::OwnHost),
+            elsewhere: module(&sender, &methods, Origin::Elsewhere),
+        };
+        let (stop, handle) = stop_channel();
+        let accepting = actix_rt::spawn(accept(listener, modules, stop));
         Ok(Self {
             address,
-            handle: server.start(module),
+            handle,
+            accepting,
             calls: Some(calls),
         })
     }
@@ -110,15 +129,67 @@
         actix_rt::spawn(run(calls, dispatch))
     }
 
-    /// Stops listening and waits for running calls.
+    /// Stops listening and ends all connections.
     pub async fn close(self) {
-        if self.handle.stop().is_ok() {
-            self.handle.stopped().await;
-        }
+        self.accepting.abort();
+        let _ = self.handle.stop();
+        let _ = self.accepting.await;
     }
 }
 
-fn register(module: &mut RpcModule<mpsc::Sender<Call>>, method: &'static str) {
+async fn accept(listener: TcpListener, modules: Modules, stop: StopHandle) {
+    let config = ServerConfig::builder()
+        .http_only()
+        .max_connections(CONNECTION_LIMIT)
+        .max_request_body_size(MESSAGE_BYTES)
+        .max_response_body_size(MESSAGE_BYTES)
+        .build();
+    let builder = ServerBuilder::new().set_config(config).to_service_builder();
+    loop {
+        let (stream, origin) = match accept_one(&listener).await {
+            Ok(accepted) => accepted,
+            Err(err) => {
+                tracing::warn!(event = "accept_failed", error = %err);
+                sleep(ACCEPT_PAUSE).await;
+                continue;
+            }
+        };
+        let methods = match origin {
+            Origin::OwnHost => modules.own_host.clone(),
+            Origin::Elsewhere => modules.elsewhere.clone(),
+        };
+        let service = builder.clone().build(methods, stop.clone());
+        let stopped = stop.clone().shutdown();
+        tokio::spawn(async move {
+            let served = serve_with_graceful_shutdown(stream, service, stopped).await;
+            if let Err(err) = served {
+                tracing::debug!(event = "rpc_connection_failed", error = %err);
+            }
+        });
+    }
+}
+
+async fn accept_one(listener: &TcpListener) -> std::io::Result<(TcpStream, Origin)> {
+    let (stream, peer) = listener.accept().await?;
+    stream.set_nodelay(true)?;
+    let is_own = peer.ip().is_loopback() || peer.ip() == stream.local_addr()?.ip();
+    let origin = if is_own {
+        Origin::OwnHost
+    } else {
+        Origin::Elsewhere
+    };
+    Ok((stream, origin))
+}
+
+fn module(sender: &mpsc::Sender<Call>, methods: &[&'static str], origin: Origin) -> Methods {
+    let mut module = RpcModule::new(sender.clone());
+    for method in methods {
+        register(&mut module, method, origin);
+    }
+    module.into()
+}
+
+fn register(module: &mut RpcModule<mpsc::Sender<Call>>, method: &'static str, origin: Origin) {
     let callback = move |params: jsonrpsee::types::Params<'static>,
                          calls: std::sync::Arc<mpsc::Sender<Call>>,
                          _: jsonrpsee::Extensions| async move {
@@ -126,6 +197,7 @@
         let (answer, answered) = oneshot::channel();
         let call = Call {
             method,
+            origin,
             param,
             answer,
         };
@@ -150,24 +222,28 @@
     while let Some(call) = calls.recv().await {
         let dispatch = dispatch.clone();
         actix_rt::spawn(async move {
-            let outcome = dispatch.call(call.method, call.param).await;
+            let outcome = dispatch.call(call.method, call.origin, call.param).await;
             let _ = call.answer.send(outcome);
         });
     }
 }
 
 impl Dispatch {
-    async fn call(&self, method: &'static str, param: Value) -> Result<Value, ErrorObjectOwned> {
-        match serde_json::from_value::<Sealed>(param.clone()) {
-            Ok(request) => self.sealed(method, &request).await,
-            Err(_) if method == sync::METHOD && !self.require_token => {
-                self.plain(method, &param).await
-            }
-            Err(_) => {
-                self.count("not_sealed");
-                Err(refused("calls need the cluster key's seal"))
-            }
+    async fn call(
+        &self,
+        method: &'static str,
+        origin: Origin,
+        param: Value,
+    ) -> Result<Value, ErrorObjectOwned> {
+        if let Ok(request) = serde_json::from_value::<Sealed>(param.clone()) {
+            return self.sealed(method, &request).await;
+        }
+        let is_own_gate = method == sync::METHOD && origin == Origin::OwnHost;
+        if is_own_gate && !self.require_token {
+            return self.plain(method, &param).await;
         }
+        self.count("not_sealed");
+        Err(refused("calls need the cluster key's seal"))
     }
 
     async fn sealed(
--- a/crates/steer/src/settings.rs
+++ b/crates/steer/src/settings.rs
@@ -40,7 +40,8 @@
     /// File that holds the cluster key.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub cluster_key_file: Option<PathBuf>,
-    /// Whether gates must seal their calls with the cluster key. Peers always must.
+    /// Whether the gate of this host must seal its calls with the cluster key. Gates of other
+    /// hosts and peers always must.
     #[serde(default)]
     pub require_token: bool,
     /// SHA-256 of a credential that is an admin's from the start, in hexadecimal digits.
