Lists of the platform are read by few hosts and passed on

Every host read the whole lists of hosts and endpoints every two seconds: at 380 hosts and 600 endpoints about 34 KB/s a host for the hosts' list alone by its size, against a budget of 2 KB/s. Answers now carry the digest and age of the sender's lists; a host reads the platform only if what it knows is older than the interval, and fetches changed lists from a peer.

close now waits for its tasks, so that the addresses are free when it returns: a test that restarts all processes found the gossip address in use.

--- a/crates/member/src/frame.rs
+++ b/crates/member/src/frame.rs
@@ -79,6 +79,17 @@
     pub attestations: Vec<u8>,
     /// Age of the sender's own proof.
     pub proof_age_ms: Option<u16>,
+    /// The platform's lists that the sender has.
+    pub lists: Option<Lists>,
+}
+
+/// Identity and age of the platform's lists.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Lists {
+    /// Digest of the contents.
+    pub digest: u32,
+    /// Time since they were read, in milliseconds, rounded up.
+    pub age_ms: u32,
 }
 
 /// A version and the age of the statement about it.
--- a/crates/member/tests/frame.rs
+++ b/crates/member/tests/frame.rs
@@ -3,8 +3,8 @@
 use std::time::{Duration, Instant};
 
 use agate_member::frame::{
-    ATTESTATION_LIMIT, Answer, FRAME_BYTES, Frame, RUMOUR_LIMIT, Refusal, Statement, long_age,
-    short_age, tag,
+    ATTESTATION_LIMIT, Answer, FRAME_BYTES, Frame, Lists, RUMOUR_LIMIT, Refusal, Statement,
+    long_age, short_age, tag,
 };
 use agate_member::rumour::{Fact, KEPT_LIMIT, LIFETIME, Mill, Rumour};
 use agate_member::secret::Secret;
@@ -42,6 +42,10 @@
             set_since: u64::MAX,
             attestations: vec![u8::MAX; ATTESTATION_LIMIT],
             proof_age_ms: Some(u16::MAX),
+            lists: Some(Lists {
+                digest: u32::MAX,
+                age_ms: u32::MAX,
+            }),
         }),
     }
 }
@@ -65,6 +69,10 @@
             set_since: 667_000,
             attestations: vec![70; ATTESTATION_LIMIT],
             proof_age_ms: Some(700),
+            lists: Some(Lists {
+                digest: u32::MAX / 3,
+                age_ms: 1500,
+            }),
         }),
     }
 }
--- a/crates/steer/src/config/reader.rs
+++ b/crates/steer/src/config/reader.rs
@@ -18,6 +18,9 @@
 /// Longest distance that is covered by reading single changes.
 const FAR_BEHIND: Version = 256;
 
+/// Age of the newest proof at which the store is read again, as a share of the interval.
+pub const READ_AT: f64 = 0.8;
+
 /// The head as it was read.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Head {
@@ -37,14 +40,14 @@
         if !knows_accepted && context.copy.version() > 0 {
             knows_accepted = read_accepted(&context).await.is_ok();
         }
-        sleep(jittered(context.settings.intervals.store) / 2).await;
+        sleep(jittered(context.settings.intervals.store) / 4).await;
     }
 }
 
 /// A relayed proof that is young enough spares a read.
 fn is_due(context: &Context) -> bool {
     let is_behind = context.copy.head() > context.copy.version();
-    let limit = context.settings.intervals.store / 2;
+    let limit = context.settings.intervals.store.mul_f64(READ_AT);
     let proof = context.copy.store_proof();
     is_behind || proof.is_none_or(|it| it.age >= limit)
 }
--- a/crates/steer/src/context.rs
+++ b/crates/steer/src/context.rs
@@ -14,6 +14,7 @@
 use crate::member::Members;
 use crate::metrics::Metrics;
 use crate::platform::Platform;
+use crate::roster::Roster;
 use crate::rpc::client::Peers;
 use crate::settings::Settings;
 
@@ -39,6 +40,8 @@
     pub copy: Rc<Copy>,
     /// Entry hosts.
     pub members: Rc<Members>,
+    /// The platform's lists.
+    pub roster: Rc<Roster>,
     /// Calls to peers.
     pub peers: Rc<Peers>,
     /// States of endpoints, as handed to gates.
--- a/crates/steer/src/directory.rs
+++ b/crates/steer/src/directory.rs
@@ -4,10 +4,11 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use agate_model::id::HostId;
 use agate_platform::Error;
 use agate_wire::manifest::{self, Fencing, Protocol};
 use agate_wire::order::{Machine, State};
-use agate_wire::peer::HostRow;
+use agate_wire::peer::{self, HostRow, Lists, Roster};
 use agate_wire::table::{Transaction, Write};
 use futures_util::{StreamExt as _, stream};
 use tokio::time::{Instant, sleep};
@@ -30,29 +31,69 @@
 /// Calls to peers at the same time.
 const ANNOUNCE_CONCURRENCY: usize = 32;
 
-/// Reads of the lists between two reads of the whole host table.
-const ROUNDS_PER_SCAN: u32 = 5;
-
 /// Requests that an ordered endpoint serves at once.
 const ORDERED_SLOTS: u32 = 8;
 
 /// Registers this host and keeps the lists current, until the task is aborted.
 pub async fn run(context: Context) {
     let mut is_registered = false;
-    let mut round = 0;
     loop {
         is_registered = is_registered || register(&context).await.is_ok();
-        let is_alone = context.members.peers().is_empty();
-        if context.members.take_scan_wish() || is_alone || round % ROUNDS_PER_SCAN == 0 {
-            report("host_table_not_read", scan(&context).await);
+        let interval = context.settings.intervals.hosts;
+        let is_due = context.roster.age().is_none_or(|age| age >= interval);
+        if is_due && let Err(err) = read(&context).await {
+            tracing::debug!(event = "lists_not_read", error = %err);
         }
-        if !is_registered || is_alone {
+        if !is_registered || context.members.peers().is_empty() {
             announce(&context).await;
         }
-        report("host_list_not_read", list(&context).await);
-        report("endpoint_list_not_read", machines(&context).await);
-        round += 1;
-        sleep(jittered(context.settings.intervals.hosts)).await;
+        sleep(jittered(interval) / 4).await;
+    }
+}
+
+/// Reads all lists from the platform.
+async fn read(context: &Context) -> Result<(), Error> {
+    let at = Instant::now();
+    let lists = Lists {
+        listing: context.platform.hosts.list().await?,
+        machines: context.platform.orders.machines().await?,
+        hosts: scan(context).await?,
+    };
+    take(context, lists, at);
+    Ok(())
+}
+
+/// Takes lists that were read at `at`, unless newer ones are known.
+pub fn take(context: &Context, lists: Lists, at: Instant) {
+    if !context.roster.replace(&lists, at) {
+        return;
+    }
+    let named: BTreeSet<HostId> = lists.hosts.iter().map(|it| it.host.clone()).collect();
+    for row in lists.hosts {
+        context.members.learn(row);
+    }
+    context.members.keep_only(&named, SILENCE);
+    let before = context.endpoints.leaving();
+    let leaving = context.members.set_listing(&lists.listing);
+    rumours::tell_leaving(context, &before, &leaving);
+    context.rumours.supersede(at);
+    context.endpoints.set_leaving(Source::Platform, leaving);
+    show_machines(context, lists.machines);
+    context.metrics.hosts.set(i64::from(live(context)));
+}
+
+/// Reads the lists of a peer, which has newer ones.
+pub async fn fetch(context: &Context, peer: SocketAddr) {
+    let sent = Instant::now();
+    let answer: Result<Roster, _> = context.peers.call(peer, peer::ROSTER, &()).await;
+    match answer {
+        Ok(roster) => {
+            let age = Duration::from_millis(roster.age_ms);
+            if let Some(at) = sent.checked_sub(age) {
+                take(context, roster.lists, at);
+            }
+        }
+        Err(err) => tracing::debug!(event = "lists_not_fetched", %peer, error = %err),
     }
 }
 
@@ -68,12 +109,6 @@
         .await;
 }
 
-fn report(event: &'static str, outcome: Result<(), Error>) {
-    if let Err(err) = outcome {
-        tracing::debug!(event, error = %err);
-    }
-}
-
 /// Writes this host's row.
 pub async fn register(context: &Context) -> Result<(), Error> {
     let row = context.members.own();
@@ -99,8 +134,8 @@
     commit.map(|_| ())
 }
 
-async fn scan(context: &Context) -> Result<(), Error> {
-    let mut named = BTreeSet::new();
+async fn scan(context: &Context) -> Result<Vec<HostRow>, Error> {
+    let mut rows = Vec::new();
     let mut after = String::new();
     loop {
         let page = context
@@ -109,18 +144,13 @@
             .scan(TABLE, "", &after, PAGE_ROWS)
             .await?;
         for found in &page.rows {
-            let row: HostRow = reader::parse(found)?;
-            named.insert(row.host.clone());
-            context.members.learn(row);
+            rows.push(reader::parse(found)?);
         }
         match page.rows.last() {
             Some(last) if page.more => after.clone_from(&last.key),
-            _ => break,
+            _ => return Ok(rows),
         }
     }
-    context.members.keep_only(&named, SILENCE);
-    context.metrics.hosts.set(i64::from(live(context)));
-    Ok(())
 }
 
 /// Number of live hosts, this one included.
@@ -129,19 +159,7 @@
     u32::try_from(others).unwrap_or(u32::MAX).saturating_add(1)
 }
 
-async fn list(context: &Context) -> Result<(), Error> {
-    let at = Instant::now();
-    let listing = context.platform.hosts.list().await?;
-    let before = context.endpoints.leaving();
-    let leaving = context.members.set_listing(&listing);
-    rumours::tell_leaving(context, &before, &leaving);
-    context.rumours.supersede(at);
-    context.endpoints.set_leaving(Source::Platform, leaving);
-    Ok(())
-}
-
-async fn machines(context: &Context) -> Result<(), Error> {
-    let machines = context.platform.orders.machines().await?;
+fn show_machines(context: &Context, machines: Vec<Machine>) {
     let leaving = machines
         .iter()
         .filter(|it| it.state == State::Leaving)
@@ -154,7 +172,6 @@
         .collect();
     context.endpoints.set_ordered(ordered);
     context.endpoints.set_leaving(Source::Orders, leaving);
-    Ok(())
 }
 
 fn endpoint(machine: Machine) -> manifest::Endpoint {
--- a/crates/steer/src/gossip/exchange.rs
+++ b/crates/steer/src/gossip/exchange.rs
@@ -17,6 +17,7 @@
 use crate::config::reader::jittered;
 use crate::config::{handout, witness};
 use crate::context::Context;
+use crate::directory;
 use crate::gossip::{rumours, statements};
 use crate::metrics::Label;
 
@@ -40,7 +41,8 @@
     secret: Secret,
     own: Witness,
     questions: RefCell<HashMap<u64, Question>>,
-    is_fetching: Cell<bool>,
+    is_fetching: Rc<Cell<bool>>,
+    is_fetching_lists: Rc<Cell<bool>>,
 }
 
 impl Gossip {
@@ -53,7 +55,8 @@
             secret,
             own,
             questions: RefCell::default(),
-            is_fetching: Cell::new(false),
+            is_fetching: Rc::default(),
+            is_fetching_lists: Rc::default(),
         })
     }
 
@@ -129,7 +132,7 @@
         }
     }
 
-    async fn receive(self: &Rc<Self>, datagram: &[u8], from: SocketAddr) {
+    async fn receive(&self, datagram: &[u8], from: SocketAddr) {
         let frame = match Frame::decode(&self.secret, datagram) {
             Ok(frame) => frame,
             Err(err) => {
@@ -145,7 +148,8 @@
         } else {
             self.context.copy.hear_of(frame.version);
             self.context.copy.accept(frame.accepted);
-            let answer = statements::answer(&self.context.copy, &self.own);
+            let mut answer = statements::answer(&self.context.copy, &self.own);
+            answer.lists = self.context.roster.mark();
             self.send(frame.nonce, Some(answer), from).await;
         }
         self.hear_sender(&frame);
@@ -156,15 +160,34 @@
         let Some(question) = self.questions.borrow_mut().remove(&frame.nonce) else {
             return;
         };
-        if tag(&question.host) == frame.host {
-            statements::take(&self.context.copy, frame, question.sent);
+        if tag(&question.host) != frame.host {
+            return;
+        }
+        statements::take(&self.context.copy, frame, question.sent);
+        let lists = frame.answer.as_ref().and_then(|it| it.lists);
+        if lists.is_some_and(|it| self.context.roster.compare(it, question.sent)) {
+            self.fetch_lists(&question.host);
+        }
+    }
+
+    fn fetch_lists(&self, host: &str) {
+        let Some(member) = self.context.members.get(host) else {
+            return;
+        };
+        if self.is_fetching_lists.replace(true) {
+            return;
         }
+        let context = self.context.clone();
+        let is_fetching = Rc::clone(&self.is_fetching_lists);
+        actix_rt::spawn(async move {
+            directory::fetch(&context, member.host.steer).await;
+            is_fetching.set(false);
+        });
     }
 
-    fn hear_sender(self: &Rc<Self>, frame: &Frame) {
+    fn hear_sender(&self, frame: &Frame) {
         let members = &self.context.members;
         let Some(sender) = members.run(frame.host, frame.incarnation) else {
-            members.want_scan();
             return;
         };
         let proof_age = statements::proof_age(frame);
@@ -179,20 +202,20 @@
         }
     }
 
-    fn fetch(self: &Rc<Self>, host: HostId) {
+    fn fetch(&self, host: HostId) {
         if self.is_fetching.replace(true) {
             return;
         }
-        let gossip = Rc::clone(self);
+        let context = self.context.clone();
+        let is_fetching = Rc::clone(&self.is_fetching);
         actix_rt::spawn(async move {
             sleep(FETCH_DELAY).await;
-            let context = &gossip.context;
             if let Some(member) = context.members.get(&host)
                 && member.version > context.copy.version()
             {
-                handout::fetch_from(context, &member).await;
+                handout::fetch_from(&context, &member).await;
             }
-            gossip.is_fetching.set(false);
+            is_fetching.set(false);
         });
     }
 
--- a/crates/steer/src/lib.rs
+++ b/crates/steer/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod member;
 pub mod metrics;
 pub mod platform;
+pub mod roster;
 pub mod rpc;
 pub mod run;
 pub mod settings;
--- a/crates/steer/src/member.rs
+++ b/crates/steer/src/member.rs
@@ -53,7 +53,6 @@
     floors: RefCell<BTreeMap<PoolId, Floor>>,
     store: Cell<Option<Instant>>,
     leaving: Cell<bool>,
-    scan_wanted: Cell<bool>,
 }
 
 /// Pressure on one pool.
@@ -81,7 +80,6 @@
             floors: RefCell::default(),
             store: Cell::new(None),
             leaving: Cell::new(false),
-            scan_wanted: Cell::new(false),
         }
     }
 
@@ -214,16 +212,6 @@
         found.map(|it| it.host.clone())
     }
 
-    /// Asks for a read of the store's table of hosts.
-    pub fn want_scan(&self) {
-        self.scan_wanted.set(true);
-    }
-
-    /// Whether a read was asked for since the last call.
-    pub fn take_scan_wish(&self) -> bool {
-        self.scan_wanted.take()
-    }
-
     /// Takes over the platform's list of hosts; answers the endpoints that leave.
     pub fn set_listing(&self, listing: &Listing) -> BTreeSet<EndpointId> {
         let mut endpoints = BTreeSet::new();
--- /dev/null
+++ b/crates/steer/src/roster.rs
@@ -0,0 +1,91 @@
+//! The platform's lists, as far as this host has them.
+
+use std::cell::RefCell;
+use std::time::Duration;
+
+use agate_member::frame;
+use agate_wire::peer::{self, Lists};
+use sha2::{Digest as _, Sha256};
+use tokio::time::Instant;
+
+use crate::rpc::peer::millis;
+
+/// The newest lists that were read here or by a peer.
+#[derive(Debug, Default)]
+pub struct Roster {
+    read: RefCell<Option<Read>>,
+}
+
+#[derive(Debug)]
+struct Read {
+    at: Instant,
+    digest: u32,
+    lists: Lists,
+}
+
+impl Roster {
+    /// Time since the lists were read.
+    pub fn age(&self) -> Option<Duration> {
+        self.read.borrow().as_ref().map(|it| it.at.elapsed())
+    }
+
+    /// Takes lists that were read at `at`. Whether they are newer than the known ones.
+    pub fn replace(&self, lists: &Lists, at: Instant) -> bool {
+        let mut read = self.read.borrow_mut();
+        if read.as_ref().is_some_and(|it| it.at >= at) {
+            return false;
+        }
+        *read = Some(Read {
+            at,
+            digest: digest(lists),
+            lists: lists.clone(),
+        });
+        true
+    }
+
+    /// Takes the mark of a peer's lists, from an answer to a question sent at `sent`.
+    /// Whether that peer has newer lists with other contents.
+    pub fn compare(&self, mark: frame::Lists, sent: Instant) -> bool {
+        let age = Duration::from_millis(u64::from(mark.age_ms));
+        let Some(at) = sent.checked_sub(age) else {
+            return false;
+        };
+        match self.read.borrow_mut().as_mut() {
+            Some(read) if at <= read.at => false,
+            Some(read) if read.digest == mark.digest => {
+                read.at = at;
+                false
+            }
+            _ => true,
+        }
+    }
+
+    /// Mark of the lists, for frames.
+    pub fn mark(&self) -> Option<frame::Lists> {
+        let read = self.read.borrow();
+        let read = read.as_ref()?;
+        let age_ms = u32::try_from(millis(read.at.elapsed())).ok()?;
+        Some(frame::Lists {
+            digest: read.digest,
+            age_ms,
+        })
+    }
+
+    /// The lists, for a peer.
+    pub fn whole(&self) -> Option<peer::Roster> {
+        let read = self.read.borrow();
+        let read = read.as_ref()?;
+        Some(peer::Roster {
+            age_ms: millis(read.at.elapsed()),
+            lists: read.lists.clone(),
+        })
+    }
+}
+
+fn digest(lists: &Lists) -> u32 {
+    let json = serde_json::to_vec(lists).expect("lists are valid JSON");
+    let digest: [u8; 32] = Sha256::digest(json).into();
+    let mut first = [0; 4];
+    first.copy_from_slice(&digest[..4]);
+    u32::from_be_bytes(first)
+}
--- a/crates/steer/src/rpc/peer.rs
+++ b/crates/steer/src/rpc/peer.rs
@@ -48,7 +48,13 @@
 }
 
 /// Methods of every control process.
-pub const METHODS: [&str; 4] = [sync::METHOD, peer::PUSH, peer::FETCH, peer::STANDING];
+pub const METHODS: [&str; 5] = [
+    sync::METHOD,
+    peer::PUSH,
+    peer::FETCH,
+    peer::STANDING,
+    peer::ROSTER,
+];
 
 /// Handlers of [`METHODS`].
 pub fn handlers(context: &Context) -> Handlers {
@@ -72,6 +78,13 @@
         })
     });
     handlers.insert(peer::STANDING, standing);
+    let roster = Method::shared(context, |context, _, (): ()| {
+        Box::pin(async move {
+            let lists = context.roster.whole();
+            lists.ok_or_else(|| Failure("no lists have been read".to_owned()))
+        })
+    });
+    handlers.insert(peer::ROSTER, roster);
     handlers
 }
 
--- a/crates/steer/src/run.rs
+++ b/crates/steer/src/run.rs
@@ -107,6 +107,7 @@
             platform,
             copy: Rc::new(Copy::default()),
             members: Rc::new(Members::new(own)),
+            roster: Rc::default(),
             peers: Rc::new(peers),
             endpoints: Rc::new(Board::default()),
             inbox: Rc::new(Inbox::default()),
@@ -149,8 +150,9 @@
         wait_for_gate(context).await;
         witness::leave(context).await;
         report(directory::remove(context).await);
-        for task in &self.tasks {
+        for task in self.tasks {
             task.abort();
+            let _ = task.await;
         }
         self.rpc.close().await;
     }
--- a/crates/steer/tests/dissemination.rs
+++ b/crates/steer/tests/dissemination.rs
@@ -4,10 +4,11 @@
 use std::time::Duration;
 
 use agate_conf::witness::Witness;
-use agate_member::frame::{Answer, Frame, HEADER_BYTES};
+use agate_member::frame::{Answer, Frame, HEADER_BYTES, Lists};
 use agate_member::secret::Secret;
 use agate_model::version::FRESHNESS_LIMIT;
 use agate_steer::config::copy::Copy;
+use agate_steer::config::reader::READ_AT;
 use agate_steer::gossip::statements;
 use agate_steer::settings::Intervals;
 use agate_wire::change::Change;
@@ -25,6 +26,7 @@
     own: Witness,
     next: Instant,
     sent: usize,
+    reads: usize,
 }
 
 struct Simulation {
@@ -32,6 +34,7 @@
     random: ChaCha8Rng,
     secret: Secret,
     interval: Duration,
+    is_store_up: bool,
 }
 
 impl Simulation {
@@ -55,6 +58,7 @@
                 own,
                 next: start + interval.mul_f64(offset),
                 sent: 0,
+                reads: 0,
             }
         });
         Self {
@@ -62,6 +66,7 @@
             secret: Secret::from_hex(&"a".repeat(64)).expect("a cluster key"),
             random,
             interval,
+            is_store_up: false,
         }
     }
 
@@ -72,6 +77,7 @@
             for n in 0..self.nodes.len() {
                 if self.nodes[n].next <= Instant::now() {
                     self.exchange(n);
+                    self.read(n);
                     let pause = self.interval.mul_f64(self.random.random_range(0.5..1.5));
                     self.nodes[n].next += pause;
                 }
@@ -80,13 +86,29 @@
         }
     }
 
+    /// Reads the store as the program's reader does.
+    fn read(&mut self, n: usize) {
+        let interval = Intervals::default().store;
+        let node = &mut self.nodes[n];
+        let proof = node.copy.store_proof();
+        let is_due = proof.is_none_or(|it| it.age >= interval.mul_f64(READ_AT));
+        if self.is_store_up && is_due {
+            node.copy.observe(1, Instant::now());
+            node.reads += 1;
+        }
+    }
+
     fn exchange(&mut self, n: usize) {
         let others = self.nodes.len() - 1;
         let peer = (n + 1 + self.random.random_range(0..others)) % self.nodes.len();
         let question = self.frame(n, None);
         self.nodes[n].sent += question.encode(&self.secret).len() + HEADER_BYTES;
         self.nodes[peer].copy.hear_of(question.version);
-        let answer = statements::answer(&self.nodes[peer].copy, &self.nodes[peer].own);
+        let mut answer = statements::answer(&self.nodes[peer].copy, &self.nodes[peer].own);
+        answer.lists = Some(Lists {
+            digest: self.random.random(),
+            age_ms: 1500,
+        });
         let answer = self.frame(peer, Some(answer));
         let datagram = answer.encode(&self.secret);
         self.nodes[peer].sent += datagram.len() + HEADER_BYTES;
@@ -174,6 +196,34 @@
     assert!(2.0 * rate < 2048.0, "{rate} B/s sent and as much received");
 }
 
+/// With the store, hosts spare each other reads of it.
+#[rstest]
+#[case(9)]
+#[case(95)]
+#[case(380)]
+#[tokio::test(start_paused = true)]
+async fn store_proofs_spare_reads(#[case] count: usize) {
+    let mut simulation = Simulation::new(count);
+    simulation.is_store_up = true;
+    simulation.run(Duration::from_secs(5)).await;
+    for node in &mut simulation.nodes {
+        node.reads = 0;
+    }
+    let mut worst = Duration::ZERO;
+    let time = Duration::from_secs(5);
+    for _ in 0..20 {
+        simulation.run(time / 20).await;
+        worst = worst.max(*simulation.ages().last().expect("hosts"));
+    }
+    let reads: usize = simulation.nodes.iter().map(|it| it.reads).sum();
+    let rate = reads as f64 / time.as_secs_f64();
+    println!("{count} hosts: {rate:.1} reads/s of the head in all, worst proof {worst:?} old");
+    assert!(
+        rate <= 400.0 && worst <= Duration::from_millis(1500),
+        "{rate}/s, {worst:?}"
+    );
+}
+
 /// A store proof read by one host reaches the others.
 #[rstest]
 #[case(9)]
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -7,6 +7,8 @@
 use serde::{Deserialize, Serialize};
 
 use crate::change::{Change, Snapshot};
+use crate::order::Machine;
+use crate::platform::Listing;
 
 /// JSON-RPC method that takes up entries: [`Push`], answered by [`Standing`].
 pub const PUSH: &str = "agate_push";
@@ -16,6 +18,9 @@
 /// answered by [`Standing`].
 pub const STANDING: &str = "agate_standing";
 
+/// JSON-RPC method that reads the lists of a peer: null, answered by [`Roster`].
+pub const ROSTER: &str = "agate_roster";
+
 /// One run of a host that attests versions.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Witness {
@@ -134,6 +139,26 @@
     Copy(Box<Copy>),
 }
 
+/// Lists read from the platform at one time.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Lists {
+    /// Hosts and endpoints.
+    pub listing: Listing,
+    /// Ordered endpoints.
+    pub machines: Vec<Machine>,
+    /// Table of hosts.
+    pub hosts: Vec<HostRow>,
+}
+
+/// Answer to [`ROSTER`].
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Roster {
+    /// Time since the lists were read, in milliseconds, when the answer was written.
+    pub age_ms: u64,
+    /// The lists.
+    pub lists: Lists,
+}
+
 /// Tells a peer of this host.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Announce {
