--- a/crates/platform/src/http.rs
+++ b/crates/platform/src/http.rs
@@ -151,6 +151,9 @@
                 body: call::body(order)?,
             };
             let reply = post.send(deadline, may_send).await?;
+            if reply.status == StatusCode::CONFLICT {
+                return call::parse(&reply.body);
+            }
             call::parse(&reply.success()?)
         })
     }
--- a/crates/steer/src/duty.rs
+++ b/crates/steer/src/duty.rs
@@ -22,6 +22,7 @@
 pub mod window;
 
 use std::rc::Rc;
+use std::time::SystemTime;
 
 use actix_rt::task::JoinHandle;
 
@@ -68,12 +69,13 @@
 
     /// Ends all tasks, gives up the lease and writes the remaining usage.
     pub async fn close(self, context: &Context) {
-        for task in &self.tasks {
+        for task in self.tasks.into_iter().chain([self.keeper]) {
             task.abort();
+            let _ = task.await;
         }
-        self.keeper.abort();
         lease::release(context).await;
-        usage::flush(context).await;
-        mirror::flush(context).await;
+        let now = SystemTime::now();
+        usage::flush(context, now).await;
+        mirror::flush(context, now).await;
     }
 }
--- a/crates/steer/src/duty/mirror.rs
+++ b/crates/steer/src/duty/mirror.rs
@@ -1,7 +1,7 @@
 //! Copies of usage totals to a peer in another availability zone.
 
 use std::collections::BTreeMap;
-use std::time::Duration;
+use std::time::{Duration, SystemTime};
 
 use agate_model::host::Host;
 use agate_model::id::{HostId, Incarnation};
@@ -38,19 +38,19 @@
     let mut mirror = Mirror::default();
     loop {
         sleep(jittered(context.settings.intervals.mirror)).await;
-        mirror.step(&context).await;
+        mirror.step(&context, SystemTime::now()).await;
     }
 }
 
 /// Copies everything once more.
-pub async fn flush(context: &Context) {
+pub async fn flush(context: &Context, now: SystemTime) {
     let mut mirror = Mirror::default();
-    let _ = timeout(FLUSH_TIMEOUT, mirror.step(context)).await;
+    let _ = timeout(FLUSH_TIMEOUT, mirror.step(context, now)).await;
 }
 
 /// Takes up the totals of a peer.
-pub fn take(context: &Context, push: Push) -> Ack {
-    let now = Instant::now();
+pub fn take(context: &Context, push: Push, now: SystemTime) -> Ack {
+    let heard = Instant::now();
     for gate in push.gates {
         let source = Source {
             host: gate.host,
@@ -59,16 +59,16 @@
         let mut totals = Row::from(gate.totals);
         totals
             .parts
-            .retain(|part, _| is_plausible(context, part.origin));
-        context.duty.books.take(source, &totals, now, false);
+            .retain(|part, _| is_plausible(context, part.origin, now));
+        context.duty.books.take(source, &totals, heard, false);
     }
     Ack {}
 }
 
 impl Mirror {
     /// Sends what the peer has not acknowledged. An empty message shows that this host lives.
-    pub async fn step(&mut self, context: &Context) {
-        absorb(context);
+    pub async fn step(&mut self, context: &Context, now: SystemTime) {
+        absorb(context, now);
         let Some(host) = choose(context) else { return };
         self.meet(&host);
         let own = context.duty.books.own();
--- a/crates/steer/src/duty/usage.rs
+++ b/crates/steer/src/duty/usage.rs
@@ -75,13 +75,13 @@
 pub async fn run(context: Context) {
     loop {
         sleep(jittered(context.settings.intervals.usage)).await;
-        step(&context).await;
+        step(&context, SystemTime::now()).await;
     }
 }
 
 /// Takes up what gates have sent, and writes one row of each run that is due.
-pub async fn step(context: &Context) {
-    absorb(context);
+pub async fn step(context: &Context, now: SystemTime) {
+    absorb(context, now);
     for source in context.duty.books.due(context) {
         report(context, write(context, &source).await.map(|_| ()));
     }
@@ -89,8 +89,8 @@
 }
 
 /// Writes all remaining rows.
-pub async fn flush(context: &Context) {
-    absorb(context);
+pub async fn flush(context: &Context, now: SystemTime) {
+    absorb(context, now);
     let all = async {
         for source in context.duty.books.due(context) {
             while let Ok(true) = write(context, &source).await {}
@@ -110,11 +110,11 @@
 }
 
 /// Takes up the totals of the gates that call this host.
-pub fn absorb(context: &Context) {
+pub fn absorb(context: &Context, now: SystemTime) {
     let books = &context.duty.books;
     let calls = context.inbox.calls();
     for (counter, figures) in context.inbox.totals() {
-        if !is_plausible(context, counter.window) {
+        if !is_plausible(context, counter.window, now) {
             count(&context.duty.metrics.usage_refused, "window");
             continue;
         }
@@ -136,9 +136,9 @@
 }
 
 /// Whether gates may count in this window.
-pub fn is_plausible(context: &Context, origin: Window) -> bool {
+pub fn is_plausible(context: &Context, origin: Window, now: SystemTime) -> bool {
     let schedule = schedule(context);
-    let open = schedule.window(SystemTime::now());
+    let open = schedule.window(now);
     let length = schedule.length.as_secs();
     origin.is_multiple_of(length)
         && origin <= schedule.next(open)
--- a/crates/steer/src/duty/window.rs
+++ b/crates/steer/src/duty/window.rs
@@ -28,20 +28,20 @@
     loop {
         sleep(jittered(INTERVAL)).await;
         if context.duty.seat.epoch().is_some() {
-            step(&context).await;
+            step(&context, SystemTime::now()).await;
         }
     }
 }
 
 /// Closes a window that is due, and brings unfinished ones one step further.
-pub async fn step(context: &Context) {
-    if let Err(err) = try_step(context).await {
+pub async fn step(context: &Context, now: SystemTime) {
+    if let Err(err) = try_step(context, now).await {
         tracing::debug!(event = "window_step_failed", error = %err);
     }
 }
 
-async fn try_step(context: &Context) -> Result<(), Failure> {
-    close(context, SystemTime::now()).await?;
+async fn try_step(context: &Context, now: SystemTime) -> Result<(), Failure> {
+    close(context, now).await?;
     let rows = store::scan(&*context.platform.tables, window::TABLE, "", "").await;
     for found in rows.map_err(Failure::Store)? {
         if found.key == HEAD {
--- a/crates/steer/src/rpc/peer.rs
+++ b/crates/steer/src/rpc/peer.rs
@@ -1,7 +1,7 @@
 //! Answers to peers: hand-out, missing entries and this host's state.
 
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, SystemTime};
 
 use agate_model::id::HostId;
 use agate_wire::demand;
@@ -83,7 +83,7 @@
     });
     handlers.insert(peer::STANDING, standing);
     let mirror = Method::shared(context, |context, _, push| {
-        Box::pin(async move { Ok(duty::mirror::take(&context, push)) })
+        Box::pin(async move { Ok(duty::mirror::take(&context, push, SystemTime::now())) })
     });
     handlers.insert(mirror::METHOD, mirror);
     let demand = Method::shared(context, |context, sender, push| {
--- a/crates/steer/src/run.rs
+++ b/crates/steer/src/run.rs
@@ -155,8 +155,10 @@
         self.duty.close(context).await;
         witness::leave(context).await;
         report(directory::remove(context).await);
-        for task in &self.tasks {
+        for task in self.tasks {
             task.abort();
+            // A task that was aborted drops its sockets before its handle is ready.
+            let _ = task.await;
         }
         self.rpc.close().await;
     }
--- /dev/null
+++ b/crates/steer/tests/duty/main.rs
@@ -0,0 +1,6 @@
+//! Work of the lease holder, over a platform in memory and a paused clock.
+
+mod fleet;
+mod lease;
+mod usage;
+mod world;
--- /dev/null
+++ b/crates/steer/tests/duty/world.rs
@@ -0,0 +1,336 @@
+//! Hosts without sockets, over a platform in memory.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+use agate_fake::memory::{Fault, Memory};
+use agate_model::endpoint::Endpoint;
+use agate_platform::Error;
+use agate_platform::interface::{Answer, Engines, Hosts, Objects, Orders, Reports, Tables};
+use agate_settings::file;
+use agate_steer::config::copy::Copy;
+use agate_steer::context::Context;
+use agate_steer::duty::lease::Keeper;
+use agate_steer::endpoints::Board;
+use agate_steer::inbox::Inbox;
+use agate_steer::member::Members;
+use agate_steer::metrics::Metrics;
+use agate_steer::platform::Platform;
+use agate_steer::rpc::client::Peers;
+use agate_steer::settings::Settings;
+use agate_wire::engine::{self, Fenced, Load};
+use agate_wire::order::{Action, Machine, Order, Receipt, State};
+use agate_wire::peer::HostRow;
+use agate_wire::platform::{Figures, Listing, Report};
+use agate_wire::table::{Commit, Page, Row, Transaction};
+use bytes::Bytes;
+use tokio::time::{Instant, advance};
+
+const CLUSTER_KEY: &str = "5ca1ab1e5ca1ab1e5ca1ab1e5ca1ab1e5ca1ab1e5ca1ab1e5ca1ab1e5ca1ab1e";
+
+/// Faults of the interfaces other than the tables.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub(crate) enum Wire {
+    /// Calls succeed.
+    #[default]
+    Up,
+    /// Calls take effect, and their answers are lost.
+    AnswerLost,
+    /// The sender is frozen for this long after it has connected.
+    Frozen(Duration),
+}
+
+/// The platform.
+#[derive(Default)]
+pub(crate) struct World {
+    pub(crate) memory: Memory,
+    /// Whether the answers of commits are lost after their effect.
+    pub(crate) lose_commits: Cell<bool>,
+    pub(crate) wire: Cell<Wire>,
+    /// Endpoints by the order that started them.
+    pub(crate) machines: RefCell<BTreeMap<String, Machine>>,
+    /// The lagging list.
+    pub(crate) listed: RefCell<Vec<Machine>>,
+    /// Orders as received, repeated ones included.
+    pub(crate) orders: RefCell<Vec<Order>>,
+    pub(crate) unavailable: Cell<bool>,
+    /// Reports as received, repeated ones included.
+    pub(crate) reports: RefCell<Vec<Report>>,
+    /// Orders that engines received.
+    pub(crate) engine_orders: RefCell<Vec<engine::Order>>,
+}
+
+impl World {
+    pub(crate) fn new() -> Rc<Self> {
+        tokio::time::pause();
+        Rc::default()
+    }
+
+    pub(crate) fn set_down(&self, down: bool) {
+        let fault = if down { Fault::Down } else { Fault::None };
+        self.memory.fault.set(fault);
+    }
+
+    /// Lets the list show what exists.
+    pub(crate) fn publish(&self) {
+        *self.listed.borrow_mut() = self.machines.borrow().values().cloned().collect();
+    }
+
+    /// Sum of the different reports, which must not contradict each other.
+    pub(crate) fn reported(&self) -> u64 {
+        let mut figures: BTreeMap<(u64, String), Figures> = BTreeMap::new();
+        for report in self.reports.borrow().iter() {
+            let key = (report.window, report.account.clone());
+            let first = figures.entry(key).or_insert(report.figures);
+            assert_eq!(*first, report.figures, "a second report with other figures");
+        }
+        figures.values().map(|it| it.requests).sum()
+    }
+
+    async fn send<T>(
+        &self,
+        may_send: &dyn Fn() -> bool,
+        effect: impl FnOnce() -> T,
+    ) -> Result<T, Error> {
+        if let Wire::Frozen(time) = self.wire.get() {
+            advance(time).await;
+        }
+        if !may_send() {
+            return Err(Error::Unreached("no longer allowed".to_owned()));
+        }
+        let answer = effect();
+        if self.wire.get() == Wire::AnswerLost {
+            return Err(Error::Unknown("answer lost".to_owned()));
+        }
+        Ok(answer)
+    }
+
+    fn carry_out(&self, order: &Order) -> Receipt {
+        self.orders.borrow_mut().push(order.clone());
+        let mut machines = self.machines.borrow_mut();
+        match &order.action {
+            Action::Start { .. } if self.unavailable.get() => Receipt::Unavailable,
+            Action::Start { pool, zone, kind } => {
+                let number = machines.len();
+                let machine = machines.entry(order.id.clone()).or_insert_with(|| Machine {
+                    id: format!("e{number}"),
+                    order: order.id.clone(),
+                    pool: pool.clone(),
+                    zone: zone.clone(),
+                    kind: *kind,
+                    address: "127.0.0.1:1".parse().expect("an address"),
+                    state: State::Running,
+                    price_milli: 1000,
+                });
+                Receipt::Done {
+                    endpoint: machine.id.clone(),
+                }
+            }
+            Action::Stop { endpoint } => {
+                machines.retain(|_, it| it.id != *endpoint);
+                Receipt::Done {
+                    endpoint: endpoint.clone(),
+                }
+            }
+        }
+    }
+}
+
+struct Handle(Rc<World>);
+
+impl Tables for Handle {
+    fn get<'a>(&'a self, table: &'a str, key: &'a str) -> Answer<'a, Option<Row>> {
+        self.0.memory.get(table, key)
+    }
+
+    fn scan<'a>(
+        &'a self,
+        table: &'a str,
+        prefix: &'a str,
+        after: &'a str,
+        limit: usize,
+    ) -> Answer<'a, Page> {
+        self.0.memory.scan(table, prefix, after, limit)
+    }
+
+    fn commit<'a>(&'a self, transaction: &'a Transaction) -> Answer<'a, Commit> {
+        Box::pin(async move {
+            let outcome = self.0.memory.commit(transaction).await;
+            if self.0.lose_commits.get() {
+                return Err(Error::Unknown("answer lost".to_owned()));
+            }
+            outcome
+        })
+    }
+}
+
+impl Objects for Handle {
+    fn get<'a>(&'a self, _: &'a str) -> Answer<'a, Option<Bytes>> {
+        Box::pin(async { Ok(None) })
+    }
+
+    fn put<'a>(&'a self, _: &'a str, _: Bytes) -> Answer<'a, ()> {
+        Box::pin(async { Ok(()) })
+    }
+}
+
+impl Orders for Handle {
+    fn order<'a>(
+        &'a self,
+        order: &'a Order,
+        _: Duration,
+        may_send: &'a dyn Fn() -> bool,
+    ) -> Answer<'a, Receipt> {
+        Box::pin(self.0.send(may_send, || self.0.carry_out(order)))
+    }
+
+    fn machines(&self) -> Answer<'_, Vec<Machine>> {
+        Box::pin(async { Ok(self.0.listed.borrow().clone()) })
+    }
+}
+
+impl Reports for Handle {
+    fn send<'a>(
+        &'a self,
+        _: &'a str,
+        report: &'a Report,
+        _: Duration,
+        may_send: &'a dyn Fn() -> bool,
+    ) -> Answer<'a, ()> {
+        let effect = || self.0.reports.borrow_mut().push(report.clone());
+        Box::pin(self.0.send(may_send, effect))
+    }
+}
+
+impl Hosts for Handle {
+    fn list(&self) -> Answer<'_, Listing> {
+        Box::pin(async { Ok(Listing::default()) })
+    }
+}
+
+impl Engines for Handle {
+    fn load<'a>(&'a self, _: &'a Endpoint) -> Answer<'a, Load> {
+        Box::pin(async { Ok(Load::default()) })
+    }
+
+    fn order<'a>(
+        &'a self,
+        _: &'a Endpoint,
+        order: &'a engine::Order,
+        _: Duration,
+        may_send: &'a dyn Fn() -> bool,
+    ) -> Answer<'a, Result<(), Fenced>> {
+        let effect = || {
+            self.0.engine_orders.borrow_mut().push(order.clone());
+            Ok(())
+        };
+        Box::pin(self.0.send(may_send, effect))
+    }
+}
+
+/// A control process without its sockets.
+pub(crate) struct Host {
+    pub(crate) context: Context,
+    pub(crate) keeper: Keeper,
+    next_step: Instant,
+}
+
+impl Host {
+    pub(crate) fn new(world: &Rc<World>, id: &str, zone: &str) -> Self {
+        let context = context(world, id, zone);
+        Self {
+            keeper: Keeper::new(&context),
+            context,
+            next_step: Instant::now(),
+        }
+    }
+
+    /// Does the lease's step if it is due.
+    pub(crate) async fn tick(&mut self) {
+        if Instant::now() >= self.next_step {
+            let pause = self.keeper.step(&self.context).await;
+            self.next_step = Instant::now() + pause;
+        }
+    }
+
+    /// Works for this long, in steps of 100 ms.
+    pub(crate) async fn work(&mut self, time: Duration) {
+        let until = Instant::now() + time;
+        while Instant::now() < until {
+            self.tick().await;
+            advance(Duration::from_millis(100)).await;
+        }
+        self.tick().await;
+    }
+
+    pub(crate) fn holds(&self) -> bool {
+        self.context.duty.seat.epoch().is_some()
+    }
+}
+
+/// Wall-clock time in windows of ten seconds.
+pub(crate) fn wall(seconds: u64) -> SystemTime {
+    UNIX_EPOCH + Duration::from_secs(seconds)
+}
+
+pub(crate) fn context(world: &Rc<World>, id: &str, zone: &str) -> Context {
+    let settings = settings(id, zone);
+    let own = row(id, zone);
+    let metrics = Rc::new(Metrics::default());
+    let secret = settings.secret().expect("a cluster key");
+    let peers = Peers::new(
+        id.to_owned(),
+        secret,
+        Duration::from_secs(1),
+        metrics.clone(),
+    );
+    let handle = Rc::new(Handle(Rc::clone(world)));
+    Context {
+        settings: Rc::new(settings),
+        host: Rc::new(own.clone().into()),
+        platform: Platform {
+            tables: handle.clone(),
+            objects: handle.clone(),
+            orders: handle.clone(),
+            reports: handle.clone(),
+            hosts: handle.clone(),
+            engines: handle,
+        },
+        copy: Rc::new(Copy::default()),
+        members: Rc::new(Members::new(own)),
+        peers: Rc::new(peers),
+        endpoints: Rc::new(Board::default()),
+        inbox: Rc::new(Inbox::default()),
+        rumours: Rc::default(),
+        lease: Rc::default(),
+        usage: Rc::default(),
+        duty: Rc::default(),
+        leaving: Rc::default(),
+        metrics,
+    }
+}
+
+fn settings(id: &str, zone: &str) -> Settings {
+    let text = format!(
+        "host: {id}\nzone: {zone}\ngate: 127.0.0.1:1\nlisten: 127.0.0.1:0\n\
+         peers_listen: 127.0.0.1:0\ngossip: 127.0.0.1:0\nplatform: 127.0.0.1:1\n\
+         cluster_key: {CLUSTER_KEY}\nwindow: 10s\nwindow_grace: 5s\n"
+    );
+    file::parse("test", &text).expect("settings")
+}
+
+fn row(id: &str, zone: &str) -> HostRow {
+    let address = "127.0.0.1:1".parse().expect("an address");
+    HostRow {
+        host: id.to_owned(),
+        incarnation: format!("{id}-run"),
+        zone: zone.to_owned(),
+        gate: address,
+        steer: address,
+        gossip: address,
+        started_ms: 1,
+        leaving: false,
+    }
+}
