--- a/crates/steer/tests/duty/usage.rs
+++ b/crates/steer/tests/duty/usage.rs
@@ -234,3 +234,20 @@
         assert!(after - before <= 1, "{} writes", after - before);
     }
 }
+
+#[actix_rt::test]
+async fn host_that_has_not_heard_of_the_closing_writes_into_the_open_window() {
+    let world = World::new();
+    let mut holder = holder(&world, "h1", 1).await;
+    work(&mut holder, 100).await;
+    let other = Host::new(&world, "h2", "b");
+    count(&other, 100, 4);
+    usage::step(&other.context, wall(105)).await;
+    work(&mut holder, 116).await;
+    count(&other, 100, 6);
+    usage::step(&other.context, wall(116)).await;
+    work(&mut holder, 126).await;
+    assert_eq!(world.reported(), 6);
+    let windows: Vec<u64> = world.reports.borrow().iter().map(|it| it.window).collect();
+    assert_eq!(windows, [100, 110]);
+}
