--- a/crates/steer/src/duty.rs
+++ b/crates/steer/src/duty.rs
@@ -5,8 +5,9 @@
 //!   every host reports ([`demand`]); [`engine`] has engines load their pools' models.
 //! - [`usage`] writes the rows of usage of this host's gates, and of lost hosts whose
 //!   totals were mirrored here ([`mirror`]); [`window`] closes windows and [`report`]
-//!   sends their figures.
+//!   sends their figures. [`retention`] and [`claims`] delete what is no longer needed.
 
+pub mod claims;
 pub mod demand;
 pub mod engine;
 pub mod fleet;
@@ -15,16 +16,19 @@
 pub mod mirror;
 pub mod order;
 pub mod report;
+pub mod retention;
 pub mod seat;
 pub mod source;
 pub mod store;
 pub mod usage;
 pub mod window;
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::SystemTime;
 
 use actix_rt::task::JoinHandle;
+use agate_model::id::Window;
 
 use crate::context::Context;
 
@@ -37,6 +41,8 @@
     pub demand: demand::Board,
     /// Usage of the gates of this host and of mirrored ones.
     pub books: usage::Books,
+    /// Windows up to this one are reported, as far as this process knows.
+    pub reported: Cell<Option<Window>>,
     /// Counters and gauges.
     pub metrics: metrics::Metrics,
 }
@@ -60,6 +66,8 @@
             actix_rt::spawn(fleet::run(context.clone())),
             actix_rt::spawn(engine::run(context.clone())),
             actix_rt::spawn(window::run(context.clone())),
+            actix_rt::spawn(retention::run(context.clone())),
+            actix_rt::spawn(claims::run(context.clone())),
         ];
         Self {
             keeper: actix_rt::spawn(lease::run(context.clone())),
--- a/crates/steer/src/duty/mirror.rs
+++ b/crates/steer/src/duty/mirror.rs
@@ -128,7 +128,7 @@
 }
 
 /// Rank in rendezvous hashing (FNV-1a).
-fn rank(text: &str) -> u64 {
+pub(crate) fn rank(text: &str) -> u64 {
     const OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
     const PRIME: u64 = 0x0100_0000_01b3;
     text.bytes().fold(OFFSET, |hash, byte| {
--- a/crates/steer/src/duty/report.rs
+++ b/crates/steer/src/duty/report.rs
@@ -1,5 +1,7 @@
 //! Sends the frozen figures of windows.
 
+use std::time::SystemTime;
+
 use agate_lease::Permit;
 use agate_model::id::{AccountId, Window};
 use agate_platform::Error;
@@ -11,9 +13,9 @@
 
 use crate::context::Context;
 use crate::duty::metrics::count;
-use crate::duty::seat::{Failure, now};
+use crate::duty::seat::{self, Failure};
 use crate::duty::store::{self, Found};
-use crate::duty::window::{advance, commit};
+use crate::duty::window::{advance, commit, state};
 
 /// Reports sent at once.
 const CONCURRENCY: usize = 8;
@@ -31,17 +33,22 @@
     context: &Context,
     window: Window,
     found: &Found<usage::Window>,
+    now: SystemTime,
 ) -> Result<(), Failure> {
     let epoch = context.duty.seat.epoch().ok_or(Failure::NotHeld)?;
     let mut pending = pending(context, window).await.map_err(Failure::Store)?;
     if pending.is_empty() {
-        advance(context, window, found, State::Sent, epoch).await?;
+        advance(context, window, found, state(State::Sent, epoch, now)).await?;
         tracing::info!(event = "window_reported", window, epoch);
         return Ok(());
     }
+    // Reports that the receiver refuses must not keep the others back.
+    let first = rand::random_range(0..pending.len());
+    pending.rotate_left(first);
     pending.truncate(BATCH);
     // Recording the attempt gives the permit to send.
-    let recorded = advance(context, window, found, State::Frozen, epoch).await?;
+    let row = state(State::Frozen, epoch, now);
+    let recorded = advance(context, window, found, row).await?;
     let permit = recorded.permit;
     let sent: Vec<Option<Frozen>> = stream::iter(pending)
         .map(|it| send_one(context, window, permit, it))
@@ -84,8 +91,8 @@
         figures: frozen.found.value.figures,
     };
     let id = report::key(window, &frozen.account);
-    let deadline = terms.flight.min(permit.remaining(now()));
-    let may_send = || permit.is_valid(now());
+    let deadline = terms.flight.min(permit.remaining(seat::now()));
+    let may_send = || permit.is_valid(seat::now());
     context
         .duty
         .seat
--- a/crates/steer/src/duty/usage.rs
+++ b/crates/steer/src/duty/usage.rs
@@ -27,7 +27,7 @@
 /// Closed windows whose totals are kept in memory.
 const KEPT_WINDOWS: u64 = 8;
 /// Windows before the open one for which totals are accepted.
-const PAST_WINDOWS: u64 = 1000;
+const PAST_WINDOWS: u64 = 48;
 /// Longest time for writing the remaining rows at shutdown.
 const FLUSH_TIMEOUT: Duration = Duration::from_secs(5);
 
--- a/crates/steer/src/duty/window.rs
+++ b/crates/steer/src/duty/window.rs
@@ -1,8 +1,8 @@
 //! Closes reporting windows and freezes their figures.
 
-use std::time::{Duration, SystemTime};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
-use agate_model::id::Window;
+use agate_model::id::{Epoch, Window};
 use agate_platform::Error;
 use agate_usage::window::{self, HEAD, Head};
 use agate_usage::{Row, report as figures, row};
@@ -36,30 +36,41 @@
 /// Closes a window that is due, and brings unfinished ones one step further.
 pub async fn step(context: &Context, now: SystemTime) {
     if let Err(err) = try_step(context, now).await {
-        tracing::debug!(event = "window_step_failed", error = %err);
+        tracing::warn!(event = "window_step_failed", error = %err);
     }
 }
 
 async fn try_step(context: &Context, now: SystemTime) -> Result<(), Failure> {
     close(context, now).await?;
-    let rows = store::scan(&*context.platform.tables, window::TABLE, "", "").await;
-    for found in rows.map_err(Failure::Store)? {
-        if found.key == HEAD {
-            continue;
-        }
-        let found: Found<usage::Window> = store::parse(&found).map_err(Failure::Store)?;
+    let mut is_reported = true;
+    for found in unreported(context).await? {
         let Ok(window) = found.key.parse() else {
             continue;
         };
+        is_reported &= found.value.state == State::Sent;
+        if is_reported {
+            context.duty.reported.set(Some(window));
+        }
         match found.value.state {
-            State::Closed => freeze(context, window, &found).await?,
-            State::Frozen => report::send(context, window, &found).await?,
+            State::Closed => freeze(context, window, &found, now).await?,
+            State::Frozen => report::send(context, window, &found, now).await?,
             State::Sent => {}
         }
     }
     Ok(())
 }
 
+/// Closed windows after the last one that is known to be reported, with all before it.
+async fn unreported(context: &Context) -> Result<Vec<Found<usage::Window>>, Failure> {
+    let after = context.duty.reported.get().map_or_else(String::new, key);
+    let tables = &*context.platform.tables;
+    let rows = store::scan(tables, window::TABLE, "", &after).await;
+    let rows = rows.map_err(Failure::Store)?;
+    let windows = rows.iter().filter(|it| it.key != HEAD);
+    let windows: Result<Vec<_>, Error> = windows.map(store::parse).collect();
+    windows.map_err(Failure::Store)
+}
+
 /// Commits as the holder of the lease.
 pub(crate) async fn commit(
     context: &Context,
@@ -86,11 +97,8 @@
             let Some(due) = schedule.due(Head::from(found.value), now) else {
                 return Ok(());
             };
-            let state = usage::Window {
-                state: State::Closed,
-                epoch,
-            };
-            writes.push(store::put(window::TABLE, &key(due), &state));
+            let row = state(State::Closed, epoch, now);
+            writes.push(store::put(window::TABLE, &key(due), &row));
             due
         }
     };
@@ -120,6 +128,7 @@
     context: &Context,
     window: Window,
     found: &Found<usage::Window>,
+    now: SystemTime,
 ) -> Result<(), Failure> {
     let epoch = context.duty.seat.epoch().ok_or(Failure::NotHeld)?;
     let rows = read_rows(context, window).await.map_err(Failure::Store)?;
@@ -149,27 +158,29 @@
         }
         commit(context, &transaction).await?;
     }
-    advance(context, window, found, State::Frozen, epoch).await?;
+    let row = state(State::Frozen, epoch, now);
+    advance(context, window, found, row).await?;
     count(&context.duty.metrics.reports, "window_frozen");
     Ok(())
 }
 
+/// Row of a window.
+pub(crate) fn state(state: State, epoch: Epoch, now: SystemTime) -> usage::Window {
+    let at = now.duration_since(UNIX_EPOCH).unwrap_or_default().as_secs();
+    usage::Window { state, epoch, at }
+}
+
 /// Writes the next state of a window.
 pub(crate) async fn advance(
     context: &Context,
     window: Window,
     found: &Found<usage::Window>,
-    state: State,
-    epoch: u64,
+    next: usage::Window,
 ) -> Result<Recorded, Failure> {
     let key = key(window);
     let transaction = Transaction {
         checks: vec![store::check(window::TABLE, &key, Some(found.revision))],
-        writes: vec![store::put(
-            window::TABLE,
-            &key,
-            &usage::Window { state, epoch },
-        )],
+        writes: vec![store::put(window::TABLE, &key, &next)],
     };
     commit(context, &transaction).await
 }
--- a/crates/steer/tests/duty/main.rs
+++ b/crates/steer/tests/duty/main.rs
@@ -2,5 +2,6 @@
 
 mod fleet;
 mod lease;
+mod sweep;
 mod usage;
 mod world;
--- a/crates/steer/tests/duty/usage.rs
+++ b/crates/steer/tests/duty/usage.rs
@@ -13,7 +13,7 @@
 
 use crate::world::{Host, Wire, World, wall};
 
-fn figures(requests: u64) -> Figures {
+pub(crate) fn figures(requests: u64) -> Figures {
     Figures {
         requests,
         prompt_tokens: 10 * requests,
@@ -23,7 +23,7 @@
 }
 
 /// A call of the host's gate with the total of one account and window.
-fn count(host: &Host, window: u64, requests: u64) {
+pub(crate) fn count(host: &Host, window: u64, requests: u64) {
     let request = Request {
         host: host.context.host.id.clone(),
         incarnation: "gate".to_owned(),
@@ -37,7 +37,7 @@
     host.context.inbox.record(request, Instant::now());
 }
 
-async fn holder(world: &Rc<World>, id: &str, wait: u64) -> Host {
+pub(crate) async fn holder(world: &Rc<World>, id: &str, wait: u64) -> Host {
     let mut host = Host::new(world, id, "a");
     host.work(Duration::from_secs(wait)).await;
     assert!(host.holds());
@@ -45,7 +45,7 @@
 }
 
 /// Rows and windows for a while, with the wall clock at `seconds`.
-async fn work(host: &mut Host, seconds: u64) {
+pub(crate) async fn work(host: &mut Host, seconds: u64) {
     for _ in 0..12 {
         usage::step(&host.context, wall(seconds)).await;
         window::step(&host.context, wall(seconds)).await;
--- a/crates/wire/src/usage.rs
+++ b/crates/wire/src/usage.rs
@@ -117,6 +117,8 @@
     pub state: State,
     /// Epoch of the holder that wrote the row.
     pub epoch: u64,
+    /// When the row was written, in seconds since the Unix epoch.
+    pub at: u64,
 }
 
 /// Frozen figures of one account.
