--- a/crates/steer/src/run.rs
+++ b/crates/steer/src/run.rs
@@ -158,6 +158,7 @@
         report(directory::remove(context).await);
         for task in self.tasks {
             task.abort();
+            // A task that was aborted drops its sockets before its handle is ready.
             let _ = task.await;
         }
         self.rpc.close().await;
