--- a/crates/fake/src/main.rs
+++ b/crates/fake/src/main.rs
@@ -177,6 +177,7 @@
         } => {
             let mut engine = model.settings(SocketAddr::new(common.listen.ip(), 0), common.seed);
             engine.fencing = fencing;
+            engine.server.idle = common.idle.unwrap_or(engine.server.idle);
             let running = platform::start(&platform::Settings {
                 server: common.options(Duration::from_secs(1)),
                 list_lag,
--- a/crates/proof/src/deployment.rs
+++ b/crates/proof/src/deployment.rs
@@ -24,6 +24,16 @@
 /// Availability zones, taken in turn.
 const ZONES: [&str; 3] = ["hal-noord", "hal-zuid", "meetkamer"];
 
+/// Short terms and intervals of the control processes. The receivers close idle
+/// connections after [`IDLE`].
+pub const QUICK: &str = "\
+lease: { term: 3s, margin: 300ms, renewal: 500ms, flight: 500ms, idle: 1200ms }
+intervals: { hosts: 500ms, usage: 500ms, mirror: 500ms, demand: 1s, fleet: 500ms }
+window_grace: 2s";
+
+/// Time after which stand-ins close idle connections, for [`QUICK`].
+pub const IDLE: [&str; 2] = ["--idle", "1s"];
+
 /// What differs between tests.
 #[derive(Clone, Debug)]
 pub struct Options {
@@ -41,6 +51,8 @@
     pub window: Duration,
     /// How long callers keep addresses.
     pub keep_addresses: Duration,
+    /// Further settings of the control processes, in YAML.
+    pub steer: String,
     /// Numbers of the hosts whose control process takes no unsealed calls of gates.
     pub sealed: Vec<u8>,
 }
@@ -55,6 +67,7 @@
             platform: vec!["--list-lag".to_owned(), "500ms".to_owned()],
             window: Duration::from_secs(3600),
             keep_addresses: Duration::from_secs(1),
+            steer: String::new(),
             sealed: Vec::new(),
         }
     }
@@ -151,17 +164,24 @@
         deployment
     }
 
-    /// As [`Deployment::start`], but the last host reaches the platform through a relay.
-    pub async fn start_with_relay(options: Options) -> (Self, Relay) {
+    /// As [`Deployment::start`], but the last `relayed` hosts reach the platform through
+    /// relays of their own.
+    pub async fn start_with_relays(options: Options, relayed: u8) -> (Self, Vec<Relay>) {
         let mut deployment = Self::prepare(options.clone()).await;
         let platform = deployment.platform.address;
-        let relay = Relay::start(deployment.network.relay(), platform).await;
-        for _ in 1..options.hosts {
-            deployment.add_host(platform);
+        let mut relays = Vec::new();
+        for number in 1..=options.hosts {
+            let is_direct = number + relayed <= options.hosts;
+            if is_direct {
+                deployment.add_host(platform);
+                continue;
+            }
+            let relay = Relay::start(deployment.network.relay(), platform).await;
+            deployment.add_host(relay.address);
+            relays.push(relay);
         }
-        deployment.add_host(relay.address);
         deployment.declare().await;
-        (deployment, relay)
+        (deployment, relays)
     }
 
     /// Declares the base resources and all endpoints, and waits until each gate serves.
@@ -316,7 +336,8 @@
         let text = format!(
             "host: {name}\nzone: {zone}\ngate: {gate}\nlisten: {api}\npeers_listen: {peers}\n\
              gossip: {gossip}\nplatform: {platform}\nseeds: [{seeds}]\ncluster_key: \"{CLUSTER_KEY}\"\n\
-             bootstrap_operator_digest: \"{digest}\"\nwindow: {window}s\nrequire_token: {sealed}\n"
+             bootstrap_operator_digest: \"{digest}\"\nwindow: {window}s\nrequire_token: {sealed}\n{}\n",
+            self.options.steer
         );
         self.run(&format!("steer-{name}"), "agate-steer", &text)
     }
--- a/crates/proof/src/program.rs
+++ b/crates/proof/src/program.rs
@@ -139,9 +139,13 @@
         read(&self.out) + &read(&self.log)
     }
 
+    /// Its process id.
+    pub fn id(&self) -> Pid {
+        Pid::from_raw(i32::try_from(self.child.id()).expect("process ids are positive"))
+    }
+
     fn signal(&self, signal: Signal) {
-        let id = i32::try_from(self.child.id()).expect("process ids are positive");
-        kill(Pid::from_raw(id), signal).expect("child has not been waited for");
+        kill(self.id(), signal).expect("child has not been waited for");
     }
 }
 
--- a/crates/proof/src/relay.rs
+++ b/crates/proof/src/relay.rs
@@ -5,6 +5,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use nix::sys::signal::{Signal, kill};
+use nix::unistd::Pid;
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
@@ -34,6 +36,7 @@
     pub address: SocketAddr,
     mode: Rc<Cell<Mode>>,
     streams: Rc<RefCell<Vec<AbortHandle>>>,
+    trap: Rc<Cell<Option<Pid>>>,
     accept: JoinHandle<()>,
 }
 
@@ -44,9 +47,13 @@
         let address = listener.local_addr().expect("socket is bound");
         let mode = Rc::new(Cell::new(Mode::Pass));
         let streams = Rc::new(RefCell::new(Vec::new()));
-        let (state, open) = (mode.clone(), streams.clone());
+        let trap = Rc::new(Cell::new(None));
+        let (state, open, armed) = (mode.clone(), streams.clone(), trap.clone());
         let accept = tokio::task::spawn_local(async move {
             while let Ok((stream, _)) = listener.accept().await {
+                if let Some(process) = armed.take() {
+                    let _ = kill(process, Signal::SIGSTOP);
+                }
                 let task = tokio::task::spawn_local(connect(stream, target, state.clone()));
                 open.borrow_mut().push(task.abort_handle());
             }
@@ -55,10 +62,22 @@
             address,
             mode,
             streams,
+            trap,
             accept,
         }
     }
 
+    /// Freezes a process as soon as it has made its next connection, most often before it
+    /// has sent anything on it.
+    pub fn freeze_at_next_connection(&self, process: Pid) {
+        self.trap.set(Some(process));
+    }
+
+    /// Whether the process of [`Relay::freeze_at_next_connection`] was frozen.
+    pub fn has_frozen(&self) -> bool {
+        self.trap.get().is_none()
+    }
+
     /// Changes what happens to data from now on.
     pub fn set(&self, mode: Mode) {
         self.mode.set(mode);
@@ -79,8 +98,12 @@
 }
 
 async fn connect(client: TcpStream, target: SocketAddr, mode: Rc<Cell<Mode>>) {
-    while mode.get() == Mode::Hold {
-        tokio::time::sleep(HOLD).await;
+    if mode.get() == Mode::Hold {
+        // A connection that could not be made is given up, not made late.
+        while mode.get() == Mode::Hold {
+            tokio::time::sleep(HOLD).await;
+        }
+        return;
     }
     let Ok(server) = TcpStream::connect(target).await else {
         return;
--- a/crates/proof/src/standin.rs
+++ b/crates/proof/src/standin.rs
@@ -72,7 +72,12 @@
 
     /// Reads a path as JSON.
     pub async fn read<T: DeserializeOwned>(&self, path: &str) -> T {
-        let request = Request::new(Method::GET, self.address, path);
+        Self::read_at(self.address, path).await
+    }
+
+    /// Reads a path of any stand-in as JSON.
+    pub async fn read_at<T: DeserializeOwned>(address: SocketAddr, path: &str) -> T {
+        let request = Request::new(Method::GET, address, path);
         request.send().await.expect("stand-in answers").json()
     }
 
--- a/crates/proof/tests/cutoff.rs
+++ b/crates/proof/tests/cutoff.rs
@@ -36,7 +36,8 @@
 
 #[actix_rt::test]
 async fn host_without_the_store_learns_of_a_withdrawal_from_its_peers() {
-    let (deployment, relay) = Deployment::start_with_relay(three_hosts()).await;
+    let (deployment, relays) = Deployment::start_with_relays(three_hosts(), 1).await;
+    let relay = &relays[0];
     let kept = deployment.key("kept").await;
     let key = deployment.key("withdrawn").await;
     relay.set(Mode::Hold);
@@ -57,7 +58,6 @@
             .filter(|it| it.status == 200)
     })
     .await;
-    relay.close();
 }
 
 #[actix_rt::test]
@@ -85,7 +85,8 @@
 
 #[actix_rt::test]
 async fn host_that_hears_nobody_serves_only_open_routes() {
-    let (deployment, relay) = Deployment::start_with_relay(three_hosts()).await;
+    let (deployment, relays) = Deployment::start_with_relays(three_hosts(), 1).await;
+    let relay = &relays[0];
     let key = deployment.key("valid").await;
     relay.set(Mode::Hold);
     for host in 0..CUT_OFF {
@@ -114,7 +115,6 @@
             .filter(|it| it.status == 200)
     })
     .await;
-    relay.close();
 }
 
 #[actix_rt::test]
--- a/crates/proof/tests/leaving.rs
+++ b/crates/proof/tests/leaving.rs
@@ -39,12 +39,13 @@
 
 #[actix_rt::test]
 async fn leaving_endpoint_gets_no_new_work() {
-    let (deployment, relay) = Deployment::start_with_relay(Options {
+    let options = Options {
         hosts: 3,
         engines: vec![Vec::new(), Vec::new()],
         ..Options::default()
-    })
-    .await;
+    };
+    let (deployment, relays) = Deployment::start_with_relays(options, 1).await;
+    let relay = &relays[0];
     let key = deployment.key("leaving").await;
     send_for(&deployment, &key, Duration::from_secs(1)).await;
     assert!(arrivals(&deployment.engines[0].ledger().await) > 0);
@@ -71,5 +72,4 @@
     send_for(&deployment, &key, WATCH).await;
     let after = arrivals(&deployment.engines[0].ledger().await);
     assert_eq!(after, before, "the leaving engine got new work");
-    relay.close();
 }
