--- a/crates/gate/src/gate.rs
+++ b/crates/gate/src/gate.rs
@@ -12,8 +12,10 @@
 use tokio::time::Instant;
 
 use crate::activity::Activity;
-use crate::admission::{Admission, Fifo};
+use crate::admission::{Admission, Fair};
+use crate::budget::Budgets;
 use crate::choice::{Choice, Fewest};
+use crate::claim::Claims;
 use crate::config::{Config, View};
 use crate::forward::client::Client;
 use crate::metrics::Metrics;
@@ -38,6 +40,8 @@
     pub activity: Activity,
     /// Decides which request starts when.
     pub admission: Rc<dyn Admission>,
+    /// Retry budgets.
+    pub budgets: Budgets,
     /// Chooses endpoints.
     pub choice: Rc<dyn Choice>,
     /// Connections to endpoints.
@@ -60,7 +64,8 @@
             config: RefCell::default(),
             metrics: Metrics::default(),
             activity: Activity::default(),
-            admission: Rc::new(Fifo::default()),
+            admission: Rc::new(Fair::default()),
+            budgets: Budgets::default(),
             choice: Rc::new(Fewest::default()),
             client,
             tables,
@@ -80,6 +85,19 @@
         config.is_current(Instant::now(), self.settings.freshness)
     }
 
+    /// Claims of this run; `None` without a store.
+    pub fn claims(&self) -> Option<Claims> {
+        let tables = self.tables.clone()?;
+        let host = self.settings.host.clone();
+        Some(Claims::new(tables, host, self.incarnation.clone()))
+    }
+
+    /// Whether an entry host is known to exist, or nothing is known of entry hosts.
+    pub fn is_live(&self, host: &str) -> bool {
+        let config = self.config.borrow();
+        config.hosts().is_empty() || config.hosts().iter().any(|it| it.host == host)
+    }
+
     /// Finds the account of a key, or says why it has none.
     pub fn authorize(&self, digest: &Digest) -> Result<Caller, Denial> {
         if !self.is_current() {
