--- a/crates/gate/src/admission/fair.rs
+++ b/crates/gate/src/admission/fair.rs
@@ -183,7 +183,7 @@
         let mut places = self.places.borrow_mut();
         let (key, pool) = places.startable(now)?;
         let lane = places.lanes.get_mut(&key)?;
-        let start = lane.scheduler.next(now, Room::Any)?;
+        let start = lane.scheduler.next(now, Room::ANY)?;
         let waiter = lane
             .waiters
             .remove(start.ticket)
