Plain services are not filled beyond their slots

Cause: higher tiers may fill an endpoint beyond its slots because its own queue knows priorities; plain services have no such queue, and three tests of the gate found requests at the service that had to wait at the gate. The process test of a queued key now fills an engine with three requests, more than the headroom of its tier; what it asserts is unchanged.

--- a/crates/pick/src/endpoint.rs
+++ b/crates/pick/src/endpoint.rs
@@ -3,7 +3,7 @@
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
-use agate_model::endpoint::Kind;
+use agate_model::endpoint::{Kind, Protocol};
 use agate_model::id::{EndpointId, TIER_COUNT, ZoneId};
 
 use crate::health::Health;
@@ -37,6 +37,8 @@
     pub(crate) zone: ZoneId,
     pub(crate) kind: Kind,
     pub(crate) slots: u32,
+    /// Whether its own queue starts higher tiers first.
+    has_priorities: bool,
     /// Takes no new work; not a member of its pool.
     pub(crate) leaving: bool,
     pub(crate) health: Health,
@@ -58,6 +60,7 @@
             zone: it.zone.clone(),
             kind: it.kind,
             slots: it.slots.max(1),
+            has_priorities: it.protocol == Protocol::Engine,
             leaving: true,
             health: Health::default(),
             own: 0,
@@ -123,7 +126,12 @@
 
     /// Own requests in flight up to which a request of this tier may be added.
     pub(crate) fn cap(&self, live_hosts: u32, tier: usize, tuning: &Tuning) -> u32 {
-        let slots = f64::from(self.slots) * tuning.headroom[tier];
+        let headroom = if self.has_priorities {
+            tuning.headroom[tier]
+        } else {
+            tuning.headroom[tier].min(1.0)
+        };
+        let slots = f64::from(self.slots) * headroom;
         let part = slots / f64::from(live_hosts.max(1));
         let cap = match tuning.sharing {
             Sharing::Whole => slots,
--- a/crates/pick/src/tuning.rs
+++ b/crates/pick/src/tuning.rs
@@ -29,7 +29,8 @@
     pub sharing: Sharing,
     /// Slots counted for each tier, relative to the endpoint's slots. Above 1 requests
     /// may wait on the endpoint, which starts higher tiers first; falling with the tier,
-    /// so that lower tiers leave room for higher ones.
+    /// so that lower tiers leave room for higher ones. At most 1 for plain services,
+    /// which know no priorities.
     pub headroom: [f64; TIER_COUNT],
     /// Age at which a load report has lost most of its weight.
     pub report_memory: Duration,
--- a/crates/pick/tests/picker.rs
+++ b/crates/pick/tests/picker.rs
@@ -5,7 +5,7 @@
 use std::collections::HashSet;
 use std::time::{Duration, Instant};
 
-use agate_model::endpoint::Kind;
+use agate_model::endpoint::{Kind, Protocol};
 use agate_pick::tuning::Sharing;
 use agate_pick::{Latency, Outcome, Picker, Report, Tuning};
 use common::{Asked, endpoint};
@@ -206,3 +206,27 @@
         assert!(!cheap(&id), "{id}");
     }
 }
+
+#[rstest]
+#[case(Protocol::Engine, true)]
+#[case(Protocol::Plain, false)]
+fn only_endpoints_with_priorities_are_filled_beyond_their_slots(
+    #[case] protocol: Protocol,
+    #[case] is_beyond: bool,
+) {
+    let now = Instant::now();
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    let mut picker = Picker::default();
+    let mut only = endpoint(0, Kind::Standard);
+    only.protocol = protocol;
+    picker.upsert(now, &only);
+    let mut asked = Asked::new();
+    asked.tier = 0;
+    let mut started = 0;
+    while let Some(choice) = picker.choose(now, &asked.wish(), &mut rng) {
+        let _ = picker.start(now, choice.key);
+        started += 1;
+    }
+    assert_eq!(started > only.slots, is_beyond);
+    assert!(started >= only.slots);
+}
--- a/crates/proof/tests/withdrawal.rs
+++ b/crates/proof/tests/withdrawal.rs
@@ -7,6 +7,9 @@
 use agate_proof::wait::{IN_FORCE, POLL, SLACK, START, until};
 use tokio::time::Instant;
 
+/// Requests that leave no room on an engine with one slot.
+const FILLING: usize = 3;
+
 #[actix_rt::test]
 async fn withdrawn_key_stops_on_open_connections_of_every_host() {
     let deployment = Deployment::start(Options {
@@ -56,8 +59,12 @@
     let first = deployment.key("first").await;
     let second = deployment.key("second").await;
     let gate = deployment.gate(0);
-    let long = chat(gate, &first, &completion("long-running", 220, true));
-    let long = actix_rt::spawn(async move { stream(&long, |_| {}).await });
+    let long: Vec<_> = (0..FILLING)
+        .map(|_| {
+            let long = chat(gate, &first, &completion("long-running", 220, true));
+            actix_rt::spawn(async move { stream(&long, |_| {}).await })
+        })
+        .collect();
     until("the slot is taken", START, || async {
         (deployment.received("long-running").await > 0).then_some(())
     })
@@ -76,8 +83,10 @@
     assert_eq!(code(&response), "key_invalid");
     assert_eq!(response.execution.as_deref(), Some("not run"));
     assert_eq!(deployment.received("queued-request").await, 0);
-    assert!(
-        long.await.expect("caller ends").whole,
-        "the other key is not affected"
-    );
+    for long in long {
+        assert!(
+            long.await.expect("caller ends").whole,
+            "the other key is not affected"
+        );
+    }
 }
--- a/crates/steer/tests/duty/world.rs
+++ b/crates/steer/tests/duty/world.rs
@@ -304,6 +304,7 @@
         endpoints: Rc::new(Board::default()),
         inbox: Rc::new(Inbox::default()),
         rumours: Rc::default(),
+        roster: Rc::default(),
         lease: Rc::default(),
         usage: Rc::default(),
         duty: Rc::default(),
