--- a/crates/steer/src/directory.rs
+++ b/crates/steer/src/directory.rs
@@ -31,6 +31,12 @@
 /// Calls to peers at the same time.
 const ANNOUNCE_CONCURRENCY: usize = 32;
 
+/// Added to the interval between reads of the lists for each host, as the lists grow with it.
+const READ_DELAY_PER_HOST: Duration = Duration::from_millis(8);
+
+/// Range of the random delay of a read for each host.
+const READ_SPREAD_PER_HOST: Duration = Duration::from_millis(300);
+
 /// Requests that an ordered endpoint serves at once.
 const ORDERED_SLOTS: u32 = 8;
 
@@ -40,7 +46,8 @@
     loop {
         is_registered = is_registered || register(&context).await.is_ok();
         let interval = context.settings.intervals.hosts;
-        let is_due = context.roster.age().is_none_or(|age| age >= interval);
+        let hosts = context.members.peers().len() + 1;
+        let is_due = is_due(context.roster.age(), interval, hosts, rand::random());
         if is_due && let Err(err) = read(&context).await {
             tracing::debug!(event = "lists_not_read", error = %err);
         }
@@ -51,6 +58,17 @@
     }
 }
 
+/// Whether a host reads lists of a given age again; `draw` is random, from 0 to 1.
+///
+/// All hosts know the same read, so its age reaches the interval everywhere at once. The
+/// draw spreads them, so that the first few spare the others their read.
+pub fn is_due(age: Option<Duration>, interval: Duration, hosts: usize, draw: f64) -> bool {
+    let hosts = u32::try_from(hosts).unwrap_or(u32::MAX);
+    let spread = READ_SPREAD_PER_HOST.saturating_mul(hosts);
+    let wait = interval + READ_DELAY_PER_HOST.saturating_mul(hosts) + spread.mul_f64(draw);
+    age.is_none_or(|age| age >= wait)
+}
+
 /// Reads all lists from the platform.
 async fn read(context: &Context) -> Result<(), Error> {
     let at = Instant::now();
--- a/crates/steer/src/settings.rs
+++ b/crates/steer/src/settings.rs
@@ -68,7 +68,8 @@
     /// Between looks at the store's head version.
     #[serde(with = "humantime_serde")]
     pub store: Duration,
-    /// Between reads of the platform's list of hosts and endpoints.
+    /// Age of the known lists of hosts and endpoints at which they are read again; somewhat
+    /// longer with many hosts.
     #[serde(with = "humantime_serde")]
     pub hosts: Duration,
     /// Between gossip exchanges.
@@ -98,7 +99,7 @@
     fn default() -> Self {
         Self {
             store: Duration::from_secs(1),
-            hosts: Duration::from_secs(2),
+            hosts: Duration::from_secs(1),
             gossip: Duration::from_millis(200),
         }
     }
--- a/crates/steer/tests/dissemination.rs
+++ b/crates/steer/tests/dissemination.rs
@@ -4,15 +4,18 @@
 use std::time::Duration;
 
 use agate_conf::witness::Witness;
-use agate_member::frame::{Answer, Frame, HEADER_BYTES, Lists};
+use agate_member::frame::{Answer, Frame, HEADER_BYTES};
 use agate_member::secret::Secret;
 use agate_model::version::FRESHNESS_LIMIT;
 use agate_steer::config::copy::Copy;
 use agate_steer::config::reader::READ_AT;
+use agate_steer::directory::is_due;
 use agate_steer::gossip::statements;
+use agate_steer::roster::Roster;
 use agate_steer::settings::Intervals;
 use agate_wire::change::Change;
-use agate_wire::peer;
+use agate_wire::platform::{Listing, Machine, Purpose, State};
+use agate_wire::{order, peer};
 use rand::{Rng as _, SeedableRng as _};
 use rand_chacha::ChaCha8Rng;
 use rstest::rstest;
@@ -27,6 +30,8 @@
     next: Instant,
     sent: usize,
     reads: usize,
+    roster: Roster,
+    list_reads: usize,
 }
 
 struct Simulation {
@@ -52,6 +57,8 @@
             let copy = Copy::default();
             copy.extend(vec![entry(1, count.min(15))])
                 .expect("an entry");
+            let roster = Roster::default();
+            roster.replace(&peer::Lists::default(), start);
             let offset = random.random_range(0.0..1.0);
             Node {
                 copy,
@@ -59,6 +66,8 @@
                 next: start + interval.mul_f64(offset),
                 sent: 0,
                 reads: 0,
+                roster,
+                list_reads: 0,
             }
         });
         Self {
@@ -78,6 +87,9 @@
                 if self.nodes[n].next <= Instant::now() {
                     self.exchange(n);
                     self.read(n);
+                    if self.random.random() {
+                        self.read_lists(n);
+                    }
                     let pause = self.interval.mul_f64(self.random.random_range(0.5..1.5));
                     self.nodes[n].next += pause;
                 }
@@ -105,15 +117,36 @@
         self.nodes[n].sent += question.encode(&self.secret).len() + HEADER_BYTES;
         self.nodes[peer].copy.hear_of(question.version);
         let mut answer = statements::answer(&self.nodes[peer].copy, &self.nodes[peer].own);
-        answer.lists = Some(Lists {
-            digest: self.random.random(),
-            age_ms: 1500,
-        });
+        answer.lists = self.nodes[peer].roster.mark();
         let answer = self.frame(peer, Some(answer));
         let datagram = answer.encode(&self.secret);
         self.nodes[peer].sent += datagram.len() + HEADER_BYTES;
         let answer = Frame::decode(&self.secret, &datagram).expect("the answer");
         statements::take(&self.nodes[n].copy, &answer, Instant::now());
+        let lists = answer.answer.and_then(|it| it.lists);
+        if lists.is_some_and(|it| self.nodes[n].roster.compare(it, Instant::now())) {
+            self.fetch_lists(n, peer);
+        }
+    }
+
+    fn fetch_lists(&self, n: usize, peer: usize) {
+        let Some(roster) = self.nodes[peer].roster.whole() else {
+            return;
+        };
+        let at = Instant::now() - Duration::from_millis(roster.age_ms);
+        self.nodes[n].roster.replace(&roster.lists, at);
+    }
+
+    /// Reads the platform's lists as the program does, at half of the exchanges.
+    fn read_lists(&mut self, n: usize) {
+        let hosts = self.nodes.len();
+        let draw = self.random.random();
+        let node = &mut self.nodes[n];
+        let interval = Intervals::default().hosts;
+        if self.is_store_up && is_due(node.roster.age(), interval, hosts, draw) {
+            node.roster.replace(&peer::Lists::default(), Instant::now());
+            node.list_reads += 1;
+        }
     }
 
     fn frame(&mut self, n: usize, answer: Option<Answer>) -> Frame {
@@ -163,6 +196,47 @@
     }
 }
 
+/// Bytes of the lists in JSON.
+fn lists(hosts: usize, endpoints: usize) -> usize {
+    let machine = |n: usize, purpose| Machine {
+        id: format!("host-or-endpoint-{n}"),
+        purpose,
+        zone: "zone-name".to_owned(),
+        state: State::Live,
+    };
+    let listed = (0..hosts).map(|n| machine(n, Purpose::Host));
+    let endpoint_ids = (0..endpoints).map(|n| machine(n, Purpose::Endpoint));
+    let ordered = (0..endpoints).map(|n| order::Machine {
+        id: format!("endpoint-{n}"),
+        order: "0123456789abcdef".to_owned(),
+        pool: "pool-name".to_owned(),
+        zone: "zone-name".to_owned(),
+        kind: agate_wire::manifest::EndpointKind::Standard,
+        address: "10.0.0.1:8000".parse().expect("an address"),
+        state: order::State::Running,
+        price_milli: 1000,
+    });
+    let rows = (0..hosts).map(|n| peer::HostRow {
+        host: format!("host-{n}"),
+        incarnation: "0123456789abcdef".to_owned(),
+        zone: "zone-name".to_owned(),
+        gate: "10.0.0.1:8000".parse().expect("an address"),
+        steer: "10.0.0.1:8000".parse().expect("an address"),
+        gossip: "10.0.0.1:8000".parse().expect("an address"),
+        started_ms: 1_800_000_000_000,
+        leaving: false,
+    });
+    let lists = peer::Lists {
+        listing: Listing {
+            revision: 1000,
+            machines: listed.chain(endpoint_ids).collect(),
+        },
+        machines: ordered.collect(),
+        hosts: rows.collect(),
+    };
+    serde_json::to_vec(&lists).expect("json").len()
+}
+
 /// Without the store, the attestations of a majority reach every host young enough; and the
 /// bytes stay below the budget of 2 KB a second, sent and received together.
 #[rstest]
@@ -208,16 +282,31 @@
     simulation.run(Duration::from_secs(5)).await;
     for node in &mut simulation.nodes {
         node.reads = 0;
+        node.list_reads = 0;
     }
     let mut worst = Duration::ZERO;
-    let time = Duration::from_secs(5);
-    for _ in 0..20 {
-        simulation.run(time / 20).await;
+    let mut oldest = Duration::ZERO;
+    let time = Duration::from_secs(20);
+    for _ in 0..80 {
+        simulation.run(time / 80).await;
+        let age = |it: &Node| it.roster.age().expect("lists were read");
+        let ages = simulation.nodes.iter().map(age);
+        oldest = oldest.max(ages.max().expect("hosts"));
         worst = worst.max(*simulation.ages().last().expect("hosts"));
     }
     let reads: usize = simulation.nodes.iter().map(|it| it.reads).sum();
     let rate = reads as f64 / time.as_secs_f64();
     println!("{count} hosts: {rate:.1} reads/s of the head in all, worst proof {worst:?} old");
+    let list_reads: usize = simulation.nodes.iter().map(|it| it.list_reads).sum();
+    let list_rate = list_reads as f64 / time.as_secs_f64();
+    let bytes = lists(count, count * 600 / 380);
+    let list_bytes = list_rate * bytes as f64 / count as f64;
+    println!(
+        "{count} hosts: {list_rate:.2} reads/s of the lists in all, oldest {oldest:?}, \
+         {bytes} B of lists, {list_bytes:.0} B/s received by a host"
+    );
+    assert!(list_bytes < 2048.0, "{list_bytes} B/s");
+    assert!(oldest < Duration::from_secs(10), "{oldest:?}");
     assert!(
         rate <= 400.0 && worst <= Duration::from_millis(1500),
         "{rate}/s, {worst:?}"
