A fetch in progress no longer keeps the gossip socket

A run of the cluster tests failed again with the address in use although close waits for its tasks: a fetch from a peer is a task of its own and held the socket until its call ended.

--- a/crates/steer/src/gossip/exchange.rs
+++ b/crates/steer/src/gossip/exchange.rs
@@ -40,7 +40,7 @@
     secret: Secret,
     own: Witness,
     questions: RefCell<HashMap<u64, Question>>,
-    is_fetching: Cell<bool>,
+    is_fetching: Rc<Cell<bool>>,
 }
 
 impl Gossip {
@@ -53,7 +53,7 @@
             secret,
             own,
             questions: RefCell::default(),
-            is_fetching: Cell::new(false),
+            is_fetching: Rc::default(),
         })
     }
 
@@ -129,7 +129,7 @@
         }
     }
 
-    async fn receive(self: &Rc<Self>, datagram: &[u8], from: SocketAddr) {
+    async fn receive(&self, datagram: &[u8], from: SocketAddr) {
         let frame = match Frame::decode(&self.secret, datagram) {
             Ok(frame) => frame,
             Err(err) => {
@@ -161,7 +161,7 @@
         }
     }
 
-    fn hear_sender(self: &Rc<Self>, frame: &Frame) {
+    fn hear_sender(&self, frame: &Frame) {
         let members = &self.context.members;
         let Some(sender) = members.run(frame.host, frame.incarnation) else {
             members.want_scan();
@@ -179,20 +179,21 @@
         }
     }
 
-    fn fetch(self: &Rc<Self>, host: HostId) {
+    fn fetch(&self, host: HostId) {
         if self.is_fetching.replace(true) {
             return;
         }
-        let gossip = Rc::clone(self);
+        // The task must not keep the socket when the process has closed.
+        let context = self.context.clone();
+        let is_fetching = Rc::clone(&self.is_fetching);
         actix_rt::spawn(async move {
             sleep(FETCH_DELAY).await;
-            let context = &gossip.context;
             if let Some(member) = context.members.get(&host)
                 && member.version > context.copy.version()
             {
-                handout::fetch_from(context, &member).await;
+                handout::fetch_from(&context, &member).await;
             }
-            gossip.is_fetching.set(false);
+            is_fetching.set(false);
         });
     }
 
