Usage rows are paced by their size

A host that serves all 3800 accounts would rewrite 82 KB every 10 s, four times the 2 KB a second that control may take. Rows of a window that has not ended now take 512 bytes a second at most; those of ended windows go out at once, within the grace.

--- a/crates/steer/src/duty.rs
+++ b/crates/steer/src/duty.rs
@@ -3,10 +3,11 @@
 //! - [`lease`] acquires and keeps the lease; [`seat`] gives leave for single actions.
 //! - [`order`] sends endpoint orders, which [`fleet`] decides upon from the demand that
 //!   every host reports ([`demand`]); [`engine`] has engines load their pools' models.
-//! - [`usage`] writes the rows of usage of this host's gates, and of lost hosts whose
+//! - [`usage`] writes the rows of usage of this host's gates ([`books`]), and of lost hosts whose
 //!   totals were mirrored here ([`mirror`]); [`window`] closes windows and [`report`]
 //!   sends their figures. [`retention`] and [`claims`] delete what is no longer needed.
 
+pub mod books;
 pub mod claims;
 pub mod demand;
 pub mod engine;
@@ -40,7 +41,7 @@
     /// Demand that hosts have reported.
     pub demand: demand::Board,
     /// Usage of the gates of this host and of mirrored ones.
-    pub books: usage::Books,
+    pub books: books::Books,
     /// Windows up to this one are reported, as far as this process knows.
     pub reported: Cell<Option<Window>>,
     /// Counters and gauges.
--- a/crates/steer/src/duty/usage.rs
+++ b/crates/steer/src/duty/usage.rs
@@ -1,70 +1,29 @@
 //! Rows of usage: those of this host's gates, and those of lost hosts.
 
-use std::cell::RefCell;
-use std::collections::BTreeMap;
 use std::time::{Duration, SystemTime};
 
 use agate_model::id::Window;
 use agate_platform::Error;
-use agate_usage::row::{self, Row, SHARDS, Shard, Source};
+use agate_usage::row::{self, Row, SHARDS, Source};
 use agate_usage::window::{HEAD, Head, Schedule};
-use agate_usage::{Ledger, Part, window};
-use agate_wire::table::{Conflict, Transaction};
+use agate_usage::{Part, window};
+use agate_wire::table::Transaction;
 use agate_wire::usage;
 use tokio::time::{Instant, sleep, timeout};
 
 use crate::config::reader::jittered;
 use crate::context::Context;
+use crate::duty::books::{Due, Scope, Stored};
 use crate::duty::metrics::count;
 use crate::duty::store::{self, Found};
 
-/// Silence after which a mirrored run counts as lost.
-pub const SILENCE: Duration = Duration::from_secs(30);
-/// Time for which a lost run is remembered after all is written.
-const LOST_MEMORY: Duration = Duration::from_secs(3600);
 /// Attempts to write one row against other writers.
 const ATTEMPTS: usize = 4;
-/// Closed windows whose totals are kept in memory.
-const KEPT_WINDOWS: u64 = 8;
 /// Windows before the open one for which totals are accepted.
 const PAST_WINDOWS: u64 = 48;
 /// Longest time for writing the remaining rows at shutdown.
 const FLUSH_TIMEOUT: Duration = Duration::from_secs(5);
 
-/// Position of a row within one run.
-type Place = (Window, Shard);
-
-/// A row as it was last read or written.
-#[derive(Clone, Debug, Default)]
-struct Stored {
-    row: Row,
-    revision: Option<u64>,
-    at: Option<Instant>,
-}
-
-/// Usage of one run of a gate.
-#[derive(Clone, Debug)]
-struct Book {
-    ledger: Ledger,
-    stored: BTreeMap<Place, Stored>,
-    heard: Instant,
-    is_own: bool,
-}
-
-/// Usage of the gates of this host and of mirrored ones.
-#[derive(Debug, Default)]
-pub struct Books {
-    books: RefCell<BTreeMap<Source, Book>>,
-    head: RefCell<Option<Found<Head>>>,
-}
-
-/// A row that has to be written.
-struct Due {
-    place: Place,
-    row: Row,
-    stored: Option<Stored>,
-}
-
 /// What became of a write.
 enum Written {
     Done,
@@ -82,8 +41,10 @@
 /// Takes up what gates have sent, and writes one row of each run that is due.
 pub async fn step(context: &Context, now: SystemTime) {
     absorb(context, now);
+    let open = schedule(context).window(now);
     for source in context.duty.books.due(context) {
-        report(context, write(context, &source).await.map(|_| ()));
+        let outcome = write(context, &source, Scope::Paced { open }).await;
+        report(context, outcome.map(|_| ()));
     }
     context.duty.books.forget(context);
 }
@@ -93,7 +54,7 @@
     absorb(context, now);
     let all = async {
         for source in context.duty.books.due(context) {
-            while let Ok(true) = write(context, &source).await {}
+            while let Ok(true) = write(context, &source, Scope::All).await {}
         }
     };
     if timeout(FLUSH_TIMEOUT, all).await.is_err() {
@@ -153,16 +114,15 @@
 }
 
 /// Writes the row of a run that has waited longest; whether there was one.
-async fn write(context: &Context, source: &Source) -> Result<bool, Error> {
+async fn write(context: &Context, source: &Source, scope: Scope) -> Result<bool, Error> {
     for _ in 0..ATTEMPTS {
         let Some(head) = read_head(context).await? else {
             return Ok(false);
         };
         settle(context, source, head.value).await?;
-        let due = context
-            .duty
-            .books
-            .next(source, head.value, &schedule(context));
+        let schedule = schedule(context);
+        let books = &context.duty.books;
+        let due = books.next(source, head.value, &schedule, scope);
         let Some(due) = due else {
             return Ok(false);
         };
@@ -241,6 +201,7 @@
                 revision: Some(commit.revision),
                 at: Some(Instant::now()),
             };
+            books.pace(source, &transaction);
             books.store(source, due.place, stored);
             Ok(Written::Done)
         }
@@ -264,130 +225,3 @@
         at: None,
     }))
 }
-
-impl Books {
-    /// Takes up totals of a run, heard at `at` from its gate (`is_own`) or its host.
-    pub fn take(&self, source: Source, totals: &Row, at: Instant, is_own: bool) {
-        let mut books = self.books.borrow_mut();
-        let book = books.entry(source).or_insert_with(|| Book {
-            ledger: Ledger::default(),
-            stored: BTreeMap::new(),
-            heard: at,
-            is_own,
-        });
-        book.ledger.merge(totals);
-        book.heard = book.heard.max(at);
-        book.is_own |= is_own;
-    }
-
-    /// Totals of the gates that call this host.
-    pub fn own(&self) -> BTreeMap<Source, Row> {
-        let books = self.books.borrow();
-        let own = books.iter().filter(|(_, book)| book.is_own);
-        own.map(|(source, book)| (source.clone(), book.ledger.totals().clone()))
-            .collect()
-    }
-
-    /// The store's head as it was last read is out of date.
-    pub fn forget_head(&self) {
-        *self.head.borrow_mut() = None;
-    }
-
-    /// Runs whose rows this host writes now.
-    fn due(&self, context: &Context) -> Vec<Source> {
-        let books = self.books.borrow();
-        let is_due = |(source, book): &(&Source, &Book)| {
-            let is_lost = context.members.is_gone(&source.host) || book.heard.elapsed() >= SILENCE;
-            book.is_own || is_lost
-        };
-        books
-            .iter()
-            .filter(is_due)
-            .map(|(source, _)| source.clone())
-            .collect()
-    }
-
-    fn unread(&self, source: &Source, head: Head, schedule: &Schedule) -> Vec<Window> {
-        let books = self.books.borrow();
-        let book = books.get(source);
-        book.map_or_else(Vec::new, |it| it.ledger.unread(head, schedule))
-    }
-
-    fn settle(&self, source: &Source, window: Window, row: Row) {
-        if let Some(book) = self.books.borrow_mut().get_mut(source) {
-            book.ledger.settle(window, row);
-        }
-    }
-
-    /// The row that differs from the store and was not written for the longest time.
-    fn next(&self, source: &Source, head: Head, schedule: &Schedule) -> Option<Due> {
-        let books = self.books.borrow();
-        let book = books.get(source)?;
-        let rows = book.ledger.rows(head, schedule);
-        let due = rows
-            .into_iter()
-            .filter(|(place, row)| !book.shows(*place, row));
-        let due = due.map(|(place, row)| Due {
-            place,
-            row,
-            stored: book.stored.get(&place).cloned(),
-        });
-        due.min_by_key(|it| (it.stored.as_ref().and_then(|it| it.at), it.place))
-    }
-
-    fn store(&self, source: &Source, place: Place, stored: Stored) {
-        if let Some(book) = self.books.borrow_mut().get_mut(source) {
-            book.stored.insert(place, stored);
-        }
-    }
-
-    fn distrust(&self, source: &Source, place: Place) {
-        self.forget_head();
-        if let Some(book) = self.books.borrow_mut().get_mut(source) {
-            book.stored.remove(&place);
-        }
-    }
-
-    fn conflict(&self, source: &Source, place: Place, conflict: &Conflict) {
-        tracing::debug!(event = "usage_raced", table = conflict.check.table);
-        self.distrust(source, place);
-    }
-
-    /// Forgets windows long closed and runs long lost, once all is written.
-    fn forget(&self, context: &Context) {
-        let Some(head) = self.head.borrow().as_ref().map(|it| it.value) else {
-            return;
-        };
-        let schedule = schedule(context);
-        let before = head
-            .closed
-            .saturating_sub(KEPT_WINDOWS * schedule.length.as_secs());
-        self.books.borrow_mut().retain(|_, book| {
-            let is_written = book.is_written(head, &schedule);
-            if is_written {
-                book.ledger.forget(before);
-                book.stored.retain(|(window, _), _| *window >= before);
-            }
-            !is_written || book.heard.elapsed() < LOST_MEMORY
-        });
-        context.inbox.forget(before);
-    }
-}
-
-impl Book {
-    /// Whether the store is known to show at least `row`.
-    fn shows(&self, place: Place, row: &Row) -> bool {
-        let Some(stored) = self.stored.get(&place) else {
-            return false;
-        };
-        row.parts
-            .iter()
-            .all(|(part, figures)| stored.row.get(part).max(*figures) == stored.row.get(part))
-    }
-
-    fn is_written(&self, head: Head, schedule: &Schedule) -> bool {
-        let rows = self.ledger.rows(head, schedule);
-        self.ledger.unread(head, schedule).is_empty()
-            && rows.iter().all(|(place, row)| self.shows(*place, row))
-    }
-}
--- a/crates/steer/tests/duty/usage.rs
+++ b/crates/steer/tests/duty/usage.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use agate_steer::duty::{mirror, usage, window};
+use agate_steer::duty::{books, mirror, usage, window};
 use agate_wire::mirror::{Push, Totals};
 use agate_wire::platform::Figures;
 use agate_wire::sync::{Request, Usage};
@@ -192,7 +192,7 @@
             .rows
             .is_empty()
     );
-    advance(usage::SILENCE).await;
+    advance(books::SILENCE).await;
     host.work(Duration::from_secs(1)).await;
     work(&mut host, 106).await;
     work(&mut host, 116).await;
@@ -251,3 +251,37 @@
     let windows: Vec<u64> = world.reports.borrow().iter().map(|it| it.window).collect();
     assert_eq!(windows, [100, 110]);
 }
+
+#[actix_rt::test]
+async fn rows_of_all_accounts_stay_within_the_hosts_traffic() {
+    const ACCOUNTS: u64 = 3800;
+    const SECONDS: u64 = 600;
+    const LIMIT: u64 = 2048;
+    let world = World::new();
+    let mut host = holder(&world, "h1", 1).await;
+    work(&mut host, 100).await;
+    let mut bytes = 0;
+    let mut known = 0;
+    for round in 0..SECONDS / 10 {
+        let usage = (0..ACCOUNTS).map(|account| Usage {
+            account: format!("account-{account:05}"),
+            window: 100,
+            figures: figures(round + 1),
+        });
+        let request = Request {
+            host: "h1".to_owned(),
+            incarnation: "gate".to_owned(),
+            usage: usage.collect(),
+            ..Request::default()
+        };
+        host.context.inbox.record(request, Instant::now());
+        usage::step(&host.context, wall(105)).await;
+        let rows = world.memory.tables.borrow().scan("usage", "", "", 9).rows;
+        let written = rows.iter().filter(|it| it.revision > known);
+        bytes += written.map(|it| it.value.len() as u64).sum::<u64>();
+        known = rows.iter().map(|it| it.revision).max().unwrap_or(0);
+        advance(Duration::from_secs(10)).await;
+    }
+    println!("{} bytes a second", bytes / SECONDS);
+    assert!(bytes > 0 && bytes / SECONDS < LIMIT);
+}
