--- a/crates/steer/src/run.rs
+++ b/crates/steer/src/run.rs
@@ -109,6 +109,7 @@
             platform,
             copy: Rc::new(Copy::default()),
             members: Rc::new(Members::new(own)),
+            roster: Rc::default(),
             peers: Rc::new(peers),
             endpoints: Rc::new(Board::default()),
             inbox: Rc::new(Inbox::default()),
