Demand reaches the holder through groups of 20 hosts

380 hosts that report to the holder directly send it 1900 bytes each, 144 KB a second. With sums of groups and short names it is 19 messages of 994 bytes in an interval.

--- a/crates/steer/src/duty/fleet.rs
+++ b/crates/steer/src/duty/fleet.rs
@@ -105,7 +105,10 @@
         machines: &[Machine],
         zones: &[Zone],
     ) -> Plan {
-        let totals = context.duty.demand.totals();
+        let totals = context
+            .duty
+            .demand
+            .totals(context.settings.intervals.demand);
         let mut targets = Plan::new();
         for pool in snapshot.pools().filter(|it| it.max_endpoints > 0) {
             let total = totals.get(&pool.id).copied().unwrap_or_default();
--- a/crates/wire/src/demand.rs
+++ b/crates/wire/src/demand.rs
@@ -1,19 +1,35 @@
-//! Demand of one host's gates, sent to the holder of the lease by JSON-RPC.
+//! Demand of hosts on its way to the holder of the lease, by JSON-RPC.
 
 use serde::{Deserialize, Serialize};
 
-use crate::sync::Demand;
-
 /// JSON-RPC method: [`Push`], answered by [`Ack`].
 pub const METHOD: &str = "agate_demand";
 
-/// Demand since the last call.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+/// Demand for one pool. Names are short, since every host sends this for many pools.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Pool {
+    /// Pool.
+    #[serde(rename = "p")]
+    pub pool: String,
+    /// Requests that arrive per second.
+    #[serde(rename = "a")]
+    pub arrivals: f64,
+    /// Requests waiting.
+    #[serde(rename = "q")]
+    pub queued: u32,
+    /// Requests running.
+    #[serde(rename = "r")]
+    pub running: u32,
+}
+
+/// Demand of the sender, or of a group of hosts.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Push {
-    /// Time that the arrivals cover, in milliseconds.
-    pub interval_ms: u64,
     /// Demand by pool.
-    pub pools: Vec<Demand>,
+    pub pools: Vec<Pool>,
+    /// Whether it is the sum over the hosts that report to the sender. Sums are
+    /// not passed on.
+    pub is_sum: bool,
 }
 
 /// The demand was taken up.
--- a/crates/wire/tests/usage.rs
+++ b/crates/wire/tests/usage.rs
@@ -6,7 +6,6 @@
 use agate_usage::{Figures, Ledger, Part, row};
 use agate_wire::demand;
 use agate_wire::mirror::{Push, Totals};
-use agate_wire::sync::Demand;
 use agate_wire::usage::Row;
 
 const ACCOUNTS: usize = 3800;
@@ -61,17 +60,15 @@
 
 #[test]
 fn messages_are_small() {
+    let pools = (0..POOLS).map(|number| demand::Pool {
+        pool: format!("model-{number:02}"),
+        arrivals: 123.45,
+        queued: 100,
+        running: 100,
+    });
     let demand = demand::Push {
-        interval_ms: 5000,
-        pools: (0..POOLS)
-            .map(|number| Demand {
-                pool: format!("model-{number:02}"),
-                arrivals: 1000,
-                queued: 100,
-                running: 100,
-                oldest_wait_ms: 1000,
-            })
-            .collect(),
+        pools: pools.collect(),
+        is_sum: false,
     };
     let mirror = Push {
         gates: vec![Totals {
