Orders refused by a busy platform are sent again; a frozen sender with sockets

A 503 took the place of an order for 60 s and gave the next one another identity. The sender that is frozen after its last check is now tested against a receiver that closes idle connections (nothing arrives) and one that keeps them (it does).

--- a/crates/platform/tests/http.rs
+++ b/crates/platform/tests/http.rs
@@ -1,6 +1,10 @@
 //! The HTTP client against servers that show what they received.
 
+use std::cell::Cell;
+use std::io::Read as _;
 use std::net::SocketAddr;
+use std::sync::mpsc;
+use std::thread::JoinHandle;
 use std::time::Duration;
 
 use agate_model::endpoint::{Endpoint, Fencing, Kind, Protocol};
@@ -226,3 +230,48 @@
     assert!(matches!(outcome, Err(Error::Unreached(_))));
     assert_eq!(received.await.expect("connection"), "");
 }
+
+/// Closes a connection on which nothing arrives, and tells when it has done so.
+/// Yields the bytes received.
+fn idle_server(closes: bool) -> (SocketAddr, mpsc::Receiver<()>, JoinHandle<usize>) {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("bind");
+    let address = listener.local_addr().expect("address");
+    let (sender, closed) = mpsc::channel();
+    let server = std::thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("accept");
+        let idle = if closes { 50 } else { 10_000 };
+        let timeout = Some(Duration::from_millis(idle));
+        stream.set_read_timeout(timeout).expect("timeout");
+        let mut buf = [0; 4096];
+        if !closes {
+            let _ = sender.send(());
+        }
+        let received = stream.read(&mut buf).unwrap_or(0);
+        drop(stream);
+        let _ = sender.send(());
+        received
+    });
+    (address, closed, server)
+}
+
+/// The sender is frozen between the last check and the first byte. What protects a
+/// receiver that ignores fencing numbers is that it has closed the connection.
+#[rstest]
+#[case::closes_idle_connections(true)]
+#[case::keeps_idle_connections(false)]
+#[actix_rt::test]
+async fn sender_frozen_after_its_last_check(#[case] closes: bool) {
+    let (address, closed, server) = idle_server(closes);
+    let is_frozen = Cell::new(true);
+    let may_send = || {
+        if is_frozen.replace(false) {
+            closed.recv().expect("the server goes on");
+        }
+        true
+    };
+    let client = Client::new(address, TIMEOUT);
+    let outcome = client.order(&order(), TIMEOUT, &may_send).await;
+    assert!(outcome.is_err());
+    let received = server.join().expect("the server ends");
+    assert_eq!(received == 0, closes, "{received} bytes");
+}
--- a/crates/steer/src/duty/order.rs
+++ b/crates/steer/src/duty/order.rs
@@ -22,6 +22,8 @@
 const RESEND: Duration = Duration::from_secs(15);
 /// Time after which the platform's list must show the effect of an answered order.
 const LIST_LAG: Duration = Duration::from_secs(60);
+/// HTTP statuses of a receiver that refuses for a while.
+const BUSY: [u16; 2] = [429, 503];
 /// Rows deleted in one transaction.
 const BATCH: usize = 100;
 
@@ -168,6 +170,8 @@
     ) -> Result<(), Failure> {
         let progress = match answer {
             Ok(Receipt::Done { endpoint }) => Progress::Done { endpoint },
+            // The platform has no time for it now; it is sent again.
+            Err(Error::Refused { status, .. }) if BUSY.contains(&status) => return Ok(()),
             Ok(Receipt::Unavailable) | Err(Error::Refused { .. }) => Progress::Refused,
             Ok(Receipt::Fenced { epoch }) => {
                 tracing::warn!(event = "order_fenced", epoch);
--- a/crates/steer/tests/duty/fleet.rs
+++ b/crates/steer/tests/duty/fleet.rs
@@ -170,6 +170,21 @@
     assert_eq!(world.machines.borrow().len(), 3);
 }
 
+#[actix_rt::test]
+async fn busy_platform_gets_the_same_orders_again() {
+    let world = World::new();
+    let mut host = holder(&world, "h1", ROUND).await;
+    let mut fleet = Fleet::new(1);
+    world.wire.set(Wire::Busy);
+    rounds(&mut host, &mut fleet, 2).await;
+    world.wire.set(Wire::Up);
+    rounds(&mut host, &mut fleet, 4).await;
+    let machines = world.machines.borrow();
+    let orders: Vec<&str> = machines.keys().map(String::as_str).collect();
+    let expected = ["1", "2", "3"].map(|it| format!("start/1/p/a/standard/{it}"));
+    assert_eq!(orders, expected);
+}
+
 #[actix_rt::test]
 async fn engine_is_told_once_to_load_its_model() {
     let world = World::new();
--- a/crates/steer/tests/duty/world.rs
+++ b/crates/steer/tests/duty/world.rs
@@ -38,6 +38,8 @@
     Up,
     /// Calls take effect, and their answers are lost.
     AnswerLost,
+    /// Calls are refused for a while, without effect.
+    Busy,
     /// The sender is frozen for this long after it has connected.
     Frozen(Duration),
 }
@@ -100,6 +102,12 @@
         if !may_send() {
             return Err(Error::Unreached("no longer allowed".to_owned()));
         }
+        if self.wire.get() == Wire::Busy {
+            return Err(Error::Refused {
+                status: 503,
+                message: "busy".to_owned(),
+            });
+        }
         let answer = effect();
         if self.wire.get() == Wire::AnswerLost {
             return Err(Error::Unknown("answer lost".to_owned()));
