proof: queued requests behind more work than the gate gives an engine; engine orders are awaited

The scheduler may start more requests than an engine has slots, so one long request did not keep another one queued. The loader looks at engines every 5 s, so a short run saw no engine order and compared nothing; now the test waits for one.

--- a/crates/proof/tests/lease.rs
+++ b/crates/proof/tests/lease.rs
@@ -108,6 +108,11 @@
         steer.resume();
         tokio::time::sleep(WAKE).await;
     }
+    until("engines received orders", TAKEOVER, || async {
+        let engines = engine_epochs(&deployment).await;
+        engines.iter().any(|it| !it.is_empty()).then_some(())
+    })
+    .await;
     until("orders have ended", START, || async {
         let before = deployment.platform.endpoint_orders().await.len();
         tokio::time::sleep(Duration::from_millis(1500)).await;
--- a/crates/proof/tests/withdrawal.rs
+++ b/crates/proof/tests/withdrawal.rs
@@ -7,6 +7,12 @@
 use agate_proof::wait::{IN_FORCE, POLL, SLACK, START, until};
 use tokio::time::Instant;
 
+/// Requests that keep an engine busy.
+const LONG: usize = 20;
+
+/// Time for requests to find their places.
+const SETTLE: Duration = Duration::from_millis(500);
+
 #[actix_rt::test]
 async fn withdrawn_key_stops_on_open_connections_of_every_host() {
     let deployment = Deployment::start(Options {
@@ -56,28 +62,36 @@
     let first = deployment.key("first").await;
     let second = deployment.key("second").await;
     let gate = deployment.gate(0);
-    let long = chat(gate, &first, &completion("long-running", 220, true));
-    let long = actix_rt::spawn(async move { stream(&long, |_| {}).await });
-    until("the slot is taken", START, || async {
+    // These requests take more than every place that the gate gives the engine.
+    let long: Vec<_> = (0..LONG)
+        .map(|number| {
+            let completion = completion(&format!("long-running {number}"), 2000, true);
+            let request = chat(gate, &first, &completion);
+            actix_rt::spawn(async move { stream(&request, |_| {}).await })
+        })
+        .collect();
+    until("the places are taken", START, || async {
         (deployment.received("long-running").await > 0).then_some(())
     })
     .await;
+    tokio::time::sleep(SETTLE).await;
     let queued = chat(gate, &second, &completion("queued-request", 3, false));
     let queued = actix_rt::spawn(async move { queued.send().await });
-    tokio::time::sleep(Duration::from_millis(300)).await;
-    assert_eq!(
-        deployment.received("queued-request").await,
-        0,
-        "it waits at the gate"
-    );
+    tokio::time::sleep(SETTLE).await;
+    let received = deployment.received("queued-request").await;
+    assert_eq!(received, 0, "it waits at the gate");
     operator.withdraw("second").await;
+    tokio::time::sleep(IN_FORCE).await;
 
+    // The places become free.
+    long.iter().for_each(actix_rt::task::JoinHandle::abort);
     let response = queued.await.expect("caller ends").expect("gate answers");
     assert_eq!(code(&response), "key_invalid");
     assert_eq!(response.execution.as_deref(), Some("not run"));
     assert_eq!(deployment.received("queued-request").await, 0);
-    assert!(
-        long.await.expect("caller ends").whole,
-        "the other key is not affected"
-    );
+    until("the other key is not affected", START, || async {
+        let request = chat(gate, &first, &completion("after", 1, false));
+        request.send().await.ok().filter(|it| it.status == 200)
+    })
+    .await;
 }
