--- a/crates/proof/tests/replacement.rs
+++ b/crates/proof/tests/replacement.rs
@@ -80,3 +80,37 @@
         tokio::time::sleep(POLL).await;
     }
 }
+
+#[actix_rt::test]
+async fn configuration_outlives_all_hosts() {
+    let mut deployment = Deployment::start(Options {
+        hosts: 3,
+        ..Options::default()
+    })
+    .await;
+    let valid = deployment.key("valid").await;
+    let withdrawn = deployment.key("withdrawn").await;
+    let version = deployment.operator(0).withdraw("withdrawn").await.version;
+    for host in 0..3 {
+        deployment.hosts[host].steer.kill();
+        deployment.hosts[host].gate.kill();
+    }
+    for host in 0..3 {
+        deployment.replace_host(host);
+    }
+    for host in 0..3 {
+        let gate = deployment.gate(host);
+        until("replaced host serves", START, || async {
+            let response = models(gate, &withdrawn).send().await.ok()?;
+            assert_ne!(response.status, 200, "withdrawn key works");
+            models(gate, &valid)
+                .send()
+                .await
+                .ok()
+                .filter(|it| it.status == 200)
+        })
+        .await;
+        let status = deployment.operator(host).status().await;
+        assert!(status.expect("resource API answers").version >= version);
+    }
+}
--- a/crates/proof/tests/report.rs
+++ b/crates/proof/tests/report.rs
@@ -130,3 +130,37 @@
     reported(&deployment, answered).await;
     assert_rising(&deployment.platform.reports().await);
 }
+
+#[actix_rt::test]
+async fn host_lost_during_a_store_outage_leaves_its_usage() {
+    let mut deployment = Deployment::start(options()).await;
+    let key = deployment.key("usage").await;
+    let cut = Faults {
+        cut: true,
+        ..Faults::default()
+    };
+    deployment.platform.set_faults(&cut).await;
+    let answered = work(&deployment, &key, 45).await;
+    // Gates hand their usage over and control processes copy it to a peer.
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    deployment.hosts[2].gate.kill();
+    deployment.hosts[2].steer.kill();
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    deployment.platform.set_faults(&Faults::default()).await;
+    reported(&deployment, answered).await;
+}
+
+#[actix_rt::test]
+async fn host_that_shuts_down_leaves_its_usage() {
+    let mut deployment = Deployment::start(options()).await;
+    let key = deployment.key("usage").await;
+    let answered = work(&deployment, &key, 45).await;
+    deployment.hosts[2].gate.terminate();
+    deployment.hosts[2].steer.terminate();
+    let host = &mut deployment.hosts[2];
+    for program in [&mut host.gate, &mut host.steer] {
+        let status = program.ended(REPORTED).await;
+        assert!(status.success(), "{status}");
+    }
+    reported(&deployment, answered).await;
+}
--- a/crates/proof/tests/withdrawal.rs
+++ b/crates/proof/tests/withdrawal.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use agate_proof::caller::{Connection, chat, code, completion, stream};
+use agate_proof::caller::{Connection, chat, code, completion, models, stream};
 use agate_proof::deployment::{Deployment, Options};
 use agate_proof::wait::{IN_FORCE, POLL, SLACK, START, until};
 use tokio::time::Instant;
@@ -95,3 +95,38 @@
     })
     .await;
 }
+
+#[actix_rt::test]
+async fn host_that_wakes_refuses_a_withdrawn_key_at_once() {
+    let deployment = Deployment::start(Options {
+        hosts: 3,
+        ..Options::default()
+    })
+    .await;
+    let key = deployment.key("asleep").await;
+    let mut connection = Connection::open(deployment.gate(2)).await;
+    assert_eq!(connection.models(&key).await, Some(200));
+    let host = &deployment.hosts[2];
+    host.gate.pause();
+    host.steer.pause();
+    // This request is read as soon as the host wakes.
+    let asked = actix_rt::spawn({
+        let key = key.clone();
+        async move { connection.models(&key).await }
+    });
+    deployment.operator(0).withdraw("asleep").await;
+    tokio::time::sleep(IN_FORCE).await;
+    host.gate.resume();
+    host.steer.resume();
+    assert_ne!(
+        asked.await.expect("caller ends"),
+        Some(200),
+        "withdrawn key works"
+    );
+    until("the host has the withdrawal", START, || async {
+        let response = models(deployment.gate(2), &key).send().await.ok()?;
+        assert_ne!(response.status, 200, "withdrawn key works");
+        (code(&response) == "key_invalid").then_some(())
+    })
+    .await;
+}
