queue, pick: allowance on a pool, early refusal by tier

Borrowing free slots for each endpoint let lower tiers fill engines at the begin of a burst, because all hosts saw the same lagging reports. A host now has an equal part of the pool's slots, less for lower tiers, that grows while the pool has slots to spare and shrinks when it has none. Whether a deadline can be met is judged by the starts of the own tier, and by the first-token target.

The gate passes the first-token target on.

--- a/crates/gate/src/admission/fair.rs
+++ b/crates/gate/src/admission/fair.rs
@@ -163,6 +163,7 @@
             queue_limit: work.class.queue_limit,
             arrival: work.arrival.into_std(),
             deadline: work.deadline.into_std(),
+            start_by: work.arrival.into_std() + work.class.target.first_token,
             work: Duration::ZERO,
             tokens,
             idempotent: work.class.idempotent,
--- a/crates/load/src/sim/attempt.rs
+++ b/crates/load/src/sim/attempt.rs
@@ -170,7 +170,7 @@
             && between <= class.target.between_tokens
             && end <= self.runs[no].deadline;
         let state = &mut self.hosts[request.host].classes[request.class];
-        state.observe(answer, first_token);
+        state.observe(answer, first_token, end - first);
         let used = u64::from(prompt) + u64::from(answer);
         self.finish(
             no,
--- a/crates/load/src/sim/host.rs
+++ b/crates/load/src/sim/host.rs
@@ -13,6 +13,8 @@
 
 /// Weight of a new answer in the moving average of answer lengths.
 const GAIN: f64 = 0.05;
+/// Share of the mean execution time that counts as the shortest plausible one.
+const PLAUSIBLE: f64 = 0.5;
 /// Answer length assumed before any was seen, in tokens.
 const FIRST_GUESS: f64 = 100.0;
 
@@ -27,6 +29,8 @@
     pub(crate) budget: Budget,
     pub(crate) delay: Delay,
     answer: f64,
+    /// Mean time from the first to the last token, in seconds.
+    stream: f64,
 }
 
 impl ClassState {
@@ -35,7 +39,13 @@
         self.answer.round() as u64
     }
 
-    pub(crate) fn observe(&mut self, answer: u32, first_token: Duration) {
+    /// Shortest plausible execution time.
+    pub(crate) fn work(&self) -> Duration {
+        Duration::from_secs_f64(self.stream * PLAUSIBLE)
+    }
+
+    pub(crate) fn observe(&mut self, answer: u32, first_token: Duration, stream: Duration) {
+        self.stream += GAIN * (stream.as_secs_f64() - self.stream);
         self.answer += GAIN * (f64::from(answer) - self.answer);
         self.delay.observe(first_token);
     }
@@ -58,6 +68,7 @@
             budget: Budget::new(it.retry_percent),
             delay: Delay::default(),
             answer: FIRST_GUESS,
+            stream: 0.0,
         };
         Self {
             zone: experiment.zones[no % experiment.zones.len()].clone(),
--- a/crates/pick/src/endpoint.rs
+++ b/crates/pick/src/endpoint.rs
@@ -8,7 +8,7 @@
 
 use crate::health::Health;
 use crate::pool;
-use crate::tuning::{Sharing, Tuning};
+use crate::tuning::Tuning;
 use crate::wish::Report;
 
 slotmap::new_key_type! {
@@ -20,6 +20,9 @@
 const HISTORY: Duration = Duration::from_secs(10);
 /// Longest history.
 const HISTORY_LEN: usize = 256;
+/// Requests on one endpoint beyond its part of the allowance, so that a few
+/// busy endpoints do not keep the allowance from being used.
+const SLACK: u32 = 1;
 /// Share of an endpoint that it gets at the begin of its slow start.
 const SLOW_START_MIN: f64 = 0.1;
 
@@ -121,24 +124,20 @@
         f64::from(self.slots) * warm.clamp(SLOW_START_MIN, 1.0)
     }
 
-    /// Own requests in flight up to which a request of this tier may be added.
-    pub(crate) fn cap(&self, live_hosts: u32, tier: usize, tuning: &Tuning) -> u32 {
-        let slots = f64::from(self.slots) * tuning.headroom[tier];
-        let part = slots / f64::from(live_hosts.max(1));
-        let cap = match tuning.sharing {
-            Sharing::Whole => slots,
-            Sharing::Equal { factor } => part * factor,
-            Sharing::Borrow { fraction } => {
-                let free = slots - self.reported();
-                part.max(part + fraction * (free - part))
-            }
+    /// The lowest tier for which another request may be added, when this host
+    /// may have `allowances` on the whole pool.
+    pub(crate) fn lowest_tier(
+        &self,
+        allowances: &[f64; TIER_COUNT],
+        pool_slots: u32,
+        tuning: &Tuning,
+    ) -> Option<usize> {
+        let part = f64::from(self.slots) / f64::from(pool_slots.max(1));
+        let fits = |&tier: &usize| {
+            let whole = (f64::from(self.slots) * tuning.headroom[tier]).ceil() as u32;
+            let cap = (allowances[tier] * part).ceil() as u32 + SLACK;
+            self.own < cap.min(whole).max(1)
         };
-        (cap.ceil() as u32).max(1)
-    }
-
-    /// The lowest tier for which another request may be added.
-    pub(crate) fn lowest_tier(&self, live_hosts: u32, tuning: &Tuning) -> Option<usize> {
-        let fits = |&tier: &usize| self.own < self.cap(live_hosts, tier, tuning);
         (0..TIER_COUNT).rev().find(fits)
     }
 
--- a/crates/pick/src/picker.rs
+++ b/crates/pick/src/picker.rs
@@ -121,6 +121,7 @@
         if !entry.leaving {
             let pool = &mut self.pools[entry.pool];
             pool.others = (pool.others + entry.reported() - before).max(0.0);
+            pool.adjust(now, self.live_hosts, &self.tuning);
         }
         self.refresh(key);
     }
@@ -135,9 +136,12 @@
         self.readmit(now);
         let mut room = Room::default();
         for key in pools.iter().filter_map(|id| self.pool_names.get(id)) {
-            let pool = &self.pools[*key];
-            room.standard = room.standard.max(pool.lowest_tier(Kind::Standard));
-            room.reclaimable = room.reclaimable.max(pool.lowest_tier(Kind::Reclaimable));
+            let pool = &mut self.pools[*key];
+            let allowances = pool.allowances(self.live_hosts, &self.tuning);
+            pool.note_limits(&allowances);
+            let lowest = |kind| pool.lowest_tier(kind, &allowances);
+            room.standard = room.standard.max(lowest(Kind::Standard));
+            room.reclaimable = room.reclaimable.max(lowest(Kind::Reclaimable));
         }
         room
     }
@@ -274,7 +278,11 @@
         let entry = &self.entries[key];
         let lowest = match entry.leaving || entry.health.is_ejected() {
             true => None,
-            false => entry.lowest_tier(self.live_hosts, &self.tuning),
+            false => {
+                let pool = &self.pools[entry.pool];
+                let allowances = pool.allowances(self.live_hosts, &self.tuning);
+                entry.lowest_tier(&allowances, pool.slots, &self.tuning)
+            }
         };
         self.pools[entry.pool].set_open(entry.kind, key, lowest);
     }
@@ -324,6 +332,10 @@
         wish: &Wish<'_>,
         rng: &mut dyn RngCore,
     ) -> Option<Choice> {
+        let allowances = self.pools[pool].allowances(self.live_hosts, &self.tuning);
+        if !self.pools[pool].allows(tier(wish), &allowances) {
+            return None;
+        }
         if let Some(key) = self.cached(now, pool, wish) {
             return Some(self.choice(now, key, wish, true));
         }
--- a/crates/pick/src/tuning.rs
+++ b/crates/pick/src/tuning.rs
@@ -15,10 +15,14 @@
         /// Above 1 the parts overlap.
         factor: f64,
     },
-    /// An equal part, and of what the other hosts leave free a fraction on top.
-    Borrow {
-        /// Between 0 and 1.
-        fraction: f64,
+    /// An equal part, and more for as long as the pool has slots to spare.
+    Adaptive {
+        /// Growth per second while the host uses all of its part, relative to
+        /// the equal part.
+        growth: f64,
+        /// Share of what goes beyond the equal part that is kept for a second
+        /// while the pool has no slots to spare.
+        kept: f64,
     },
 }
 
@@ -59,8 +63,11 @@
 impl Default for Tuning {
     fn default() -> Self {
         Self {
-            sharing: Sharing::Borrow { fraction: 0.5 },
-            headroom: [2.0, 1.5, 1.2, 1.0, 0.9],
+            sharing: Sharing::Adaptive {
+                growth: 0.5,
+                kept: 0.3,
+            },
+            headroom: [2.0, 2.0, 1.0, 0.85, 0.75],
             report_memory: Duration::from_secs(5),
             affinity_bound: 1.25,
             zone_cost: Duration::from_millis(2),
--- a/crates/queue/src/item.rs
+++ b/crates/queue/src/item.rs
@@ -32,6 +32,9 @@
     pub arrival: Instant,
     /// The whole answer is due by then.
     pub deadline: Instant,
+    /// Time after which the first token would be late; a request that would wait
+    /// longer is refused when it is offered, one that is queued stays.
+    pub start_by: Instant,
     /// Shortest plausible execution time; zero if unknown.
     pub work: Duration,
     /// Estimated prompt and answer tokens.
--- a/crates/queue/src/rate.rs
+++ b/crates/queue/src/rate.rs
@@ -3,9 +3,11 @@
 use std::time::{Duration, Instant};
 
 /// Time over which old observations lose most of their weight.
-const MEMORY: Duration = Duration::from_secs(10);
-/// Starts needed before there is an estimate.
+const MEMORY: Duration = Duration::from_secs(20);
+/// Starts that are enough for an estimate.
 const MIN_STARTS: f64 = 8.0;
+/// Busy time that is enough for an estimate, however few the starts.
+const MIN_BUSY: Duration = Duration::from_secs(5);
 
 /// Starts and busy time, both decaying.
 #[derive(Debug, Default)]
@@ -33,8 +35,9 @@
         self.starts += 1.0;
     }
 
-    /// Starts per second, once enough were seen.
+    /// Starts per second, once enough was seen.
     pub(crate) fn per_second(&self) -> Option<f64> {
-        (self.starts >= MIN_STARTS && self.busy > 0.0).then(|| self.starts / self.busy)
+        let is_known = self.starts >= MIN_STARTS || self.busy >= MIN_BUSY.as_secs_f64();
+        (is_known && self.busy > 0.0).then(|| self.starts / self.busy)
     }
 }
--- a/crates/queue/src/scheduler.rs
+++ b/crates/queue/src/scheduler.rs
@@ -41,6 +41,7 @@
     members: BTreeSet<class::Key>,
     queued: usize,
     shed: Option<Instant>,
+    rate: Rate,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -91,6 +92,7 @@
                 members: BTreeSet::new(),
                 queued: 0,
                 shed: None,
+                rate: Rate::default(),
             }),
             reserve: Share::new(),
             credit: 0,
@@ -114,7 +116,7 @@
 
     /// Queues or refuses a request.
     pub fn offer(&mut self, now: Instant, item: Item) -> Offer {
-        self.rate.advance(now, !self.entries.is_empty());
+        self.advance(now);
         if item.deadline <= now {
             return Offer::Refused(Reason::DeadlinePassed);
         }
@@ -138,7 +140,7 @@
 
     /// Takes the request to run next. Call it when an endpoint has a free slot.
     pub fn next(&mut self, now: Instant, room: Room) -> Option<Start> {
-        self.rate.advance(now, !self.entries.is_empty());
+        self.advance(now);
         let strict = self.strict(room);
         let reserved = self.reserved(strict, room);
         let class = reserved.or(strict)?;
@@ -159,6 +161,7 @@
         let charge = self.charge(flow, ticket);
         let entry = self.detach(ticket).expect("a queued ticket has an entry");
         self.rate.start();
+        self.levels[self.classes[class].tier].rate.start();
         Some(Start {
             ticket,
             waited: now.saturating_duration_since(entry.item.arrival),
@@ -281,6 +284,13 @@
         }
     }
 
+    fn advance(&mut self, now: Instant) {
+        self.rate.advance(now, !self.entries.is_empty());
+        for level in &mut self.levels {
+            level.rate.advance(now, level.queued > 0);
+        }
+    }
+
     /// The class whose turn it is by priority.
     fn strict(&self, room: Room) -> Option<class::Key> {
         let ready = self.levels.iter().flat_map(|level| level.classes.iter());
--- a/crates/queue/src/scheduler/place.rs
+++ b/crates/queue/src/scheduler/place.rs
@@ -10,23 +10,32 @@
 use crate::item::{Item, Ticket};
 use crate::share::cost;
 
+/// Share of the starts that go by priority; the rest is the reserve.
+const STRICT_SHARE: f64 = 0.9;
 /// Requests that a class may queue while a peer sheds a higher tier.
 const QUEUED_BELOW_FLOOR: usize = 1;
 
 impl Scheduler {
     /// Whether the deadline is out of reach even if no lower tier got a start.
     pub(super) fn is_unreachable(&self, now: Instant, key: class::Key, item: &Item) -> bool {
-        let Some(rate) = self.rate.per_second() else {
+        let class = &self.classes[key];
+        let Some(rate) = self.levels[class.tier].rate.per_second() else {
             return false;
         };
+        let own_rate = rate * self.share_in_tier(key) / STRICT_SHARE;
+        let ahead = self.ahead_in_class(class, item);
+        let wait = Duration::try_from_secs_f64(ahead / own_rate).unwrap_or(Duration::MAX);
+        let latest = item.latest_start().min(item.start_by);
+        now.checked_add(wait).is_none_or(|start| start > latest)
+    }
+
+    /// Share of a class in the starts of its tier.
+    fn share_in_tier(&self, key: class::Key) -> f64 {
         let class = &self.classes[key];
-        let higher: usize = self.levels[..class.tier]
-            .iter()
-            .map(|level| level.queued)
-            .sum();
-        let ahead = higher as f64 + self.ahead_in_class(class, item);
-        let wait = Duration::from_secs_f64(ahead / rate);
-        now + wait > item.latest_start()
+        let members = self.levels[class.tier].members.iter();
+        let others = members.filter(|&&it| it != key && self.classes[it].queued > 0);
+        let others: u32 = others.map(|&it| self.classes[it].weight).sum();
+        f64::from(class.weight) / f64::from(class.weight + others)
     }
 
     /// Requests of the class that fair shares put before a new one.
--- a/crates/queue/tests/common/mod.rs
+++ b/crates/queue/tests/common/mod.rs
@@ -27,6 +27,7 @@
         queue_limit: 8,
         arrival: now,
         deadline: now + Duration::from_secs(3600),
+        start_by: now + Duration::from_secs(3600),
         work: Duration::ZERO,
         tokens: 100,
         idempotent: true,
