pick: probation after an ejection

A slow engine was readmitted again and again with a full share until five slow answers had come. It now gets one request at a time until three were good.

--- a/crates/pick/src/health.rs
+++ b/crates/pick/src/health.rs
@@ -9,6 +9,9 @@
 /// Observations before an endpoint is judged by its pace.
 const MIN_OBSERVATIONS: u32 = 5;
 
+/// Good answers that end the probation after an ejection.
+const PROBATION_OBSERVATIONS: u32 = 3;
+
 /// What an endpoint's answers say about it.
 #[derive(Debug, Default)]
 pub(crate) struct Health {
@@ -18,6 +21,8 @@
     failures: u32,
     ejections: u32,
     ejected: Option<Instant>,
+    /// Readmitted, and not yet proven.
+    on_probation: bool,
 }
 
 impl Health {
@@ -28,6 +33,7 @@
     pub(crate) fn succeed(&mut self, pace: f64) {
         self.failures = 0;
         self.observations += 1;
+        self.on_probation &= self.observations < PROBATION_OBSERVATIONS;
         self.pace = Some(match self.pace {
             None => pace,
             Some(old) => old + GAIN * (pace - old),
@@ -40,10 +46,15 @@
 
     /// Whether it should be ejected; `median` is the pool's time per token.
     pub(crate) fn is_outlier(&self, median: Option<f64>, tuning: &Tuning) -> bool {
-        if tuning.eject_failures > 0 && self.failures >= tuning.eject_failures {
+        let patience = if self.on_probation {
+            1
+        } else {
+            tuning.eject_failures
+        };
+        if tuning.eject_failures > 0 && self.failures >= patience {
             return true;
         }
-        let judged = self.observations >= MIN_OBSERVATIONS;
+        let judged = self.on_probation || self.observations >= MIN_OBSERVATIONS;
         match (self.pace, median) {
             (Some(pace), Some(median)) if judged => pace > median * tuning.eject_pace,
             _ => false,
@@ -54,6 +65,11 @@
         self.ejected.is_some()
     }
 
+    /// Whether it was readmitted and has yet to prove itself, one request at a time.
+    pub(crate) fn is_on_probation(&self) -> bool {
+        self.on_probation
+    }
+
     /// Starts an ejection and returns its end.
     pub(crate) fn eject(&mut self, now: Instant, tuning: &Tuning) -> Instant {
         let factor = 1u32.checked_shl(self.ejections).unwrap_or(u32::MAX);
@@ -72,6 +88,7 @@
         self.ejected = None;
         self.failures = 0;
         self.observations = 0;
+        self.on_probation = true;
         self.pace = median;
     }
 
--- a/crates/pick/src/picker.rs
+++ b/crates/pick/src/picker.rs
@@ -276,7 +276,8 @@
     /// Updates whether an endpoint may be chosen.
     fn refresh(&mut self, key: Key) {
         let entry = &self.entries[key];
-        let lowest = match entry.leaving || entry.health.is_ejected() {
+        let is_tested = entry.health.is_on_probation() && entry.own > 0;
+        let lowest = match entry.leaving || entry.health.is_ejected() || is_tested {
             true => None,
             false => {
                 let pool = &self.pools[entry.pool];
--- a/crates/pick/tests/picker.rs
+++ b/crates/pick/tests/picker.rs
@@ -206,3 +206,43 @@
         assert!(!cheap(&id), "{id}");
     }
 }
+
+#[test]
+fn a_readmitted_endpoint_takes_one_request_at_a_time_until_it_is_proven() {
+    let start = Instant::now();
+    let now = start + Duration::from_secs(60);
+    let mut rng = ChaCha8Rng::seed_from_u64(8);
+    let mut picker = picker(start, 2);
+    let mut asked = Asked::new();
+    asked.excluded = vec!["e1".to_owned()];
+    for _ in 0..Tuning::default().eject_failures {
+        let choice = picker
+            .choose(now, &asked.wish(), &mut rng)
+            .expect("e0 is in use");
+        let flight = picker.start(now, choice.key);
+        picker.finish(now, flight, Outcome::Failure);
+    }
+    assert!(
+        picker.choose(now, &asked.wish(), &mut rng).is_none(),
+        "e0 is ejected"
+    );
+    let later = now + Tuning::default().eject_base;
+    for _ in 0..3 {
+        let choice = picker
+            .choose(later, &asked.wish(), &mut rng)
+            .expect("e0 is tried");
+        let flight = picker.start(later, choice.key);
+        assert!(picker.choose(later, &asked.wish(), &mut rng).is_none());
+        let total = Duration::from_millis(100);
+        picker.finish(
+            later,
+            flight,
+            Outcome::Success(Latency { total, tokens: 100 }),
+        );
+    }
+    let choice = picker
+        .choose(later, &asked.wish(), &mut rng)
+        .expect("e0 is proven");
+    let _ = picker.start(later, choice.key);
+    assert!(picker.choose(later, &asked.wish(), &mut rng).is_some());
+}
