--- /dev/null
+++ b/crates/load/src/bench.rs
@@ -0,0 +1,273 @@
+//! Time of one decision, at today's size and at the size ahead.
+
+use std::hint::black_box;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::time::{Duration, Instant};
+
+use agate_model::endpoint::{Endpoint, Fencing, Kind, Protocol};
+use agate_model::refusal::Reason;
+use agate_pick::{Latency, Outcome, Picker, Report, Wish};
+use agate_queue::limit::{Limit, Limiter};
+use agate_queue::{Item, Offer, Room, Scheduler};
+use rand::SeedableRng as _;
+use rand_chacha::ChaCha8Rng;
+use serde::Serialize;
+
+/// Decisions in one measurement.
+const ROUNDS: u32 = 20_000;
+/// Measurements, of which the fastest counts.
+const REPEATS: u32 = 5;
+
+/// Numbers that decisions may depend on.
+#[derive(Clone, Copy, Debug, Serialize)]
+pub struct Size {
+    /// Entry hosts.
+    pub hosts: u32,
+    /// Endpoints.
+    pub endpoints: usize,
+    /// Pools, one for each model.
+    pub pools: usize,
+    /// Client accounts with queued requests on one host.
+    pub accounts: usize,
+}
+
+/// Today's size of the larger user.
+pub const TODAY: Size = Size {
+    hosts: 9,
+    endpoints: 18,
+    pools: 2,
+    accounts: 10,
+};
+
+/// The size to build for.
+pub const AHEAD: Size = Size {
+    hosts: 380,
+    endpoints: 600,
+    pools: 22,
+    accounts: 3800,
+};
+
+/// Time of one decision at both sizes.
+#[derive(Clone, Debug, Serialize)]
+pub struct Figure {
+    /// What is decided.
+    pub decision: &'static str,
+    /// Nanoseconds at today's size.
+    pub today_ns: f64,
+    /// Nanoseconds at the size ahead.
+    pub ahead_ns: f64,
+    /// Growth of the time.
+    pub ratio: f64,
+    /// Growth of the number that the decision depends on most.
+    pub size_ratio: f64,
+}
+
+/// Measures all decisions.
+pub fn run() -> Vec<Figure> {
+    let accounts = AHEAD.accounts as f64 / TODAY.accounts as f64;
+    let endpoints = AHEAD.endpoints as f64 / TODAY.endpoints as f64;
+    vec![
+        figure("queue: offer, next and settle", accounts, &queue),
+        figure("queue: offer that displaces", accounts, &displace),
+        figure("limit: admit and release", accounts, &limit),
+        figure("pick: choose, start and finish", endpoints, &pick),
+        figure(
+            "pick: the same in one pool of all endpoints",
+            endpoints,
+            &pick_one_pool,
+        ),
+        figure("pick: load report", endpoints, &report),
+        figure("pick: endpoint leaves and returns", endpoints, &membership),
+    ]
+}
+
+fn figure(decision: &'static str, size_ratio: f64, measure: &dyn Fn(Size) -> f64) -> Figure {
+    let best = |size| {
+        (0..REPEATS)
+            .map(|_| measure(size))
+            .fold(f64::INFINITY, f64::min)
+    };
+    let (today_ns, ahead_ns) = (best(TODAY), best(AHEAD));
+    Figure {
+        decision,
+        today_ns,
+        ahead_ns,
+        ratio: ahead_ns / today_ns,
+        size_ratio,
+    }
+}
+
+/// Mean nanoseconds of one call.
+fn time(rounds: u32, mut call: impl FnMut(u32)) -> f64 {
+    let start = Instant::now();
+    for round in 0..rounds {
+        call(round);
+    }
+    start.elapsed().as_nanos() as f64 / f64::from(rounds)
+}
+
+fn item(now: Instant, n: usize, tier: u8, limit: u32) -> Item {
+    Item {
+        account: Some(format!("account-{n}")),
+        class: format!("class-{tier}"),
+        tier,
+        class_weight: 1,
+        account_weight: 1,
+        queue_limit: limit,
+        arrival: now,
+        deadline: now + Duration::from_secs(3600),
+        start_by: now + Duration::from_secs(3600),
+        work: Duration::ZERO,
+        tokens: 100 + n as u64 % 900,
+        idempotent: true,
+        reclaimable: false,
+    }
+}
+
+fn filled(now: Instant, size: Size, limit: u32) -> Scheduler {
+    let mut scheduler = Scheduler::new();
+    for n in 0..size.accounts {
+        black_box(scheduler.offer(now, item(now, n, (n % 5) as u8, limit)));
+    }
+    scheduler
+}
+
+fn queue(size: Size) -> f64 {
+    let now = Instant::now();
+    let mut scheduler = filled(now, size, 10_000);
+    let items: Vec<_> = (0..size.accounts)
+        .map(|n| item(now, n, (n % 5) as u8, 10_000))
+        .collect();
+    time(ROUNDS, |round| {
+        let it = items[round as usize % items.len()].clone();
+        black_box(scheduler.offer(now, it));
+        let start = scheduler.next(now, Room::ANY).expect("work is queued");
+        scheduler.settle(start.charge, 150);
+    })
+}
+
+fn displace(size: Size) -> f64 {
+    let now = Instant::now();
+    let limit = size.accounts.div_ceil(5) as u32;
+    let mut scheduler = filled(now, size, limit);
+    let low: Vec<_> = (0..size.accounts).map(|n| item(now, n, 4, limit)).collect();
+    time(ROUNDS, |round| {
+        let it = low[(round as usize * 7) % low.len()].clone();
+        match scheduler.offer(now, it) {
+            Offer::Queued { ticket, .. } => black_box(scheduler.remove(ticket).is_some()),
+            Offer::Refused(reason) => black_box(reason == Reason::QueueFull),
+        };
+    })
+}
+
+fn limit(size: Size) -> f64 {
+    let now = Instant::now();
+    let limit = Limit {
+        max_concurrent: 64,
+        requests_per_second: Some(1_000_000),
+        tokens_per_minute: Some(1_000_000_000),
+    };
+    let names: Vec<_> = (0..size.accounts).map(|n| format!("account-{n}")).collect();
+    let mut limiter = Limiter::new();
+    let held: Vec<_> = names
+        .iter()
+        .map(|it| limiter.admit(now, it, &limit, 100))
+        .collect();
+    let ns = time(ROUNDS, |round| {
+        let name = &names[round as usize % names.len()];
+        let at = now + Duration::from_micros(u64::from(round));
+        if let Ok(permit) = limiter.admit(at, name, &limit, 100) {
+            limiter.release(at, permit, 100);
+        }
+    });
+    drop(held);
+    ns
+}
+
+fn endpoint(n: usize, pools: usize) -> Endpoint {
+    Endpoint {
+        id: format!("endpoint-{n}"),
+        pool: format!("pool-{}", n % pools),
+        address: SocketAddr::from((Ipv4Addr::LOCALHOST, 1)),
+        zone: format!("zone-{}", n % 7),
+        kind: Kind::Standard,
+        fencing: Fencing::Checked,
+        protocol: Protocol::Engine,
+        slots: 64,
+        credential: None,
+        leaving: false,
+    }
+}
+
+fn picker(now: Instant, size: Size) -> Picker {
+    let mut picker = Picker::default();
+    picker.set_live_hosts(size.hosts);
+    for n in 0..size.endpoints {
+        picker.upsert(now, &endpoint(n, size.pools));
+    }
+    picker
+}
+
+fn pick(size: Size) -> f64 {
+    let now = Instant::now();
+    let mut picker = picker(now, size);
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    let zone = "zone-0".to_owned();
+    let pools: Vec<_> = (0..size.pools).map(|n| [format!("pool-{n}")]).collect();
+    time(ROUNDS, |round| {
+        let blocks: [u64; 8] = std::array::from_fn(|n| u64::from(round) * 8 + n as u64);
+        let wish = Wish {
+            pools: &pools[round as usize % pools.len()],
+            prefix: &blocks,
+            tier: 1,
+            zone: &zone,
+            reclaimable: false,
+            excluded: &[],
+            tokens: 100,
+        };
+        let choice = picker
+            .choose(now, &wish, &mut rng)
+            .expect("an endpoint is free");
+        let flight = picker.start(now, choice.key);
+        let total = Duration::from_secs(2);
+        picker.finish(
+            now,
+            flight,
+            Outcome::Success(Latency { total, tokens: 100 }),
+        );
+    })
+}
+
+fn pick_one_pool(size: Size) -> f64 {
+    pick(Size { pools: 1, ..size })
+}
+
+fn report(size: Size) -> f64 {
+    let now = Instant::now();
+    let mut picker = picker(now, size);
+    let names: Vec<_> = (0..size.endpoints)
+        .map(|n| format!("endpoint-{n}"))
+        .collect();
+    time(ROUNDS, |round| {
+        let report = Report {
+            running: round % 64,
+            queued: 0,
+            age: Duration::from_secs(1),
+        };
+        let at = now + Duration::from_micros(u64::from(round));
+        picker.report(at, &names[round as usize % names.len()], &report);
+    })
+}
+
+fn membership(size: Size) -> f64 {
+    let now = Instant::now();
+    let mut picker = picker(now, size);
+    let names: Vec<_> = (0..size.endpoints)
+        .map(|n| format!("endpoint-{n}"))
+        .collect();
+    time(ROUNDS / 100, |round| {
+        let name = &names[round as usize % names.len()];
+        picker.set_leaving(name, true);
+        picker.set_leaving(name, false);
+    })
+}
--- a/crates/load/src/command.rs
+++ b/crates/load/src/command.rs
@@ -1,5 +1,7 @@
 //! Subcommands, one to a module.
 
+pub(crate) mod bench;
+pub(crate) mod run;
 pub(crate) mod sim;
 
 /// Error of any subcommand, printed once by `main`.
