--- a/crates/load/src/sim/attempt.rs
+++ b/crates/load/src/sim/attempt.rs
@@ -156,6 +156,7 @@
         let attempt = &self.attempts[key];
         let total = self.now + self.experiment.network - attempt.sent;
         let tokens = work_tokens(u64::from(prompt), u64::from(answer));
+        self.fleet.note_service(request.pool, total);
         let cheap = self.engines[attempt.engine].endpoint.kind == Kind::Reclaimable;
         self.end_attempt(key, Outcome::Success(Latency { total, tokens }), false);
         let first = self.runs[no]
--- a/crates/load/src/sim/fleet.rs
+++ b/crates/load/src/sim/fleet.rs
@@ -17,18 +17,25 @@
 
 /// Time between two plans.
 const INTERVAL: Duration = Duration::from_secs(5);
+/// Weight of a request in the mean time that requests hold a slot.
+const SERVICE_GAIN: f64 = 0.01;
 /// Time in which a queue should be worked off.
 const WAIT_TARGET: Duration = Duration::from_secs(10);
 
 #[derive(Debug, Default)]
 struct Arrivals {
-    all: u32,
-    reclaimable: u32,
+    count: u32,
+    /// Answer tokens.
+    work: u64,
+    /// Of these, tokens that may come from reclaimable endpoints.
+    reclaimable: u64,
 }
 
 pub(crate) struct Fleet {
     planners: Vec<Option<Planner>>,
     arrivals: Vec<Arrivals>,
+    /// Mean time that a request holds a slot, in seconds.
+    service: Vec<f64>,
     paid: Option<Instant>,
     start: Option<Instant>,
 }
@@ -50,14 +57,23 @@
                 .iter()
                 .map(|_| Arrivals::default())
                 .collect(),
+            service: vec![0.0; experiment.pools.len()],
             paid: None,
             start: None,
         }
     }
 
-    pub(crate) fn note_arrival(&mut self, pool: usize, reclaimable: bool) {
-        self.arrivals[pool].all += 1;
-        self.arrivals[pool].reclaimable += u32::from(reclaimable);
+    pub(crate) fn note_arrival(&mut self, pool: usize, answer: u64, reclaimable: bool) {
+        let arrivals = &mut self.arrivals[pool];
+        arrivals.count += 1;
+        arrivals.work += answer;
+        arrivals.reclaimable += if reclaimable { answer } else { 0 };
+    }
+
+    /// Takes up the time that a request held a slot.
+    pub(crate) fn note_service(&mut self, pool: usize, time: Duration) {
+        let mean = &mut self.service[pool];
+        *mean += SERVICE_GAIN * (time.as_secs_f64() - *mean);
     }
 
     /// Pays for the endpoints since the last call.
@@ -140,35 +156,17 @@
             .iter()
             .map(|host| host.lanes[pool].queue.len())
             .sum();
-        let rate = f64::from(arrivals.all) / INTERVAL.as_secs_f64();
+        let rate = f64::from(arrivals.count) / INTERVAL.as_secs_f64();
         Demand {
             arrivals: rate,
-            service: self.service(pool),
+            service: Duration::from_secs_f64(self.fleet.service[pool]),
             queued: queued as f64,
             running: f64::from(running),
-            reclaimable: f64::from(arrivals.reclaimable) / f64::from(arrivals.all.max(1)),
+            reclaimable: arrivals.reclaimable as f64 / arrivals.work.max(1) as f64,
             wait_target: WAIT_TARGET,
         }
     }
 
-    /// Time that a request holds a slot, from the declared engine and load.
-    fn service(&self, pool: usize) -> Duration {
-        let declared = &self.experiment.pools[pool];
-        let loads = self
-            .experiment
-            .load
-            .iter()
-            .filter(|it| it.pool == declared.id);
-        let (mut tokens, mut rate) = (0.0, 0.0);
-        for load in loads {
-            tokens += load.rate * f64::from(load.answer);
-            rate += load.rate;
-        }
-        let batch = declared.slots / 2;
-        let step = declared.step.base + declared.step.per_request * batch;
-        step.mul_f64(tokens / f64::max(rate, f64::MIN_POSITIVE))
-    }
-
     fn machines(&self, pool: usize) -> Vec<Machine> {
         let engines = self.engines.iter().enumerate();
         let listed = engines.filter(|(_, it)| it.pool == pool && it.state != State::Down);
--- a/crates/load/src/sim/world.rs
+++ b/crates/load/src/sim/world.rs
@@ -223,7 +223,9 @@
         let account = weights.iter().find(|it| it.id == request.account);
         let state = &mut self.hosts[request.host].classes[request.class];
         state.budget.request(self.now);
-        self.fleet.note_arrival(request.pool, class.reclaimable);
+        let expected = state.expected();
+        self.fleet
+            .note_arrival(request.pool, expected, class.reclaimable);
         let item = Item {
             account: Some(request.account.clone()),
             class: class.id.clone(),
