fleet: size reclaimable work apart from the rest

One share of busy slots for all demand left too few standard endpoints for chat, which needs short waits, once much of the work went to reclaimable ones. Work that needs standard endpoints is now sized at 60% busy slots, the rest at 85%. While an availability zone of the cheaper kind is lost, its reserve is not ordered anew.

--- a/crates/fleet/src/demand.rs
+++ b/crates/fleet/src/demand.rs
@@ -44,7 +44,6 @@
 #[derive(Debug, Default)]
 pub(crate) struct Smooth {
     mean: Option<f64>,
-    reclaimable: f64,
     last: Option<Instant>,
     /// Begin of unbroken observation.
     since: Option<Instant>,
@@ -53,9 +52,8 @@
 }
 
 impl Smooth {
-    /// Adds the demand of an interval that ends now.
-    pub(crate) fn observe(&mut self, now: Instant, demand: &Demand, cooling: Duration) {
-        let slots = demand.slots();
+    /// Adds the slots needed in an interval that ends now.
+    pub(crate) fn observe(&mut self, now: Instant, slots: f64, cooling: Duration) {
         let last = self.last.replace(now).unwrap_or(now);
         let gap = now.saturating_duration_since(last);
         if self.since.is_none() || gap > MAX_GAP {
@@ -67,10 +65,6 @@
             None => slots,
             Some(old) => old * kept + slots * (1.0 - kept),
         };
-        self.reclaimable = match self.mean {
-            None => demand.reclaimable,
-            Some(_) => self.reclaimable * kept + demand.reclaimable * (1.0 - kept),
-        };
         self.mean = Some(mean);
         self.note_peak(now, mean, cooling);
     }
@@ -79,10 +73,6 @@
         self.mean.unwrap_or(0.0)
     }
 
-    pub(crate) fn reclaimable(&self) -> f64 {
-        self.reclaimable.clamp(0.0, 1.0)
-    }
-
     /// Whether demand was observed without a break for so long.
     pub(crate) fn has_seen(&self, now: Instant, time: Duration) -> bool {
         self.since
--- a/crates/fleet/src/plan.rs
+++ b/crates/fleet/src/plan.rs
@@ -12,9 +12,13 @@
 /// Parameters of a [`Planner`].
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Tuning {
-    /// Share of the slots that should be busy.
+    /// Share of the slots that should be busy with work that needs standard
+    /// endpoints; the rest keeps its waits short.
     pub busy: f64,
-    /// Share of the slots above which endpoints are added.
+    /// The same for work that may run on reclaimable endpoints.
+    pub busy_reclaimable: f64,
+    /// Share of the slots above which endpoints are added, relative to the
+    /// share that should be busy.
     pub high: f64,
     /// Demand must stay low for so long before endpoints are let go.
     pub cooling: Duration,
@@ -25,8 +29,9 @@
 impl Default for Tuning {
     fn default() -> Self {
         Self {
-            busy: 0.7,
-            high: 0.85,
+            busy: 0.6,
+            busy_reclaimable: 0.85,
+            high: 1.15,
             cooling: Duration::from_secs(300),
             price: 0.4,
         }
@@ -56,24 +61,54 @@
 /// Targets for one pool; places that are not named are to be emptied.
 pub type Plan = Vec<Target>;
 
-/// Endpoints wanted by kind.
+/// Endpoints by kind.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-struct Size {
-    standard: u32,
-    reclaimable: u32,
+pub struct Size {
+    /// Standard ones.
+    pub standard: u32,
+    /// Reclaimable ones.
+    pub reclaimable: u32,
+}
+
+/// Endpoints for one part of the demand.
+#[derive(Debug, Default)]
+struct Part {
+    smooth: Smooth,
+    total: Option<u32>,
+}
+
+impl Part {
+    /// Takes up the slots needed and returns the number of endpoints.
+    /// `slots` is what one endpoint should have busy, `current` the number of endpoints.
+    fn size(&mut self, now: Instant, need: f64, slots: f64, current: u32, tuning: &Tuning) -> u32 {
+        self.smooth.observe(now, need, tuning.cooling);
+        let have = self.total.unwrap_or(current);
+        let endpoints = |mean: f64| (mean / slots).ceil() as u32;
+        let mean = self.smooth.mean();
+        let total = if mean > f64::from(have) * slots * tuning.high {
+            endpoints(mean).max(have)
+        } else if self.smooth.has_seen(now, tuning.cooling) {
+            endpoints(self.smooth.peak()).min(have)
+        } else {
+            have
+        };
+        self.total = Some(total);
+        total
+    }
 }
 
 /// Sizes one pool.
 ///
-/// Endpoints are added as soon as the busy share passes the upper limit, and
-/// let go once the demand of the whole cooling time would fit into fewer. A new
-/// planner, for example that of a new lease holder, lets nothing go before it
-/// has watched for the cooling time.
+/// Work that may run on reclaimable endpoints is sized apart from the rest. Endpoints
+/// are added as soon as the busy share passes the upper limit, and let go once
+/// the demand of the whole cooling time would fit into fewer. A new planner,
+/// for example that of a new lease holder, lets nothing go before it has
+/// watched for the cooling time.
 #[derive(Debug)]
 pub struct Planner {
     tuning: Tuning,
-    smooth: Smooth,
-    total: Option<u32>,
+    standard: Part,
+    reclaimable: Part,
 }
 
 impl Planner {
@@ -81,61 +116,70 @@
     pub fn new(tuning: Tuning) -> Self {
         Self {
             tuning,
-            smooth: Smooth::default(),
-            total: None,
+            standard: Part::default(),
+            reclaimable: Part::default(),
         }
     }
 
     /// Takes up the demand of an interval and returns the targets. `slots` is
-    /// the number of slots of one endpoint, `current` the number of endpoints.
+    /// the number of slots of one endpoint, `current` what is there now.
     pub fn plan(
         &mut self,
         now: Instant,
         pool: &Pool,
         slots: u32,
-        current: u32,
+        current: Size,
         demand: &Demand,
         zones: &[Zone],
     ) -> Plan {
-        self.smooth.observe(now, demand, self.tuning.cooling);
-        let total = self.total(now, f64::from(slots.max(1)), current);
-        self.total = Some(total);
-        let size = self.split(pool, total, zones);
+        let size = self.size(now, pool, f64::from(slots.max(1)), current, demand, zones);
         let mut plan = spread(pool, Kind::Standard, size.standard, zones);
         plan.extend(spread(pool, Kind::Reclaimable, size.reclaimable, zones));
         plan
     }
 
-    /// Endpoints for the demand, before any reserve.
-    fn total(&self, now: Instant, slots: f64, current: u32) -> u32 {
-        let have = self.total.unwrap_or(current);
-        let need = |mean: f64| (mean / (slots * self.tuning.busy)).ceil() as u32;
-        let is_high = self.smooth.mean() > f64::from(have) * slots * self.tuning.high;
-        if is_high {
-            return need(self.smooth.mean()).max(have);
-        }
-        if !self.smooth.has_seen(now, self.tuning.cooling) {
-            return have;
-        }
-        need(self.smooth.peak()).min(have)
-    }
-
-    fn split(&self, pool: &Pool, total: u32, zones: &[Zone]) -> Size {
-        let cheap_zones = zones.iter().filter(|zone| zone.reclaimable).count() as u32;
+    fn size(
+        &mut self,
+        now: Instant,
+        pool: &Pool,
+        slots: f64,
+        current: Size,
+        demand: &Demand,
+        zones: &[Zone],
+    ) -> Size {
+        let tuning = self.tuning;
+        let cheap_zones = zones.iter().filter(|zone| zone.reclaimable).count();
+        let is_split = pool.reclaimable && cheap_zones > 0;
+        let share = if is_split {
+            demand.reclaimable.clamp(0.0, 1.0)
+        } else {
+            0.0
+        };
+        let need = demand.slots();
+        let busy = slots * tuning.busy;
+        let standard = need * (1.0 - share);
+        let standard = self
+            .standard
+            .size(now, standard, busy, current.standard, &tuning);
+        let busy = slots * tuning.busy_reclaimable;
+        let reclaimable = need * share;
+        let reclaimable =
+            self.reclaimable
+                .size(now, reclaimable, busy, current.reclaimable, &tuning);
         let mut size = Size {
-            standard: total,
-            reclaimable: 0,
+            standard,
+            reclaimable: if is_split { reclaimable } else { 0 },
         };
-        if pool.reclaimable && cheap_zones > 0 {
-            size.reclaimable = (f64::from(total) * self.smooth.reclaimable()).floor() as u32;
-            size.standard = total - size.reclaimable;
-            self.add_reserve(&mut size, cheap_zones);
+        let is_whole = cheap_zones == zones.len();
+        if is_whole {
+            self.add_reserve(&mut size, cheap_zones as u32);
         }
         limit(pool, size)
     }
 
     /// Adds what the loss of one availability zone of the cheaper kind would
-    /// take away, in the kind that costs less.
+    /// take away, in the kind that costs less. While a zone is lost, the
+    /// reserve is in use.
     fn add_reserve(&self, size: &mut Size, zones: u32) {
         if size.reclaimable == 0 {
             return;
--- a/crates/load/src/sim/fleet.rs
+++ b/crates/load/src/sim/fleet.rs
@@ -4,7 +4,7 @@
 
 use agate_fleet::demand::Demand;
 use agate_fleet::machine::{Action, Machine, Place, State as MachineState};
-use agate_fleet::plan::{Planner, Tuning, Zone};
+use agate_fleet::plan::{Planner, Size, Tuning, Zone};
 use agate_fleet::reconcile::reconcile;
 use agate_model::endpoint::Kind;
 use agate_model::pool::Pool;
@@ -132,10 +132,14 @@
         };
         let zones: Vec<_> = self.experiment.zones.iter().map(zone).collect();
         let machines = self.machines(pool);
-        let current = machines
-            .iter()
-            .filter(|it| it.state != MachineState::Leaving)
-            .count() as u32;
+        let count = |kind| {
+            let stays = |it: &&Machine| it.place.kind == kind && it.state != MachineState::Leaving;
+            machines.iter().filter(stays).count() as u32
+        };
+        let current = Size {
+            standard: count(Kind::Standard),
+            reclaimable: count(Kind::Reclaimable),
+        };
         let planner = self.fleet.planners[pool]
             .as_mut()
             .expect("the pool is sized");
