--- a/crates/pick/src/endpoint.rs
+++ b/crates/pick/src/endpoint.rs
@@ -20,9 +20,6 @@
 const HISTORY: Duration = Duration::from_secs(10);
 /// Longest history.
 const HISTORY_LEN: usize = 256;
-/// Requests on one endpoint beyond its part of the allowance, so that a few
-/// busy endpoints do not keep the allowance from being used.
-const SLACK: u32 = 1;
 /// Share of an endpoint that it gets at the begin of its slow start.
 const SLOW_START_MIN: f64 = 0.1;
 
@@ -135,7 +132,7 @@
         let part = f64::from(self.slots) / f64::from(pool_slots.max(1));
         let fits = |&tier: &usize| {
             let whole = (f64::from(self.slots) * tuning.headroom[tier]).ceil() as u32;
-            let cap = (allowances[tier] * part).ceil() as u32 + SLACK;
+            let cap = (allowances[tier] * part).ceil() as u32;
             self.own < cap.min(whole).max(1)
         };
         (0..TIER_COUNT).rev().find(fits)
