--- a/crates/load/src/sim/world.rs
+++ b/crates/load/src/sim/world.rs
@@ -223,7 +223,9 @@
         let account = weights.iter().find(|it| it.id == request.account);
         let state = &mut self.hosts[request.host].classes[request.class];
         state.budget.request(self.now);
-        self.fleet.note_arrival(request.pool, class.reclaimable);
+        let expected = state.expected();
+        self.fleet
+            .note_arrival(request.pool, expected, class.reclaimable);
         let item = Item {
             account: Some(request.account.clone()),
             class: class.id.clone(),
@@ -233,7 +235,8 @@
             queue_limit: class.queue_limit,
             arrival: self.now,
             deadline: self.runs[no].deadline,
-            work: Duration::ZERO,
+            start_by: self.now + class.target.first_token,
+            work: state.work(),
             tokens: u64::from(request.prompt) + state.expected(),
             idempotent: class.idempotent,
             reclaimable: class.reclaimable,
