--- a/crates/gate/tests/support/mod.rs
+++ b/crates/gate/tests/support/mod.rs
@@ -89,6 +89,7 @@
         let service = factory.new_service(()).await.expect("an HTTP service");
         actix_rt::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
+                stream.set_nodelay(true).expect("an open socket");
                 actix_rt::spawn(service.call(stream));
             }
         });
