Leaving endpoints are passed on while the tables are out

A list that cannot be read no longer holds up the others. Ruled out: the last known rows of hosts in place of the missing ones (they would go on as new). Also: the fleet planner is given what there is by kind, as it now sizes reclaimable work apart.

--- a/crates/steer/src/directory.rs
+++ b/crates/steer/src/directory.rs
@@ -69,13 +69,14 @@
     age.is_none_or(|age| age >= wait)
 }
 
-/// Reads all lists from the platform.
+/// Reads all lists from the platform. Only the list of hosts and endpoints is needed; a list
+/// that cannot be read does not hold up the others.
 async fn read(context: &Context) -> Result<(), Error> {
     let at = Instant::now();
     let lists = Lists {
         listing: context.platform.hosts.list().await?,
-        machines: context.platform.orders.machines().await?,
-        hosts: scan(context).await?,
+        machines: context.platform.orders.machines().await.ok(),
+        hosts: scan(context).await.ok(),
     };
     take(context, lists, at);
     Ok(())
@@ -86,20 +87,28 @@
     if !context.roster.replace(&lists, at) {
         return;
     }
-    let named: BTreeSet<HostId> = lists.hosts.iter().map(|it| it.host.clone()).collect();
-    for row in lists.hosts {
-        context.members.learn(row);
+    if let Some(hosts) = lists.hosts {
+        learn(context, hosts);
     }
-    context.members.keep_only(&named, SILENCE);
     let before = context.endpoints.leaving();
     let leaving = context.members.set_listing(&lists.listing);
     rumours::tell_leaving(context, &before, &leaving);
     context.rumours.supersede(at);
     context.endpoints.set_leaving(Source::Platform, leaving);
-    show_machines(context, lists.machines);
+    if let Some(machines) = lists.machines {
+        show_machines(context, machines);
+    }
     context.metrics.hosts.set(i64::from(live(context)));
 }
 
+fn learn(context: &Context, hosts: Vec<HostRow>) {
+    let named: BTreeSet<HostId> = hosts.iter().map(|it| it.host.clone()).collect();
+    for row in hosts {
+        context.members.learn(row);
+    }
+    context.members.keep_only(&named, SILENCE);
+}
+
 /// Reads the lists of a peer, which has newer ones.
 pub async fn fetch(context: &Context, peer: SocketAddr) {
     let sent = Instant::now();
--- a/crates/steer/src/duty/fleet.rs
+++ b/crates/steer/src/duty/fleet.rs
@@ -5,7 +5,7 @@
 
 use agate_fleet::demand::Demand;
 use agate_fleet::machine::{Machine, Place, State};
-use agate_fleet::plan::{Plan, Planner, Target, Tuning, Zone};
+use agate_fleet::plan::{Plan, Planner, Size, Target, Tuning, Zone};
 use agate_fleet::reconcile::reconcile;
 use agate_model::class::Class;
 use agate_model::endpoint::Kind;
@@ -117,7 +117,14 @@
                 service: DEFAULT_SERVICE,
             });
             let demand = sizing.demand(snapshot, pool, &total);
-            let current = current(pool, machines) + self.register.pending(&pool.id, machines);
+            let kept = |kind| {
+                let pending = self.register.pending(&pool.id, kind, machines);
+                current(pool, kind, machines).saturating_add(pending)
+            };
+            let current = Size {
+                standard: kept(Kind::Standard),
+                reclaimable: kept(Kind::Reclaimable),
+            };
             let plan = sizing
                 .planner
                 .plan(now(), pool, SLOTS, current, &demand, zones);
@@ -187,8 +194,11 @@
     count as f64 / classes.len() as f64
 }
 
-fn current(pool: &Pool, machines: &[Machine]) -> u32 {
-    let is_kept = |it: &&Machine| it.place.pool == pool.id && it.state != State::Leaving;
+fn current(pool: &Pool, kind: Kind, machines: &[Machine]) -> u32 {
+    let is_kept = |it: &&Machine| {
+        let is_own = it.place.pool == pool.id && it.place.kind == kind;
+        is_own && it.state != State::Leaving
+    };
     u32::try_from(machines.iter().filter(is_kept).count()).unwrap_or(u32::MAX)
 }
 
--- a/crates/steer/src/duty/order.rs
+++ b/crates/steer/src/duty/order.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use agate_fleet::machine;
+use agate_model::endpoint::Kind;
 use agate_model::id::{Epoch, PoolId};
 use agate_platform::Error;
 use agate_wire::order::{Action, Order, Progress, Receipt, Record};
@@ -85,11 +86,13 @@
         self.entries.values().map(Entry::record).collect()
     }
 
-    /// Endpoints of a pool that were ordered and are not listed yet.
-    pub fn pending(&self, pool: &PoolId, machines: &[machine::Machine]) -> u32 {
+    /// Endpoints of a pool and kind that were ordered and are not listed yet.
+    pub fn pending(&self, pool: &PoolId, kind: Kind, machines: &[machine::Machine]) -> u32 {
         let is_pending = |it: &&Entry| {
-            let is_start =
-                matches!(&it.record.order.action, Action::Start { pool: of, .. } if of == pool);
+            let is_start = matches!(
+                &it.record.order.action,
+                Action::Start { pool: of, kind: its, .. } if of == pool && Kind::from(*its) == kind
+            );
             let is_listed = machines
                 .iter()
                 .any(|machine| machine.order == it.record.order.id);
--- a/crates/steer/tests/dissemination.rs
+++ b/crates/steer/tests/dissemination.rs
@@ -231,8 +231,8 @@
             revision: 1000,
             machines: listed.chain(endpoint_ids).collect(),
         },
-        machines: ordered.collect(),
-        hosts: rows.collect(),
+        machines: Some(ordered.collect()),
+        hosts: Some(rows.collect()),
     };
     serde_json::to_vec(&lists).expect("json").len()
 }
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -144,10 +144,10 @@
 pub struct Lists {
     /// Hosts and endpoints.
     pub listing: Listing,
-    /// Ordered endpoints.
-    pub machines: Vec<Machine>,
-    /// Table of hosts.
-    pub hosts: Vec<HostRow>,
+    /// Ordered endpoints; absent if the platform did not list them.
+    pub machines: Option<Vec<Machine>>,
+    /// Table of hosts; absent if the store did not answer.
+    pub hosts: Option<Vec<HostRow>>,
 }
 
 /// Answer to [`ROSTER`].
