--- a/crates/steer/src/duty/demand.rs
+++ b/crates/steer/src/duty/demand.rs
@@ -14,6 +14,7 @@
 
 use crate::config::reader::jittered;
 use crate::context::Context;
+use crate::duty::lease;
 
 /// Intervals after which a report no longer counts.
 const LIFETIME_INTERVALS: u32 = 4;
@@ -155,7 +156,10 @@
     let holder = lease.map(|it| it.holder).filter(|it| it != own);
     if let Some(holder) = holder {
         let sum = board.sum(context.settings.intervals.demand);
-        call(context, &holder, &sum).await;
+        let answer = call(context, &holder, &sum).await;
+        if answer.is_none_or(|it| !it.is_holder) {
+            lease::look(context).await;
+        }
     }
 }
 
@@ -169,13 +173,14 @@
     hosts.swap_remove(position / GROUP * GROUP)
 }
 
-async fn call(context: &Context, host: &HostId, push: &Push) {
-    let Some(address) = address(context, host) else {
-        return;
-    };
-    let answer: Result<Ack, _> = context.peers.call(address, demand::METHOD, push).await;
-    if let Err(err) = answer {
-        tracing::debug!(event = "demand_not_sent", peer = host, error = %err);
+async fn call(context: &Context, host: &HostId, push: &Push) -> Option<Ack> {
+    let address = address(context, host)?;
+    match context.peers.call(address, demand::METHOD, push).await {
+        Ok(answer) => Some(answer),
+        Err(err) => {
+            tracing::debug!(event = "demand_not_sent", peer = host, error = %err);
+            None
+        }
     }
 }
 
--- a/crates/steer/src/duty/lease.rs
+++ b/crates/steer/src/duty/lease.rs
@@ -68,6 +68,13 @@
     }
 }
 
+/// Reads who holds the lease, for a host that learns that it no longer knows.
+pub async fn look(context: &Context) {
+    if let Ok(found) = read(context).await {
+        note(context, found.as_ref().map(|it| &it.row));
+    }
+}
+
 impl Keeper {
     /// A candidate.
     pub fn new(context: &Context) -> Self {
--- a/crates/steer/src/rpc/peer.rs
+++ b/crates/steer/src/rpc/peer.rs
@@ -90,7 +90,8 @@
     let demand = Method::shared(context, |context, sender, push| {
         Box::pin(async move {
             context.duty.demand.take(sender, push);
-            Ok(demand::Ack {})
+            let is_holder = context.duty.seat.epoch().is_some();
+            Ok(demand::Ack { is_holder })
         })
     });
     handlers.insert(demand::METHOD, demand);
--- a/crates/wire/src/demand.rs
+++ b/crates/wire/src/demand.rs
@@ -34,4 +34,7 @@
 
 /// The demand was taken up.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Ack {}
+pub struct Ack {
+    /// Whether the receiver holds the lease.
+    pub is_holder: bool,
+}
