Usage is copied and taken up by what changed

The inbox now tells what changed, and the books know what the peer lacks. Totals of windows ahead of the clock are kept, since the inbox tells of a change only once.

--- a/crates/steer/src/duty/books.rs
+++ b/crates/steer/src/duty/books.rs
@@ -5,9 +5,9 @@
 use std::time::Duration;
 
 use agate_model::id::Window;
-use agate_usage::Ledger;
 use agate_usage::row::{Row, Shard, Source};
 use agate_usage::window::{Head, Schedule};
+use agate_usage::{Figures, Ledger, Part};
 use agate_wire::table::{Conflict, Transaction};
 use tokio::time::Instant;
 
@@ -40,6 +40,8 @@
 struct Book {
     ledger: Ledger,
     stored: BTreeMap<Place, Stored>,
+    /// Totals that the mirror peer does not have.
+    uncopied: Row,
     heard: Instant,
     is_own: bool,
     /// When the next row of a window that has not ended may be written.
@@ -58,6 +60,15 @@
     All,
 }
 
+/// Where totals come from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Origin {
+    /// The gate itself.
+    Gate,
+    /// The control process that the gate calls.
+    Mirror,
+}
+
 /// Usage of the gates of this host and of mirrored ones.
 #[derive(Debug, Default)]
 pub struct Books {
@@ -73,29 +84,52 @@
 }
 
 impl Books {
-    /// Takes up totals of a run, heard at `at` from its gate (`is_own`) or its host.
-    pub fn take(&self, source: Source, totals: &Row, at: Instant, is_own: bool) {
+    /// Takes up totals of a run, heard at `at`.
+    pub fn take(&self, source: Source, totals: &Row, at: Instant, origin: Origin) {
         let mut books = self.books.borrow_mut();
         let book = books.entry(source).or_insert_with(|| Book {
             ledger: Ledger::default(),
             stored: BTreeMap::new(),
+            uncopied: Row::default(),
             heard: at,
-            is_own,
+            is_own: false,
             paced_until: None,
         });
         book.ledger.merge(totals);
         book.heard = book.heard.max(at);
-        book.is_own |= is_own;
+        if origin == Origin::Gate {
+            book.is_own = true;
+            book.uncopied.merge(totals);
+        }
     }
 
-    /// Totals of the gates that call this host.
-    pub fn own(&self) -> BTreeMap<Source, Row> {
+    /// Totals of the gates that call this host which its mirror peer does not have.
+    pub fn uncopied(&self) -> BTreeMap<Source, Row> {
         let books = self.books.borrow();
         let own = books.iter().filter(|(_, book)| book.is_own);
-        own.map(|(source, book)| (source.clone(), book.ledger.totals().clone()))
+        own.map(|(source, book)| (source.clone(), book.uncopied.clone()))
             .collect()
     }
 
+    /// The mirror peer has taken these totals up.
+    pub fn copied(&self, copies: &BTreeMap<Source, Row>) {
+        let mut books = self.books.borrow_mut();
+        for (source, copy) in copies {
+            if let Some(book) = books.get_mut(source) {
+                let is_newer = |part: &Part, figures: Figures| copy.get(part) != figures;
+                book.uncopied.parts.retain(|part, it| is_newer(part, *it));
+            }
+        }
+    }
+
+    /// Another mirror peer has nothing yet.
+    pub fn copy_all(&self) {
+        let mut books = self.books.borrow_mut();
+        for book in books.values_mut().filter(|it| it.is_own) {
+            book.uncopied = book.ledger.totals().clone();
+        }
+    }
+
     /// The store's head as it was last read is out of date.
     pub fn forget_head(&self) {
         *self.head.borrow_mut() = None;
@@ -191,6 +225,7 @@
             let is_written = book.is_written(head, &schedule);
             if is_written {
                 book.ledger.forget(before);
+                book.uncopied.parts.retain(|part, _| part.origin >= before);
                 book.stored.retain(|(window, _), _| *window >= before);
             }
             !is_written || book.heard.elapsed() < LOST_MEMORY
--- a/crates/steer/src/duty/mirror.rs
+++ b/crates/steer/src/duty/mirror.rs
@@ -1,6 +1,5 @@
 //! Copies of usage totals to a peer in another availability zone.
 
-use std::collections::BTreeMap;
 use std::time::{Duration, SystemTime};
 
 use agate_model::host::Host;
@@ -13,17 +12,17 @@
 
 use crate::config::reader::jittered;
 use crate::context::Context;
+use crate::duty::books::Origin;
 use crate::duty::metrics::count;
 use crate::duty::usage::{absorb, is_plausible};
 
 /// Longest time for the last copy at shutdown.
 const FLUSH_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// What a peer has acknowledged.
+/// The peer that has the copies.
 #[derive(Debug, Default)]
 pub struct Mirror {
     peer: Option<Peer>,
-    acked: BTreeMap<Source, Row>,
 }
 
 /// One run of a peer.
@@ -60,7 +59,10 @@
         totals
             .parts
             .retain(|part, _| is_plausible(context, part.origin, now));
-        context.duty.books.take(source, &totals, heard, false);
+        context
+            .duty
+            .books
+            .take(source, &totals, heard, Origin::Mirror);
     }
     Ack {}
 }
@@ -70,19 +72,17 @@
     pub async fn step(&mut self, context: &Context, now: SystemTime) {
         absorb(context, now);
         let Some(host) = choose(context) else { return };
-        self.meet(&host);
-        let own = context.duty.books.own();
+        self.meet(context, &host);
+        let books = &context.duty.books;
+        let copies = books.uncopied();
         let push = Push {
-            gates: own
-                .iter()
-                .map(|(source, row)| self.news(source, row))
-                .collect(),
+            gates: copies.iter().map(totals).collect(),
         };
         let answer: Result<Ack, _> = context.peers.call(host.steer, mirror::METHOD, &push).await;
         match answer {
             Ok(Ack {}) => {
                 count(&context.duty.metrics.mirror, "done");
-                self.acked = own;
+                books.copied(&copies);
             }
             Err(err) => {
                 count(&context.duty.metrics.mirror, "failed");
@@ -91,28 +91,24 @@
         }
     }
 
-    /// A peer that is new has nothing.
-    fn meet(&mut self, host: &Host) {
+    /// Notes the peer; a new one has no copies.
+    fn meet(&mut self, context: &Context, host: &Host) {
         let peer = Some(Peer {
             host: host.id.clone(),
             incarnation: host.incarnation.clone(),
         });
         if self.peer != peer {
             self.peer = peer;
-            self.acked.clear();
+            context.duty.books.copy_all();
         }
     }
+}
 
-    fn news(&self, source: &Source, row: &Row) -> Totals {
-        let acked = self.acked.get(source);
-        let mut news = row.clone();
-        news.parts
-            .retain(|part, figures| acked.is_none_or(|it| it.get(part) != *figures));
-        Totals {
-            host: source.host.clone(),
-            incarnation: source.incarnation.clone(),
-            totals: usage::Row::from(&news),
-        }
+fn totals((source, row): (&Source, &Row)) -> Totals {
+    Totals {
+        host: source.host.clone(),
+        incarnation: source.incarnation.clone(),
+        totals: usage::Row::from(row),
     }
 }
 
--- a/crates/steer/src/duty/usage.rs
+++ b/crates/steer/src/duty/usage.rs
@@ -13,14 +13,15 @@
 
 use crate::config::reader::jittered;
 use crate::context::Context;
-use crate::duty::books::{Due, Scope, Stored};
+use crate::duty::books::{Due, Origin, Scope, Stored};
 use crate::duty::metrics::count;
 use crate::duty::store::{self, Found};
+use crate::inbox::Gate;
 
 /// Attempts to write one row against other writers.
 const ATTEMPTS: usize = 4;
-/// Windows before the open one for which totals are accepted.
-const PAST_WINDOWS: u64 = 48;
+/// Windows before and after the open one for which totals are accepted.
+const WINDOWS: u64 = 48;
 /// Longest time for writing the remaining rows at shutdown.
 const FLUSH_TIMEOUT: Duration = Duration::from_secs(5);
 
@@ -73,26 +74,29 @@
 /// Takes up the totals of the gates that call this host.
 pub fn absorb(context: &Context, now: SystemTime) {
     let books = &context.duty.books;
-    let calls = context.inbox.calls();
-    for (counter, figures) in context.inbox.totals() {
+    for (gate, call) in context.inbox.calls() {
+        books.take(source(gate), &Row::default(), call.at, Origin::Gate);
+    }
+    for (counter, figures) in context.inbox.take_changed() {
         if !is_plausible(context, counter.window, now) {
             count(&context.duty.metrics.usage_refused, "window");
             continue;
         }
-        let at = calls
-            .get(&counter.gate)
-            .map_or_else(Instant::now, |it| it.at);
-        let source = Source {
-            host: counter.gate.host,
-            incarnation: counter.gate.incarnation,
-        };
         let part = Part {
             account: counter.account,
             origin: counter.window,
         };
         let mut totals = Row::default();
         totals.observe(part, figures.into());
-        books.take(source, &totals, at, true);
+        let source = source(counter.gate);
+        books.take(source, &totals, Instant::now(), Origin::Gate);
+    }
+}
+
+fn source(gate: Gate) -> Source {
+    Source {
+        host: gate.host,
+        incarnation: gate.incarnation,
     }
 }
 
@@ -101,9 +105,7 @@
     let schedule = schedule(context);
     let open = schedule.window(now);
     let length = schedule.length.as_secs();
-    origin.is_multiple_of(length)
-        && origin <= schedule.next(open)
-        && origin + PAST_WINDOWS * length >= open
+    origin.is_multiple_of(length) && origin.abs_diff(open) <= WINDOWS * length
 }
 
 fn report(context: &Context, outcome: Result<(), Error>) {
--- a/crates/steer/src/inbox.rs
+++ b/crates/steer/src/inbox.rs
@@ -46,12 +46,17 @@
 /// Arrivals for a pool since the last look.
 pub type Arrivals = BTreeMap<PoolId, u64>;
 
+/// Totals of all gates.
+pub type Totals = BTreeMap<Counter, Figures>;
+
 /// What gates have sent.
 #[derive(Debug, Default)]
 pub struct Inbox {
-    totals: RefCell<BTreeMap<Counter, Figures>>,
+    totals: RefCell<Totals>,
     calls: RefCell<BTreeMap<Gate, Call>>,
     arrivals: RefCell<Arrivals>,
+    /// Totals that changed since the last call of [`Inbox::take_changed`].
+    changed: RefCell<Totals>,
     revision: Cell<u64>,
 }
 
@@ -87,9 +92,10 @@
             account: usage.account,
         };
         let mut totals = self.totals.borrow_mut();
-        let total = totals.entry(counter).or_default();
+        let total = totals.entry(counter.clone()).or_default();
         if usage.figures != *total && usage.figures.requests >= total.requests {
             *total = usage.figures;
+            self.changed.borrow_mut().insert(counter, usage.figures);
             self.revision.set(self.revision.get() + 1);
         }
     }
@@ -100,10 +106,15 @@
     }
 
     /// All totals.
-    pub fn totals(&self) -> BTreeMap<Counter, Figures> {
+    pub fn totals(&self) -> Totals {
         self.totals.borrow().clone()
     }
 
+    /// Totals that changed since the last call of this function.
+    pub fn take_changed(&self) -> Totals {
+        self.changed.take()
+    }
+
     /// Forgets totals of windows below `window`.
     pub fn forget(&self, window: Window) {
         self.totals.borrow_mut().retain(|it, _| it.window >= window);
