--- a/crates/steer/src/duty/order.rs
+++ b/crates/steer/src/duty/order.rs
@@ -272,6 +272,7 @@
         Ok(Receipt::Fenced { .. }) => "fenced",
         Err(Error::Unreached(_)) => "not_sent",
         Err(Error::Unknown(_)) => "unanswered",
+        Err(Error::Refused { status, .. }) if BUSY.contains(status) => "busy",
         Err(Error::Refused { .. } | Error::Conflict(_)) => "refused",
     }
 }
--- a/crates/steer/tests/duty/fleet.rs
+++ b/crates/steer/tests/duty/fleet.rs
@@ -18,7 +18,7 @@
 const ROUND: Duration = Duration::from_secs(5);
 
 /// Declares a pool of fixed size.
-fn declare(host: &Host) {
+pub(crate) fn declare(host: &Host) {
     let pool = Pool {
         id: "p".to_owned(),
         model: Some("m".to_owned()),
--- a/crates/steer/tests/duty/main.rs
+++ b/crates/steer/tests/duty/main.rs
@@ -3,6 +3,7 @@
 mod demand;
 mod fleet;
 mod lease;
+mod storm;
 mod sweep;
 mod usage;
 mod world;
--- a/crates/steer/tests/duty/world.rs
+++ b/crates/steer/tests/duty/world.rs
@@ -53,8 +53,13 @@
     pub(crate) wire: Cell<Wire>,
     /// Endpoints by the order that started them.
     pub(crate) machines: RefCell<BTreeMap<String, Machine>>,
+    /// Answers by order; a repeated order has no further effect.
+    receipts: RefCell<BTreeMap<String, Receipt>>,
     /// The lagging list.
-    pub(crate) listed: RefCell<Vec<Machine>>,
+    listed: RefCell<Vec<Machine>>,
+    listed_at: Cell<Option<Instant>>,
+    /// Age that the list reaches; without it the list changes by `publish` alone.
+    pub(crate) list_lag: Cell<Option<Duration>>,
     /// Orders as received, repeated ones included.
     pub(crate) orders: RefCell<Vec<Order>>,
     pub(crate) unavailable: Cell<bool>,
@@ -78,6 +83,15 @@
     /// Lets the list show what exists.
     pub(crate) fn publish(&self) {
         *self.listed.borrow_mut() = self.machines.borrow().values().cloned().collect();
+        self.listed_at.set(Some(Instant::now()));
+    }
+
+    fn list(&self) -> Vec<Machine> {
+        let is_old = |lag| self.listed_at.get().is_none_or(|it| it.elapsed() >= lag);
+        if self.list_lag.get().is_some_and(is_old) {
+            self.publish();
+        }
+        self.listed.borrow().clone()
     }
 
     /// Sum of the different reports, which must not contradict each other.
@@ -115,15 +129,26 @@
         Ok(answer)
     }
 
-    fn carry_out(&self, order: &Order) -> Receipt {
+    fn receive(&self, order: &Order) -> Receipt {
         self.orders.borrow_mut().push(order.clone());
+        if let Some(receipt) = self.receipts.borrow().get(&order.id) {
+            return receipt.clone();
+        }
+        let receipt = self.carry_out(order);
+        if receipt != Receipt::Unavailable {
+            let mut receipts = self.receipts.borrow_mut();
+            receipts.insert(order.id.clone(), receipt.clone());
+        }
+        receipt
+    }
+
+    fn carry_out(&self, order: &Order) -> Receipt {
         let mut machines = self.machines.borrow_mut();
         match &order.action {
             Action::Start { .. } if self.unavailable.get() => Receipt::Unavailable,
             Action::Start { pool, zone, kind } => {
-                let number = machines.len();
-                let machine = machines.entry(order.id.clone()).or_insert_with(|| Machine {
-                    id: format!("e{number}"),
+                let machine = Machine {
+                    id: format!("machine/{}", order.id),
                     order: order.id.clone(),
                     pool: pool.clone(),
                     zone: zone.clone(),
@@ -131,10 +156,10 @@
                     address: "127.0.0.1:1".parse().expect("an address"),
                     state: State::Running,
                     price_milli: 1000,
-                });
-                Receipt::Done {
-                    endpoint: machine.id.clone(),
-                }
+                };
+                let endpoint = machine.id.clone();
+                machines.insert(order.id.clone(), machine);
+                Receipt::Done { endpoint }
             }
             Action::Stop { endpoint } => {
                 machines.retain(|_, it| it.id != *endpoint);
@@ -191,11 +216,11 @@
         _: Duration,
         may_send: &'a dyn Fn() -> bool,
     ) -> Answer<'a, Receipt> {
-        Box::pin(self.0.send(may_send, || self.0.carry_out(order)))
+        Box::pin(self.0.send(may_send, || self.0.receive(order)))
     }
 
     fn machines(&self) -> Answer<'_, Vec<Machine>> {
-        Box::pin(async { Ok(self.0.listed.borrow().clone()) })
+        Box::pin(async { Ok(self.0.list()) })
     }
 }
 
