Operators can declare that witnesses have ended

If a majority of the witnesses was lost at once and their hosts came back under other addresses, every change stayed pending for good, and waited for acceptance for two seconds. POST /api/v1/witnesses/{host}/ended records the end of the runs that are not heard, as a change of its own. The model now lets every run that has ended count, the most that an operator or the platform's list may tell.

--- a/crates/conf/src/acceptance.rs
+++ b/crates/conf/src/acceptance.rs
@@ -34,7 +34,7 @@
     sets: &History,
     standing: &dyn Fn(&Witness) -> Standing,
 ) -> bool {
-    let rules_out = |it: &&Witness| sets.is_superseded(it) || standing(it).rules_out_below(version);
+    let rules_out = |it: &&Witness| sets.has_ended(it) || standing(it).rules_out_below(version);
     sets.below(version).all(|set| is_covered(set, &rules_out))
 }
 
--- a/crates/conf/src/witness.rs
+++ b/crates/conf/src/witness.rs
@@ -92,12 +92,33 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash)]
 pub struct History {
     sets: Vec<(Version, Set)>,
+    ended: Vec<Witness>,
 }
 
 impl History {
     /// A history from pairs of the first version and its set, in ascending order.
     pub fn new(sets: Vec<(Version, Set)>) -> Self {
-        Self { sets }
+        Self {
+            sets,
+            ended: Vec::new(),
+        }
+    }
+
+    /// Runs that an operator declared as ended.
+    pub fn ended(&self) -> &[Witness] {
+        &self.ended
+    }
+
+    /// Records a run that an operator declared as ended.
+    pub fn end(&mut self, witness: Witness) {
+        if !self.ended.contains(&witness) {
+            self.ended.push(witness);
+        }
+    }
+
+    /// Whether a run has ended, by declaration or because another one has its address.
+    pub fn has_ended(&self, witness: &Witness) -> bool {
+        self.ended.contains(witness) || self.is_superseded(witness)
     }
 
     /// The pairs.
@@ -154,5 +175,8 @@
             .rposition(|(since, _)| *since <= accepted)
             .unwrap_or(0);
         self.sets.drain(..current);
+        let sets = &self.sets;
+        let is_named = |it: &Witness| sets.iter().any(|(_, set)| set.members.contains(it));
+        self.ended.retain(is_named);
     }
 }
--- a/crates/conf/tests/model.rs
+++ b/crates/conf/tests/model.rs
@@ -116,8 +116,9 @@
     fn standing(&self, witness: &Witness) -> Standing {
         let run: usize = witness.incarnation.parse().expect("a run's number");
         match self.runs[run].held[0] {
-            Some(version) if self.runs[run].is_alive => Standing::Has(version),
-            _ => Standing::Unknown,
+            _ if !self.runs[run].is_alive => Standing::Ended,
+            Some(version) => Standing::Has(version),
+            None => Standing::Unknown,
         }
     }
 
--- a/crates/conf/tests/rules.rs
+++ b/crates/conf/tests/rules.rs
@@ -129,6 +129,18 @@
     assert!(!sets.is_superseded(&old));
 }
 
+#[test]
+fn a_declared_end_counts_until_its_set_is_forgotten() {
+    let mut sets = History::new(vec![(1, set(3, "a", "z")), (2, set(3, "b", "z"))]);
+    let nobody = |_: &Witness| Standing::Unknown;
+    sets.end(witness(0, "a", "z"));
+    assert!(sets.has_ended(&witness(0, "a", "z")) && !sets.has_ended(&witness(1, "c", "z")));
+    sets.end(witness(1, "b", "z"));
+    assert!(is_accepted(2, &sets, &nobody));
+    sets.prune(2);
+    assert_eq!(sets.ended(), [witness(1, "b", "z")]);
+}
+
 #[test]
 fn a_full_set_takes_members_of_less_represented_zones_only() {
     let full = set(WITNESS_LIMIT, "a", "zone-a");
--- a/crates/steer/src/api.rs
+++ b/crates/steer/src/api.rs
@@ -10,3 +10,4 @@
 pub mod server;
 pub mod status;
 pub mod usage;
+pub mod witnesses;
--- a/crates/steer/src/api/change.rs
+++ b/crates/steer/src/api/change.rs
@@ -185,7 +185,15 @@
         digest,
         edits: &edits,
     };
-    let done = match commit::commit(context, &proposal).await {
+    commit_and_hand_out(context, &proposal).await
+}
+
+/// Stores a change and hands it out.
+pub async fn commit_and_hand_out(
+    context: &Context,
+    proposal: &Proposal<'_>,
+) -> Result<Outcome, Failure> {
+    let done = match commit::commit(context, proposal).await {
         Ok(done) => done,
         Err(commit::Failure::Unchanged) => {
             let version = context.copy.version();
@@ -196,7 +204,7 @@
     tracing::info!(
         event = "change_made",
         version = done.version,
-        operator = caller.id,
+        operator = proposal.author,
         repeated = done.repeated
     );
     let entries = context.copy.entries_above(done.version.saturating_sub(1));
@@ -249,7 +257,7 @@
     }
     Ok(Plan {
         edits,
-        witnesses: None,
+        ..Plan::default()
     })
 }
 
--- a/crates/steer/src/api/router.rs
+++ b/crates/steer/src/api/router.rs
@@ -7,7 +7,7 @@
 use crate::api::answer::{Answer, Failure};
 use crate::api::auth::Caller;
 use crate::api::request::Request;
-use crate::api::{change, keys, read, status, usage};
+use crate::api::{change, keys, read, status, usage, witnesses};
 use crate::context::Context;
 
 const METRICS_TYPE: &str = "application/openmetrics-text; version=1.0.0; charset=utf-8";
@@ -46,6 +46,9 @@
         (&Method::POST, ["keys", account @ ..]) => {
             keys::issue(context, &caller, request, &account.join("/")).await
         }
+        (&Method::POST, ["witnesses", host @ .., "ended"]) => {
+            witnesses::end(context, &caller, request, &host.join("/")).await
+        }
         (&Method::DELETE, ["keys", id @ ..]) => {
             change::delete(context, &caller, request, "key", &id.join("/")).await
         }
--- a/crates/steer/src/config/commit.rs
+++ b/crates/steer/src/config/commit.rs
@@ -52,6 +52,8 @@
     pub edits: Vec<Edit>,
     /// New witnesses, if they change.
     pub witnesses: Option<Vec<Witness>>,
+    /// Runs that have ended.
+    pub ended: Vec<Witness>,
 }
 
 /// A stored change.
@@ -213,6 +215,7 @@
         nonce: proposal.nonce.clone(),
         author: proposal.author.to_owned(),
         witnesses: plan.witnesses,
+        ended: plan.ended,
     })
 }
 
--- a/crates/steer/src/config/copy.rs
+++ b/crates/steer/src/config/copy.rs
@@ -180,6 +180,8 @@
         let mut state = self.state.borrow_mut();
         state.snapshot = Rc::new(snapshot);
         state.sets = History::new(sets);
+        let ended = copy.ended.into_iter().map(conf_witness);
+        ended.for_each(|it| state.sets.end(it));
         state.entries.clear();
         drop(state);
         self.notify(before);
@@ -205,6 +207,13 @@
         peer::Copy {
             snapshot: change::Snapshot::from(&*state.snapshot),
             witnesses: state.sets.sets().iter().map(pair).collect(),
+            ended: state
+                .sets
+                .ended()
+                .iter()
+                .cloned()
+                .map(peer_witness)
+                .collect(),
         }
     }
 
@@ -229,6 +238,8 @@
             let members = members.iter().cloned().map(conf_witness).collect();
             self.sets.push(offered, Set { members });
         }
+        let ended = entry.ended.iter().cloned().map(conf_witness);
+        ended.for_each(|it| self.sets.end(it));
         self.entries.push_back(entry);
         if self.entries.len() > ENTRY_LIMIT {
             self.entries.pop_front();
--- a/crates/steer/src/config/handout.rs
+++ b/crates/steer/src/config/handout.rs
@@ -9,7 +9,7 @@
 use agate_wire::peer::{self, Entry, Fetch, Fetched, Push};
 use futures_util::StreamExt as _;
 use futures_util::stream::FuturesUnordered;
-use tokio::time::{Instant, sleep, timeout_at};
+use tokio::time::{Instant, timeout, timeout_at};
 
 use crate::context::Context;
 use crate::member::Member;
@@ -49,7 +49,7 @@
 
 async fn accepted(context: &Context, version: Version) {
     while !settle(context, version) {
-        sleep(ACCEPTANCE_POLL).await;
+        let _ = timeout(ACCEPTANCE_POLL, context.members.changed()).await;
     }
 }
 
--- a/crates/steer/src/config/witness.rs
+++ b/crates/steer/src/config/witness.rs
@@ -66,8 +66,8 @@
 async fn change(context: &Context) {
     let plan = |_: &_| match wanted(context) {
         Some(set) => Ok(Plan {
-            edits: Vec::new(),
             witnesses: Some(set.members.into_iter().map(peer_witness).collect()),
+            ..Plan::default()
         }),
         None => Err(Failure::Unchanged),
     };
--- a/crates/steer/src/member.rs
+++ b/crates/steer/src/member.rs
@@ -12,6 +12,7 @@
 use agate_wire::peer::{self, HostRow};
 use agate_wire::platform::{Listing, Purpose, State};
 use agate_wire::sync::Pressure;
+use tokio::sync::Notify;
 use tokio::time::Instant;
 
 /// Consecutive unanswered exchanges after which a host is not named to callers.
@@ -53,6 +54,7 @@
     floors: RefCell<BTreeMap<PoolId, Floor>>,
     store: Cell<Option<Instant>>,
     leaving: Cell<bool>,
+    changed: Notify,
 }
 
 /// Pressure on one pool.
@@ -80,6 +82,7 @@
             floors: RefCell::default(),
             store: Cell::new(None),
             leaving: Cell::new(false),
+            changed: Notify::new(),
         }
     }
 
@@ -184,6 +187,12 @@
         member.heard = Some(Instant::now());
         member.missed = 0;
         update(member);
+        self.changed.notify_waiters();
+    }
+
+    /// Waits until some host is heard.
+    pub async fn changed(&self) {
+        self.changed.notified().await;
     }
 
     /// Records an exchange that a host did not answer.
@@ -251,6 +260,13 @@
         }
     }
 
+    /// Whether a host has answered one of the last few questions.
+    pub fn is_answering(&self, host: &str) -> bool {
+        let members = self.members.borrow();
+        let found = members.get(host);
+        found.is_some_and(|it| it.heard.is_some() && it.missed < MISSED_LIMIT)
+    }
+
     /// All other hosts that are not gone.
     pub fn peers(&self) -> Vec<Member> {
         let members = self.members.borrow();
--- a/crates/steer/tests/cluster.rs
+++ b/crates/steer/tests/cluster.rs
@@ -191,6 +191,39 @@
     assert_eq!(change(&hosts[1], "b").await.state, State::Accepted);
 }
 
+#[actix_rt::test]
+async fn an_operator_ends_the_wait_for_hosts_that_are_gone() {
+    let (fake, hosts) = cluster(3).await;
+    change(&hosts[0], "a").await;
+    fake.set_down(true);
+    for host in hosts {
+        host.process.close().await;
+    }
+    fake.set_down(false);
+    let extra = "timeouts: { acceptance: 100ms }";
+    let fresh = start(&fake, settings("host-0", "zone-a", extra)).await;
+    until("the fresh run is a witness", || {
+        let set = context(&fresh).copy.witnesses();
+        set.position("host-0", &context(&fresh).host.incarnation)
+            .is_some()
+    })
+    .await;
+    assert_eq!(change(&fresh, "b").await.state, State::Pending);
+    for gone in ["host-0", "host-1"] {
+        let path = format!("/api/v1/witnesses/{gone}/ended");
+        let reply = fresh.call(Method::POST, &path, None).await;
+        assert_eq!(reply.status, 200, "{}", reply.body);
+    }
+    assert_eq!(change(&fresh, "c").await.state, State::Accepted);
+    let reply = fresh
+        .call(Method::POST, "/api/v1/witnesses/host-0/ended", None)
+        .await;
+    assert_eq!(
+        reply.status, 404,
+        "a run that is heard is not declared as ended"
+    );
+}
+
 #[actix_rt::test]
 async fn a_leaving_host_is_no_longer_named_while_the_store_is_out() {
     let (fake, mut hosts) = cluster(3).await;
--- a/crates/steer/tests/dissemination.rs
+++ b/crates/steer/tests/dissemination.rs
@@ -193,6 +193,7 @@
         nonce: String::new(),
         author: String::new(),
         witnesses: Some((0..witnesses).map(member).collect()),
+        ended: Vec::new(),
     }
 }
 
--- a/crates/steer/tests/duty/sweep.rs
+++ b/crates/steer/tests/duty/sweep.rs
@@ -74,6 +74,7 @@
         nonce: "n".to_owned(),
         author: "test".to_owned(),
         witnesses: None,
+        ended: Vec::new(),
     };
     host.context
         .copy
--- a/crates/wire/src/api.rs
+++ b/crates/wire/src/api.rs
@@ -11,6 +11,9 @@
 //! - `GET /api/v1/status` answers [`Status`].
 //! - `GET /api/v1/usage?window=W` answers [`Usage`].
 //! - `POST /api/v1/keys/{account}` takes [`KeyRequest`], answers [`KeyIssued`].
+//! - `POST /api/v1/witnesses/{host}/ended` declares that the runs of a host that are no longer heard have
+//!   ended, so that changes need not wait for them; answers [`Outcome`]. For a host whose machine is
+//!   certainly gone.
 //! - `DELETE /api/v1/keys/{id}` withdraws a key; answers [`Outcome`].
 //!
 //! Every request carries `Authorization: Bearer <credential>`. A change with an
--- a/crates/wire/src/peer.rs
+++ b/crates/wire/src/peer.rs
@@ -47,6 +47,9 @@
     /// Witnesses in force from this version on, if they change.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub witnesses: Option<Vec<Witness>>,
+    /// Runs that an operator declared as ended.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub ended: Vec<Witness>,
 }
 
 /// Witnesses in force from one version on.
@@ -65,6 +68,9 @@
     pub snapshot: Snapshot,
     /// Witnesses of this version and of older ones that may still be in use.
     pub witnesses: Vec<WitnessSet>,
+    /// Runs that an operator declared as ended.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub ended: Vec<Witness>,
 }
 
 /// Row `config/snapshot`.
