--- a/crates/steer/src/api/change.rs
+++ b/crates/steer/src/api/change.rs
@@ -17,7 +17,7 @@
 use crate::api::read;
 use crate::api::request::Request;
 use crate::config::commit::{self, Plan, Proposal};
-use crate::config::handout;
+use crate::config::{archive, handout};
 use crate::context::Context;
 
 /// One edit with its condition, checked.
@@ -213,8 +213,8 @@
     outcome.repeated = done.repeated;
     let context = context.clone();
     actix_rt::spawn(async move {
-        commit::store_accepted(&context, done.version).await;
-        commit::store_snapshot(&context, done.version).await;
+        archive::store_accepted(&context, done.version).await;
+        archive::store_snapshot(&context, done.version).await;
     });
     Ok(outcome)
 }
--- a/crates/steer/src/config.rs
+++ b/crates/steer/src/config.rs
@@ -1,5 +1,6 @@
 //! The configuration: this host's copy, the store and the peers.
 
+pub mod archive;
 pub mod commit;
 pub mod copy;
 pub mod handout;
--- a/crates/steer/src/config/witness.rs
+++ b/crates/steer/src/config/witness.rs
@@ -7,7 +7,7 @@
 
 use crate::config::commit::{self, Failure, Plan, Proposal};
 use crate::config::copy::peer_witness;
-use crate::config::{handout, reader};
+use crate::config::{archive, handout, reader};
 use crate::context::Context;
 
 /// Time between looks at the witnesses.
@@ -81,8 +81,8 @@
         Ok(done) => {
             let entries = context.copy.entries_above(done.version.saturating_sub(1));
             handout::hand_out(context, entries.unwrap_or_default(), done.version).await;
-            commit::store_accepted(context, done.version).await;
-            commit::store_snapshot(context, done.version).await;
+            archive::store_accepted(context, done.version).await;
+            archive::store_snapshot(context, done.version).await;
             tracing::info!(event = "witnesses_changed", version = done.version);
         }
         Err(Failure::Unchanged) => {}
--- a/crates/steer/src/context.rs
+++ b/crates/steer/src/context.rs
@@ -15,6 +15,7 @@
 use crate::member::Members;
 use crate::metrics::Metrics;
 use crate::platform::Platform;
+use crate::pressure::Floors;
 use crate::roster::Roster;
 use crate::rpc::client::Peers;
 use crate::settings::Settings;
@@ -41,6 +42,8 @@
     pub copy: Rc<Copy>,
     /// Entry hosts.
     pub members: Rc<Members>,
+    /// Pressure on pools.
+    pub floors: Rc<Floors>,
     /// The platform's lists.
     pub roster: Rc<Roster>,
     /// Calls to peers.
--- a/crates/steer/src/directory.rs
+++ b/crates/steer/src/directory.rs
@@ -116,7 +116,7 @@
 }
 
 /// Tells the seeds and the known hosts of this host, and learns the hosts that they know.
-async fn announce(context: &Context) {
+pub async fn announce(context: &Context) {
     let known = context.members.peers().into_iter().map(|it| it.host.steer);
     let seeds = context.settings.seeds.iter().copied();
     let addresses: BTreeSet<SocketAddr> = known.chain(seeds).collect();
--- a/crates/steer/src/gossip/rumours.rs
+++ b/crates/steer/src/gossip/rumours.rs
@@ -70,7 +70,7 @@
             let found = snapshot.pools().find(|it| tag(&it.id) == pool);
             if let Some(pool) = found {
                 let pool = pool.id.clone();
-                context.members.press(Pressure { pool, floor }, now);
+                context.floors.press(Pressure { pool, floor }, now);
             }
         }
     }
@@ -91,7 +91,7 @@
                 floor: pressure.floor,
             };
             context.rumours.tell_of(fact, call.at);
-            context.members.press(pressure.clone(), call.at);
+            context.floors.press(pressure.clone(), call.at);
         }
     }
     show_leaving(context);
--- a/crates/steer/src/lib.rs
+++ b/crates/steer/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod member;
 pub mod metrics;
 pub mod platform;
+pub mod pressure;
 pub mod roster;
 pub mod rpc;
 pub mod run;
--- a/crates/steer/src/member.rs
+++ b/crates/steer/src/member.rs
@@ -7,20 +7,16 @@
 use agate_conf::acceptance::Standing;
 use agate_member::frame::{Tag, tag};
 use agate_model::host::Host;
-use agate_model::id::{EndpointId, HostId, PoolId, Version};
+use agate_model::id::{EndpointId, HostId, Version};
 use agate_wire::address::Entry;
 use agate_wire::peer::{self, HostRow};
 use agate_wire::platform::{Listing, Purpose, State};
-use agate_wire::sync::Pressure;
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
 /// Consecutive unanswered exchanges after which a host is not named to callers.
 const MISSED_LIMIT: u32 = 3;
 
-/// Time for which a pressure signal counts.
-const PRESSURE_LIFETIME: Duration = Duration::from_secs(3);
-
 /// One entry host other than this one.
 #[derive(Clone, Debug)]
 pub struct Member {
@@ -51,19 +47,11 @@
     members: RefCell<BTreeMap<HostId, Member>>,
     ended: RefCell<BTreeSet<EndedRun>>,
     listing: RefCell<HashMap<HostId, State>>,
-    floors: RefCell<BTreeMap<PoolId, Floor>>,
     store: Cell<Option<Instant>>,
     leaving: Cell<bool>,
     changed: Notify,
 }
 
-/// Pressure on one pool.
-#[derive(Debug)]
-struct Floor {
-    pressure: Pressure,
-    at: Instant,
-}
-
 /// A run that another one has replaced at the same address.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 struct EndedRun {
@@ -79,7 +67,6 @@
             members: RefCell::default(),
             ended: RefCell::default(),
             listing: RefCell::default(),
-            floors: RefCell::default(),
             store: Cell::new(None),
             leaving: Cell::new(false),
             changed: Notify::new(),
@@ -296,33 +283,6 @@
         is_listed_live && !member.host.leaving && member.missed < MISSED_LIMIT
     }
 
-    /// Pressure that peers have signalled: the lowest tier still admitted, by pool.
-    pub fn pressure(&self) -> Vec<Pressure> {
-        let floors = self.floors.borrow();
-        let is_young = |it: &&Floor| it.at.elapsed() < PRESSURE_LIFETIME;
-        floors
-            .values()
-            .filter(is_young)
-            .map(|it| it.pressure.clone())
-            .collect()
-    }
-
-    /// Records pressure that was signalled at `at`.
-    pub fn press(&self, pressure: Pressure, at: Instant) {
-        let mut floors = self.floors.borrow_mut();
-        let floor = floors
-            .entry(pressure.pool.clone())
-            .or_insert_with(|| Floor {
-                pressure: pressure.clone(),
-                at,
-            });
-        let is_stricter = pressure.floor <= floor.pressure.floor;
-        let has_lapsed = floor.at.elapsed() >= PRESSURE_LIFETIME;
-        if has_lapsed || (is_stricter && at >= floor.at) {
-            *floor = Floor { pressure, at };
-        }
-    }
-
     /// Entry hosts to name to callers.
     pub fn entries(&self) -> Vec<Entry> {
         let own = (!self.is_leaving()).then(|| Entry {
--- a/crates/steer/src/run.rs
+++ b/crates/steer/src/run.rs
@@ -109,6 +109,7 @@
             platform,
             copy: Rc::new(Copy::default()),
             members: Rc::new(Members::new(own)),
+            floors: Rc::default(),
             roster: Rc::default(),
             peers: Rc::new(peers),
             endpoints: Rc::new(Board::default()),
@@ -151,6 +152,7 @@
         let context = &self.context;
         context.leaving.set(true);
         context.members.leave();
+        directory::announce(context).await;
         report(directory::register(context).await);
         wait_for_gate(context).await;
         self.duty.close(context).await;
--- a/crates/steer/src/sync.rs
+++ b/crates/steer/src/sync.rs
@@ -30,7 +30,7 @@
         hosts: context.members.entries(),
         peers: peers(context),
         live_hosts: directory::live(context),
-        pressure: context.members.pressure(),
+        pressure: context.floors.current(),
         window: open_window(context, SystemTime::now()),
     }
 }
--- a/crates/steer/tests/cluster.rs
+++ b/crates/steer/tests/cluster.rs
@@ -238,6 +238,17 @@
     .await;
 }
 
+#[actix_rt::test]
+async fn a_host_that_has_ended_is_no_longer_named_at_once() {
+    let (_fake, mut hosts) = cluster(3).await;
+    let ended = hosts.pop().expect("a host");
+    ended.process.close().await;
+    for host in &hosts {
+        assert_eq!(context(host).members.entries().len(), 2);
+        assert_eq!(context(host).copy.witnesses().members.len(), 2);
+    }
+}
+
 #[actix_rt::test]
 async fn a_leaving_endpoint_is_passed_on_to_hosts_that_cannot_read_the_list() {
     let (fake, hosts) = cluster(3).await;
