--- a/crates/steer/src/api/change.rs
+++ b/crates/steer/src/api/change.rs
@@ -17,7 +17,7 @@
 use crate::api::read;
 use crate::api::request::Request;
 use crate::config::commit::{self, Plan, Proposal};
-use crate::config::handout;
+use crate::config::{archive, handout};
 use crate::context::Context;
 
 /// One edit with its condition, checked.
@@ -185,7 +185,15 @@
         digest,
         edits: &edits,
     };
-    let done = match commit::commit(context, &proposal).await {
+    commit_and_hand_out(context, &proposal).await
+}
+
+/// Stores a change and hands it out.
+pub async fn commit_and_hand_out(
+    context: &Context,
+    proposal: &Proposal<'_>,
+) -> Result<Outcome, Failure> {
+    let done = match commit::commit(context, proposal).await {
         Ok(done) => done,
         Err(commit::Failure::Unchanged) => {
             let version = context.copy.version();
@@ -196,7 +204,7 @@
     tracing::info!(
         event = "change_made",
         version = done.version,
-        operator = caller.id,
+        operator = proposal.author,
         repeated = done.repeated
     );
     let entries = context.copy.entries_above(done.version.saturating_sub(1));
@@ -205,8 +213,8 @@
     outcome.repeated = done.repeated;
     let context = context.clone();
     actix_rt::spawn(async move {
-        commit::store_accepted(&context, done.version).await;
-        commit::store_snapshot(&context, done.version).await;
+        archive::store_accepted(&context, done.version).await;
+        archive::store_snapshot(&context, done.version).await;
     });
     Ok(outcome)
 }
@@ -249,7 +257,7 @@
     }
     Ok(Plan {
         edits,
-        witnesses: None,
+        ..Plan::default()
     })
 }
 
