--- a/crates/steer/src/rpc/peer.rs
+++ b/crates/steer/src/rpc/peer.rs
@@ -1,7 +1,7 @@
 //! Answers to peers: hand-out, missing entries and this host's state.
 
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, SystemTime};
 
 use agate_model::id::HostId;
 use agate_wire::demand;
@@ -51,13 +51,14 @@
 }
 
 /// Methods of every control process.
-pub const METHODS: [&str; 6] = [
+pub const METHODS: [&str; 7] = [
     sync::METHOD,
     peer::PUSH,
     peer::FETCH,
     peer::STANDING,
     mirror::METHOD,
     demand::METHOD,
+    peer::ROSTER,
 ];
 
 /// Handlers of [`METHODS`].
@@ -83,7 +84,7 @@
     });
     handlers.insert(peer::STANDING, standing);
     let mirror = Method::shared(context, |context, _, push| {
-        Box::pin(async move { Ok(duty::mirror::take(&context, push)) })
+        Box::pin(async move { Ok(duty::mirror::take(&context, push, SystemTime::now())) })
     });
     handlers.insert(mirror::METHOD, mirror);
     let demand = Method::shared(context, |context, sender, push| {
@@ -93,6 +94,13 @@
         })
     });
     handlers.insert(demand::METHOD, demand);
+    let roster = Method::shared(context, |context, _, (): ()| {
+        Box::pin(async move {
+            let lists = context.roster.whole();
+            lists.ok_or_else(|| Failure("no lists have been read".to_owned()))
+        })
+    });
+    handlers.insert(peer::ROSTER, roster);
     handlers
 }
 
