--- a/crates/steer/src/directory.rs
+++ b/crates/steer/src/directory.rs
@@ -31,6 +31,12 @@
 /// Calls to peers at the same time.
 const ANNOUNCE_CONCURRENCY: usize = 32;
 
+/// Added to the interval between reads of the lists for each host, as the lists grow with it.
+const READ_DELAY_PER_HOST: Duration = Duration::from_millis(8);
+
+/// Range of the random delay of a read for each host.
+const READ_SPREAD_PER_HOST: Duration = Duration::from_millis(300);
+
 /// Requests that an ordered endpoint serves at once.
 const ORDERED_SLOTS: u32 = 8;
 
@@ -40,7 +46,8 @@
     loop {
         is_registered = is_registered || register(&context).await.is_ok();
         let interval = context.settings.intervals.hosts;
-        let is_due = context.roster.age().is_none_or(|age| age >= interval);
+        let hosts = context.members.peers().len() + 1;
+        let is_due = is_due(context.roster.age(), interval, hosts, rand::random());
         if is_due && let Err(err) = read(&context).await {
             tracing::debug!(event = "lists_not_read", error = %err);
         }
@@ -51,13 +58,25 @@
     }
 }
 
-/// Reads all lists from the platform.
+/// Whether a host reads lists of a given age again; `draw` is random, from 0 to 1.
+///
+/// All hosts know the same read, so its age reaches the interval everywhere at once. The
+/// draw spreads them, so that the first few spare the others their read.
+pub fn is_due(age: Option<Duration>, interval: Duration, hosts: usize, draw: f64) -> bool {
+    let hosts = u32::try_from(hosts).unwrap_or(u32::MAX);
+    let spread = READ_SPREAD_PER_HOST.saturating_mul(hosts);
+    let wait = interval + READ_DELAY_PER_HOST.saturating_mul(hosts) + spread.mul_f64(draw);
+    age.is_none_or(|age| age >= wait)
+}
+
+/// Reads all lists from the platform. Only the list of hosts and endpoints is needed; a list
+/// that cannot be read does not hold up the others.
 async fn read(context: &Context) -> Result<(), Error> {
     let at = Instant::now();
     let lists = Lists {
         listing: context.platform.hosts.list().await?,
-        machines: context.platform.orders.machines().await?,
-        hosts: scan(context).await?,
+        machines: context.platform.orders.machines().await.ok(),
+        hosts: scan(context).await.ok(),
     };
     take(context, lists, at);
     Ok(())
@@ -68,20 +87,28 @@
     if !context.roster.replace(&lists, at) {
         return;
     }
-    let named: BTreeSet<HostId> = lists.hosts.iter().map(|it| it.host.clone()).collect();
-    for row in lists.hosts {
-        context.members.learn(row);
+    if let Some(hosts) = lists.hosts {
+        learn(context, hosts);
     }
-    context.members.keep_only(&named, SILENCE);
     let before = context.endpoints.leaving();
     let leaving = context.members.set_listing(&lists.listing);
     rumours::tell_leaving(context, &before, &leaving);
     context.rumours.supersede(at);
     context.endpoints.set_leaving(Source::Platform, leaving);
-    show_machines(context, lists.machines);
+    if let Some(machines) = lists.machines {
+        show_machines(context, machines);
+    }
     context.metrics.hosts.set(i64::from(live(context)));
 }
 
+fn learn(context: &Context, hosts: Vec<HostRow>) {
+    let named: BTreeSet<HostId> = hosts.iter().map(|it| it.host.clone()).collect();
+    for row in hosts {
+        context.members.learn(row);
+    }
+    context.members.keep_only(&named, SILENCE);
+}
+
 /// Reads the lists of a peer, which has newer ones.
 pub async fn fetch(context: &Context, peer: SocketAddr) {
     let sent = Instant::now();
--- a/crates/steer/src/duty/order.rs
+++ b/crates/steer/src/duty/order.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use agate_fleet::machine;
+use agate_model::endpoint::Kind;
 use agate_model::id::{Epoch, PoolId};
 use agate_platform::Error;
 use agate_wire::order::{Action, Order, Progress, Receipt, Record};
@@ -22,6 +23,8 @@
 const RESEND: Duration = Duration::from_secs(15);
 /// Time after which the platform's list must show the effect of an answered order.
 const LIST_LAG: Duration = Duration::from_secs(60);
+/// HTTP statuses of a receiver that refuses for a while.
+const BUSY: [u16; 2] = [429, 503];
 /// Rows deleted in one transaction.
 const BATCH: usize = 100;
 
@@ -83,11 +86,13 @@
         self.entries.values().map(Entry::record).collect()
     }
 
-    /// Endpoints of a pool that were ordered and are not listed yet.
-    pub fn pending(&self, pool: &PoolId, machines: &[machine::Machine]) -> u32 {
+    /// Endpoints of a pool and kind that were ordered and are not listed yet.
+    pub fn pending(&self, pool: &PoolId, kind: Kind, machines: &[machine::Machine]) -> u32 {
         let is_pending = |it: &&Entry| {
-            let is_start =
-                matches!(&it.record.order.action, Action::Start { pool: of, .. } if of == pool);
+            let is_start = matches!(
+                &it.record.order.action,
+                Action::Start { pool: of, kind: its, .. } if of == pool && Kind::from(*its) == kind
+            );
             let is_listed = machines
                 .iter()
                 .any(|machine| machine.order == it.record.order.id);
@@ -168,6 +173,8 @@
     ) -> Result<(), Failure> {
         let progress = match answer {
             Ok(Receipt::Done { endpoint }) => Progress::Done { endpoint },
+            // The platform has no time for it now; it is sent again.
+            Err(Error::Refused { status, .. }) if BUSY.contains(&status) => return Ok(()),
             Ok(Receipt::Unavailable) | Err(Error::Refused { .. }) => Progress::Refused,
             Ok(Receipt::Fenced { epoch }) => {
                 tracing::warn!(event = "order_fenced", epoch);
