--- a/crates/gate/src/activity.rs
+++ b/crates/gate/src/activity.rs
@@ -3,7 +3,7 @@
 use std::cell::Cell;
 use std::rc::Rc;
 
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 
 /// What the gate does with new work.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
@@ -20,23 +20,25 @@
 #[derive(Clone, Debug)]
 pub struct Activity {
     phase: watch::Sender<Phase>,
-    running: Rc<Cell<usize>>,
-    idle: Rc<tokio::sync::Notify>,
+    requests: Rc<Cell<usize>>,
+    tasks: Rc<Cell<usize>>,
+    changed: Rc<Notify>,
 }
 
-/// One running request, until its answer was delivered.
+/// A request until its answer was delivered, or a task that outlives it.
 #[derive(Debug)]
 pub struct Guard {
-    running: Rc<Cell<usize>>,
-    idle: Rc<tokio::sync::Notify>,
+    counter: Rc<Cell<usize>>,
+    changed: Rc<Notify>,
 }
 
 impl Default for Activity {
     fn default() -> Self {
         Self {
             phase: watch::Sender::new(Phase::Serving),
-            running: Rc::default(),
-            idle: Rc::default(),
+            requests: Rc::default(),
+            tasks: Rc::default(),
+            changed: Rc::default(),
         }
     }
 }
@@ -69,31 +71,47 @@
 
     /// Counts a request until the guard is dropped.
     pub fn begin(&self) -> Guard {
-        self.running.set(self.running.get() + 1);
-        Guard {
-            running: self.running.clone(),
-            idle: self.idle.clone(),
-        }
+        Guard::new(&self.requests, &self.changed)
+    }
+
+    /// Makes a shutdown wait until the guard is dropped, for work that follows a request.
+    pub fn hold(&self) -> Guard {
+        Guard::new(&self.tasks, &self.changed)
     }
 
     /// Requests running now.
     pub fn running(&self) -> usize {
-        self.running.get()
+        self.requests.get()
+    }
+
+    /// Whether no request is running, and nothing is left to do for earlier ones.
+    pub fn is_idle(&self) -> bool {
+        self.requests.get() + self.tasks.get() == 0
     }
 
-    /// Waits until no request is running.
+    /// Waits until [`Activity::is_idle`].
     pub async fn idle(&self) {
-        while self.running.get() > 0 {
-            self.idle.notified().await;
+        while !self.is_idle() {
+            self.changed.notified().await;
+        }
+    }
+}
+
+impl Guard {
+    fn new(counter: &Rc<Cell<usize>>, changed: &Rc<Notify>) -> Self {
+        counter.set(counter.get() + 1);
+        Self {
+            counter: counter.clone(),
+            changed: changed.clone(),
         }
     }
 }
 
 impl Drop for Guard {
     fn drop(&mut self) {
-        self.running.set(self.running.get() - 1);
-        if self.running.get() == 0 {
-            self.idle.notify_one();
+        self.counter.set(self.counter.get() - 1);
+        if self.counter.get() == 0 {
+            self.changed.notify_one();
         }
     }
 }
--- a/crates/gate/src/forward/claimed.rs
+++ b/crates/gate/src/forward/claimed.rs
@@ -46,7 +46,7 @@
     claims: Claims,
     key: String,
 ) -> Result<Whole, Refusal> {
-    let _running = gate.activity.begin();
+    let _held = gate.activity.hold();
     let account = work.account().map_or("", String::as_str);
     let request = agate_claim::digest::request(work.method.as_str(), &work.target, &work.body);
     let is_live = |host: &String| gate.is_live(host);
@@ -61,10 +61,10 @@
         Err(refusal) if refusal.execution() == Execution::NotRun => End::NotRun,
         Err(_) => End::Unknown,
     };
-    let running = gate.activity.begin();
+    let held = gate.activity.hold();
     actix_rt::spawn(async move {
         claim.close(end).await;
-        drop(running);
+        drop(held);
     });
     result
 }
--- a/crates/gate/src/forward/relay.rs
+++ b/crates/gate/src/forward/relay.rs
@@ -161,6 +161,8 @@
     }
 
     async fn run(mut self, upstream: Upstream, mut slot: Slot) {
+        // A shutdown waits until the usage is counted, not only until the answer is delivered.
+        let _held = self.gate.activity.hold();
         let whole = self.deliver(upstream).await;
         let usage = self.usage.unwrap_or_default();
         slot.charge(Cost {
--- a/crates/gate/tests/admission.rs
+++ b/crates/gate/tests/admission.rs
@@ -103,7 +103,7 @@
         let (first, ()) = tokio::join!(deployment.call("GET", "/records/1", ""), impatient);
         assert_eq!(first.status, 200);
         assert_eq!(upstream.endpoint.count(), 1);
-        until(|| deployment.gate.activity.running() == 0).await;
+        until(|| deployment.gate.activity.is_idle()).await;
     });
 }
 
--- a/crates/gate/tests/at_most_once.rs
+++ b/crates/gate/tests/at_most_once.rs
@@ -204,7 +204,7 @@
             .to_owned();
         assert_eq!(received[1].method, "DELETE");
         assert_eq!(received[1].target, format!("/v1/streams/{id}"));
-        support::until(|| deployment.gate.activity.running() == 0).await;
+        support::until(|| deployment.gate.activity.is_idle()).await;
     });
 }
 
--- a/crates/gate/tests/claims.rs
+++ b/crates/gate/tests/claims.rs
@@ -96,7 +96,7 @@
         let (_, one, two) = pair(upstream.address).await;
         let first = book(&one, "lap 3").await;
         assert_eq!((first.status, first.body.as_str()), (201, "booked"));
-        until(|| one.gate.activity.running() == 0).await;
+        until(|| one.gate.activity.is_idle()).await;
         for deployment in [&one, &two] {
             let again = book(deployment, "lap 3").await;
             assert_eq!((again.status, again.body.as_str()), (201, "booked"));
@@ -154,7 +154,7 @@
             first.refusal(),
             ("endpoint_failed".into(), "unknown".into())
         );
-        until(|| one.gate.activity.running() == 0).await;
+        until(|| one.gate.activity.is_idle()).await;
         let again = book(&two, "lap 3").await;
         assert_eq!(again.refusal(), ("claim_unknown".into(), "unknown".into()));
         assert_eq!(upstream.count(), 1);
@@ -173,7 +173,7 @@
             first.refusal(),
             ("endpoint_unreachable".into(), "not run".into())
         );
-        until(|| unreachable.gate.activity.running() == 0).await;
+        until(|| unreachable.gate.activity.is_idle()).await;
         assert_eq!(book(&one, "lap 3").await.status, 201);
     });
 }
@@ -189,7 +189,7 @@
         let (tables, one, two) = pair(upstream.address).await;
         tables.commits.borrow_mut().extend(faults);
         assert_eq!(book(&one, "lap 3").await.status, 201);
-        until(|| one.gate.activity.running() == 0).await;
+        until(|| one.gate.activity.is_idle()).await;
         assert_eq!(book(&two, "lap 3").await.body, "booked");
         assert_eq!(upstream.count(), 1);
     });
@@ -263,7 +263,7 @@
         let (_, one, two) = pair(upstream.address).await;
         let gone = tokio::time::timeout(Duration::from_millis(100), book(&one, "lap 3")).await;
         assert!(gone.is_err());
-        until(|| one.gate.activity.running() == 0).await;
+        until(|| one.gate.activity.is_idle()).await;
         assert_eq!(book(&two, "lap 3").await.body, "booked");
         assert_eq!(upstream.count(), 1);
     });
--- a/crates/gate/tests/streams.rs
+++ b/crates/gate/tests/streams.rs
@@ -259,7 +259,7 @@
         until(|| !deployment.steer.usage().is_empty()).await;
         let figures = deployment.steer.usage()[0].figures;
         assert_eq!((figures.requests, figures.answer_tokens), (0, 2));
-        until(|| deployment.gate.activity.running() == 0).await;
+        until(|| deployment.gate.activity.is_idle()).await;
     });
 }
 
