Calls to control processes sealed with the cluster key

A gate that fails over calls peers over the network; an unsealed answer there could be forged. Without a key calls stay plain, as in the quickstart.

--- a/crates/gate/src/main.rs
+++ b/crates/gate/src/main.rs
@@ -71,8 +71,9 @@
         let client = agate_platform::http::Client::new(address, PLATFORM_TIMEOUT);
         Rc::new(client) as Rc<dyn Tables>
     });
+    let rpc = Rpc::new(settings.host.clone(), settings.secret()?);
     let gate = Gate::new(settings, tables);
-    let program = Program::start(gate.clone(), Rc::new(Rpc::default())).await?;
+    let program = Program::start(gate.clone(), Rc::new(rpc)).await?;
     println!(
         "listening address={} admin={}",
         program.address(),
--- a/crates/gate/src/settings.rs
+++ b/crates/gate/src/settings.rs
@@ -4,6 +4,7 @@
 use std::path::PathBuf;
 use std::time::Duration;
 
+use agate_member::secret::{Malformed, Secret};
 use agate_model::finding::Report;
 use agate_model::version::FRESHNESS_LIMIT;
 use agate_settings::file::Check;
@@ -24,6 +25,10 @@
     pub admin: SocketAddr,
     /// Control processes, the one of this host first. Peers are learnt from it.
     pub steer: Vec<SocketAddr>,
+    /// File with the cluster key, which seals the calls to control processes. Without it they
+    /// are plain, and control processes must be told to answer plain calls.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub cluster_key_file: Option<PathBuf>,
     /// Platform, for claims of idempotency keys. Without it such requests are refused.
     #[serde(default)]
     pub platform: Option<SocketAddr>,
@@ -112,6 +117,28 @@
     }
 }
 
+impl Settings {
+    /// The cluster key, if calls are to be sealed.
+    pub fn secret(&self) -> Result<Option<Secret>, KeyFile> {
+        let Some(path) = &self.cluster_key_file else {
+            return Ok(None);
+        };
+        let text = std::fs::read_to_string(path).map_err(KeyFile::Unreadable)?;
+        Ok(Some(Secret::from_hex(&text).map_err(KeyFile::Malformed)?))
+    }
+}
+
+/// Why the cluster key can't be used.
+#[derive(Debug, thiserror::Error)]
+pub enum KeyFile {
+    /// The file can't be read.
+    #[error("can't be read: {0}")]
+    Unreadable(std::io::Error),
+    /// The file holds no cluster key.
+    #[error("{0}")]
+    Malformed(Malformed),
+}
+
 impl Check for Settings {
     fn check(&self, report: &mut Report) {
         for (field, value) in [("host", &self.host), ("zone", &self.zone)] {
@@ -122,6 +149,9 @@
         if self.steer.is_empty() {
             report.push("steer", "name at least the control process of this host");
         }
+        if let Err(err) = self.secret() {
+            report.push("cluster_key_file", err.to_string());
+        }
         if self.freshness > FRESHNESS_LIMIT {
             let fault = format!(
                 "must be at most {}",
--- a/crates/gate/src/sync.rs
+++ b/crates/gate/src/sync.rs
@@ -4,8 +4,11 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, SystemTime};
 
+use agate_member::secret::Secret;
+use agate_member::token::{self, Refusal, Sealed};
+use agate_model::id::HostId;
 use agate_wire::sync::{METHOD, Request, Response};
 use futures_util::future::LocalBoxFuture;
 use jsonrpsee::core::client::ClientT as _;
@@ -36,6 +39,12 @@
     /// No answer in time.
     #[error("no answer in time")]
     Timeout,
+    /// The answer is not sealed with the cluster key.
+    #[error(transparent)]
+    Seal(#[from] Refusal),
+    /// The sealed body is not what was expected.
+    #[error("malformed body: {0}")]
+    Body(#[from] serde_json::Error),
     /// The answer can't be taken over.
     #[error(transparent)]
     Config(#[from] config::Error),
@@ -51,13 +60,40 @@
     ) -> LocalBoxFuture<'_, Result<Response, Error>>;
 }
 
-/// Calls by JSON-RPC over HTTP.
-#[derive(Debug, Default)]
+/// Calls by JSON-RPC over HTTP, sealed with the cluster key if there is one.
 pub struct Rpc {
+    own: HostId,
+    secret: Option<Secret>,
     clients: RefCell<HashMap<SocketAddr, HttpClient>>,
 }
 
 impl Rpc {
+    /// Calls in the name of host `own`.
+    pub fn new(own: HostId, secret: Option<Secret>) -> Self {
+        Self {
+            own,
+            secret,
+            clients: RefCell::default(),
+        }
+    }
+
+    async fn plain(&self, client: &HttpClient, request: &Request) -> Result<Response, Error> {
+        Ok(client.request(METHOD, rpc_params![request]).await?)
+    }
+
+    async fn sealed(
+        &self,
+        client: &HttpClient,
+        secret: &Secret,
+        request: &Request,
+    ) -> Result<Response, Error> {
+        let body = serde_json::to_string(request)?;
+        let sealed = token::request(secret, METHOD, &self.own, SystemTime::now(), body);
+        let answer: Sealed = client.request(METHOD, rpc_params![&sealed]).await?;
+        let body = token::open_answer(secret, METHOD, &sealed, &answer)?;
+        Ok(serde_json::from_str(body)?)
+    }
+
     fn client(&self, address: SocketAddr) -> Result<HttpClient, Error> {
         if let Some(client) = self.clients.borrow().get(&address) {
             return Ok(client.clone());
@@ -79,9 +115,14 @@
     ) -> LocalBoxFuture<'_, Result<Response, Error>> {
         Box::pin(async move {
             let client = self.client(address)?;
-            let call = client.request(METHOD, rpc_params![request]);
+            let call = async {
+                match &self.secret {
+                    Some(secret) => self.sealed(&client, secret, &request).await,
+                    None => self.plain(&client, &request).await,
+                }
+            };
             let answer = tokio::time::timeout(CALL_TIMEOUT, call).await;
-            Ok(answer.map_err(|_| Error::Timeout)??)
+            answer.map_err(|_| Error::Timeout)?
         })
     }
 }
--- a/crates/gate/tests/support/mod.rs
+++ b/crates/gate/tests/support/mod.rs
@@ -245,6 +245,7 @@
         listen: any,
         admin: any,
         steer: vec![any],
+        cluster_key_file: None,
         platform: None,
         limits: Limits::default(),
         sync_interval: Duration::from_millis(20),
