--- a/crates/gate/tests/support/mod.rs
+++ b/crates/gate/tests/support/mod.rs
@@ -353,6 +353,13 @@
         value.trim().parse().expect("a number")
     }
 
+    /// The same for a metric that may not exist yet.
+    pub fn metric_or_zero(&self, line: &str) -> f64 {
+        let text = self.gate.metrics.encode();
+        let found = text.lines().find_map(|it| it.strip_prefix(line));
+        found.map_or(0.0, |it| it.trim().parse().expect("a number"))
+    }
+
     pub fn refusals(&self, reason: &str) -> f64 {
         self.metric(&format!("agate_gate_refusals_total{{reason=\"{reason}\"}}"))
     }
