--- a/crates/gate/src/program.rs
+++ b/crates/gate/src/program.rs
@@ -1,7 +1,6 @@
 //! A running gate: its listeners, its sync task and its shutdown.
 
 use std::cell::RefCell;
-use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -11,6 +10,7 @@
 use crate::activity::Phase;
 use crate::front::server::{self, Connection, Listener};
 use crate::gate::Gate;
+use crate::load;
 use crate::sync::{Steer, Syncer};
 
 /// Time for the last usage to be taken over by a control process.
@@ -44,11 +44,12 @@
     callers: JoinHandle<()>,
     operators: JoinHandle<()>,
     sync: JoinHandle<()>,
+    load: JoinHandle<()>,
 }
 
 impl Program {
     /// Binds both listeners and starts to serve.
-    pub async fn start(gate: Rc<Gate>, steer: Rc<dyn Steer>) -> io::Result<Self> {
+    pub async fn start(gate: Rc<Gate>, steer: Rc<dyn Steer>) -> Result<Self, server::Error> {
         let callers = Listener::bind(gate.settings.listen).await?;
         let operators = Listener::bind(gate.settings.admin).await?;
         let service = Rc::new(RefCell::new(server::callers(&gate).await?));
@@ -65,6 +66,7 @@
             )),
             operators: actix_rt::spawn(operators.serve_operators(admin)),
             sync: actix_rt::spawn(async move { syncer.run().await }),
+            load: actix_rt::spawn(load::run(gate.clone())),
             service,
             steer,
             gate,
@@ -81,9 +83,12 @@
         self.admin
     }
 
-    /// Serves new connections by another service, for example with another certificate.
-    pub fn replace(&self, service: Rc<dyn Connection>) {
+    /// Reads the certificate again. Connections that are open keep the one they began
+    /// with, and a certificate that can't be used changes nothing.
+    pub async fn reload(&self) -> Result<(), server::Error> {
+        let service = server::callers(&self.gate).await?;
         *self.service.borrow_mut() = service;
+        Ok(())
     }
 
     /// Shuts down without cutting a request off, as far as the drain timeout allows.
@@ -102,6 +107,7 @@
             requests: gate.activity.running(),
             counters: hand_over(gate, self.steer.clone()).await,
         };
+        self.load.abort();
         self.operators.abort();
         loss
     }
@@ -118,8 +124,10 @@
 async fn hand_over(gate: &Rc<Gate>, steer: Rc<dyn Steer>) -> usize {
     let mut syncer = Syncer::new(gate.clone(), steer);
     let handover = async {
-        while !syncer.round().await || !gate.usage.borrow().is_settled() {
-            tokio::time::sleep(HANDOVER_PAUSE).await;
+        while !gate.usage.borrow().is_settled() {
+            if !syncer.round().await {
+                tokio::time::sleep(HANDOVER_PAUSE).await;
+            }
         }
     };
     let _ = tokio::time::timeout(HANDOVER_TIMEOUT, handover).await;
--- a/crates/load/src/sim/attempt.rs
+++ b/crates/load/src/sim/attempt.rs
@@ -48,6 +48,7 @@
             pools: std::slice::from_ref(&self.pools[request.pool]),
             prefix: &request.blocks,
             zone: &host.zone,
+            tier: run.urgency,
             reclaimable: class.reclaimable,
             excluded: &run.tried,
             tokens: work_tokens(u64::from(request.prompt), expected),
@@ -155,6 +156,7 @@
         let attempt = &self.attempts[key];
         let total = self.now + self.experiment.network - attempt.sent;
         let tokens = work_tokens(u64::from(prompt), u64::from(answer));
+        self.fleet.note_service(request.pool, total);
         let cheap = self.engines[attempt.engine].endpoint.kind == Kind::Reclaimable;
         self.end_attempt(key, Outcome::Success(Latency { total, tokens }), false);
         let first = self.runs[no]
@@ -169,7 +171,7 @@
             && between <= class.target.between_tokens
             && end <= self.runs[no].deadline;
         let state = &mut self.hosts[request.host].classes[request.class];
-        state.observe(answer, first_token);
+        state.observe(answer, first_token, end - first);
         let used = u64::from(prompt) + u64::from(answer);
         self.finish(
             no,
--- a/crates/queue/src/scheduler.rs
+++ b/crates/queue/src/scheduler.rs
@@ -41,6 +41,7 @@
     members: BTreeSet<class::Key>,
     queued: usize,
     shed: Option<Instant>,
+    rate: Rate,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -91,6 +92,7 @@
                 members: BTreeSet::new(),
                 queued: 0,
                 shed: None,
+                rate: Rate::default(),
             }),
             reserve: Share::new(),
             credit: 0,
@@ -114,7 +116,7 @@
 
     /// Queues or refuses a request.
     pub fn offer(&mut self, now: Instant, item: Item) -> Offer {
-        self.rate.advance(now, !self.entries.is_empty());
+        self.advance(now);
         if item.deadline <= now {
             return Offer::Refused(Reason::DeadlinePassed);
         }
@@ -138,9 +140,14 @@
 
     /// Takes the request to run next. Call it when an endpoint has a free slot.
     pub fn next(&mut self, now: Instant, room: Room) -> Option<Start> {
-        self.rate.advance(now, !self.entries.is_empty());
-        let strict = self.strict(room)?;
-        let class = self.reserved(strict, room).unwrap_or(strict);
+        self.advance(now);
+        let strict = self.strict(room);
+        let reserved = self.reserved(strict, room);
+        let class = reserved.or(strict)?;
+        let urgency = match reserved {
+            Some(_) => 0,
+            None => self.classes[class].tier as Tier,
+        };
         let flow = self.classes[class]
             .flows
             .first()
@@ -154,10 +161,12 @@
         let charge = self.charge(flow, ticket);
         let entry = self.detach(ticket).expect("a queued ticket has an entry");
         self.rate.start();
+        self.levels[self.classes[class].tier].rate.start();
         Some(Start {
             ticket,
             waited: now.saturating_duration_since(entry.item.arrival),
             item: entry.item,
+            urgency,
             charge,
         })
     }
@@ -275,6 +284,13 @@
         }
     }
 
+    fn advance(&mut self, now: Instant) {
+        self.rate.advance(now, !self.entries.is_empty());
+        for level in &mut self.levels {
+            level.rate.advance(now, level.queued > 0);
+        }
+    }
+
     /// The class whose turn it is by priority.
     fn strict(&self, room: Room) -> Option<class::Key> {
         let ready = self.levels.iter().flat_map(|level| level.classes.iter());
@@ -283,8 +299,10 @@
     }
 
     /// The class that gets this start from the reserve, if any.
-    fn reserved(&mut self, strict: class::Key, room: Room) -> Option<class::Key> {
-        self.credit = (self.credit + RESERVE_MILLI).min(MAX_CREDIT_MILLI);
+    fn reserved(&mut self, strict: Option<class::Key>, room: Room) -> Option<class::Key> {
+        if strict.is_some() {
+            self.credit = (self.credit + RESERVE_MILLI).min(MAX_CREDIT_MILLI);
+        }
         if self.credit < START_MILLI {
             return None;
         }
@@ -293,14 +311,16 @@
         let class = &mut self.classes[key];
         class.reserved = counter + SCALE / u64::from(class.weight);
         self.reserve.update(key, counter, class.reserved);
-        self.skip(strict, counter);
+        if let Some(strict) = strict {
+            self.skip(strict, counter);
+        }
         Some(key)
     }
 
     /// The class with the fewest starts from the reserve, other than `strict`.
-    fn passed_over(&self, strict: class::Key, room: Room) -> Option<(Counter, class::Key)> {
-        let mut others = self.reserve.iter().filter(|&(_, key)| key != strict);
-        others.find(|&(_, key)| self.classes[key].fits(room))
+    fn passed_over(&self, strict: Option<class::Key>, room: Room) -> Option<(Counter, class::Key)> {
+        let mut others = self.reserve.iter().filter(|&(_, key)| Some(key) != strict);
+        others.find(|&(_, key)| self.classes[key].fits_urgently(room))
     }
 
     /// Keeps a class that was passed over, as it is served anyway, from saving up.
