--- a/crates/steer/tests/dissemination.rs
+++ b/crates/steer/tests/dissemination.rs
@@ -40,6 +40,8 @@
     secret: Secret,
     interval: Duration,
     is_store_up: bool,
+    /// Share of exchanges that are lost.
+    loss: f64,
 }
 
 impl Simulation {
@@ -76,6 +78,7 @@
             random,
             interval,
             is_store_up: false,
+            loss: 0.0,
         }
     }
 
@@ -115,6 +118,9 @@
         let peer = (n + 1 + self.random.random_range(0..others)) % self.nodes.len();
         let question = self.frame(n, None);
         self.nodes[n].sent += question.encode(&self.secret).len() + HEADER_BYTES;
+        if self.loss > 0.0 && self.random.random_bool(self.loss) {
+            return;
+        }
         self.nodes[peer].copy.hear_of(question.version);
         let mut answer = statements::answer(&self.nodes[peer].copy, &self.nodes[peer].own);
         answer.lists = self.nodes[peer].roster.mark();
@@ -241,12 +247,14 @@
 /// Without the store, the attestations of a majority reach every host young enough; and the
 /// bytes stay below the budget of 2 KB a second, sent and received together.
 #[rstest]
-#[case(9)]
-#[case(95)]
-#[case(380)]
+#[case(9, 0.0)]
+#[case(95, 0.0)]
+#[case(380, 0.0)]
+#[case(380, 0.05)]
 #[tokio::test(start_paused = true)]
-async fn attestations_keep_all_hosts_current(#[case] count: usize) {
+async fn attestations_keep_all_hosts_current(#[case] count: usize, #[case] loss: f64) {
     let mut simulation = Simulation::new(count);
+    simulation.loss = loss;
     let warm_up = Duration::from_secs(5);
     simulation.run(warm_up).await;
     let mut all = Vec::new();
@@ -261,7 +269,7 @@
     let at = |share: f64| all[((all.len() - 1) as f64 * share) as usize];
     let rate = simulation.rate(warm_up + Duration::from_secs(5));
     println!(
-        "{count} hosts: proof age p50 {:?} p99 {:?} worst {:?}, stale {stale} of {}, {rate:.0} B/s sent",
+        "{count} hosts, loss {loss}: proof age p50 {:?} p99 {:?} worst {:?}, stale {stale} of {}, {rate:.0} B/s sent",
         at(0.5),
         at(0.99),
         at(1.0),
