--- a/crates/gate/src/forward/mod.rs
+++ b/crates/gate/src/forward/mod.rs
@@ -13,6 +13,7 @@
 pub mod relay;
 pub mod source;
 pub mod transport;
+mod upstream;
 
 pub use completion::run as completion;
 pub use plain::run as plain;
--- a/crates/gate/src/forward/relay.rs
+++ b/crates/gate/src/forward/relay.rs
@@ -2,11 +2,10 @@
 //! explicit error event where none of them helps.
 
 use std::rc::Rc;
-use std::time::Duration;
 
 use agate_model::refusal::Reason;
 use agate_retry::decision::{MAX_RESUMES, Outcome};
-use agate_stream::assembler::{Assembler, State};
+use agate_stream::assembler::State;
 use agate_stream::replay::{Piece, Replay};
 use agate_wire::engine::Usage;
 use agate_wire::platform::Figures;
@@ -15,23 +14,17 @@
 use tokio::time::Instant;
 
 use super::attempt::{self, Answered, Attempts};
-use super::cancel::Cancel;
 use super::chunk::{self, Chunk};
 use super::reader::{Frame, Meter, Reader};
 use super::source::{self, Item, Source, Unresumed};
+use super::upstream::{DONE, Upstream};
 use crate::admission::{Cost, Slot};
-use crate::choice::{self, Flight};
+use crate::choice;
 use crate::gate::Gate;
 use crate::metrics::Retry;
 use crate::refusal::{Denial, Progress, Refusal};
 use crate::work::Work;
 
-const DONE: &[u8] = b"[DONE]";
-/// Chunks held because an earlier one is missing.
-const HELD_CHUNKS: usize = 256;
-/// Wait for a missing chunk while later ones arrive.
-const GAP_TIMEOUT: Duration = Duration::from_millis(500);
-
 /// Why a connection is no longer read.
 enum Stop {
     Whole,
@@ -40,76 +33,6 @@
     Failed(Denial),
 }
 
-/// Where the answer comes from.
-struct Upstream {
-    flight: Flight,
-    cancel: Cancel,
-    sent: Instant,
-    source: Source,
-    assembler: Assembler<Bytes>,
-    sequence: u64,
-    resumes: u32,
-    gap_since: Option<Instant>,
-}
-
-impl Upstream {
-    fn new(answered: Answered, bound: usize) -> Self {
-        Self {
-            flight: answered.flight,
-            cancel: answered.cancel,
-            sent: answered.sent,
-            source: Source::new(answered.response, bound),
-            assembler: Assembler::new(HELD_CHUNKS),
-            sequence: 0,
-            resumes: 0,
-            gap_since: None,
-        }
-    }
-
-    fn resume(&mut self, source: Source) {
-        self.sequence = self.assembler.next_offset();
-        self.assembler.reconnect();
-        self.gap_since = None;
-        self.source = source;
-    }
-
-    /// Takes one item in. Engines that number nothing are taken to keep the order.
-    fn take(&mut self, item: Item) -> Result<(), Denial> {
-        let event = match item {
-            Item::End => {
-                self.assembler.disconnect();
-                return Ok(());
-            }
-            Item::Event(event) => event,
-        };
-        if event.data.as_ref() == DONE {
-            self.assembler.finish(event.offset);
-            return Ok(());
-        }
-        let offset = event.offset.unwrap_or(self.sequence);
-        self.sequence = offset + 1;
-        let pushed = self.assembler.push(offset, event.data);
-        let contradiction = |err| Denial::new(Reason::EndpointFailed, format!("{err}"));
-        pushed.map(drop).map_err(contradiction)
-    }
-
-    fn watch_gap(&mut self) -> bool {
-        if self.assembler.held() == 0 {
-            self.gap_since = None;
-            return false;
-        }
-        let since = *self.gap_since.get_or_insert_with(Instant::now);
-        since.elapsed() >= GAP_TIMEOUT
-    }
-
-    fn next_timeout(&self, stall: Duration) -> Duration {
-        match self.gap_since {
-            Some(since) => GAP_TIMEOUT.saturating_sub(since.elapsed()),
-            None => stall,
-        }
-    }
-}
-
 /// Delivery of one streamed answer.
 pub struct Relay {
     gate: Rc<Gate>,
