--- a/crates/gate/src/admission/fair.rs
+++ b/crates/gate/src/admission/fair.rs
@@ -187,6 +187,7 @@
             queue_limit: work.class.queue_limit,
             arrival: work.arrival.into_std(),
             deadline: work.deadline.into_std(),
+            start_by: work.arrival.into_std() + work.class.target.first_token,
             work: Duration::ZERO,
             tokens,
             idempotent: work.class.idempotent,
@@ -221,7 +222,7 @@
             .waiters
             .remove(start.ticket)
             .expect("each queued request has a waiter");
-        let Some(flight) = self.choice.clone().choose(&waiter.work, &[]) else {
+        let Some(flight) = self.choice.clone().choose(&waiter.work, start.urgency, &[]) else {
             let ticket = lane.scheduler.put_back(start);
             waiter.ticket.set(ticket);
             lane.waiters.insert(ticket, waiter);
--- a/crates/pick/src/endpoint.rs
+++ b/crates/pick/src/endpoint.rs
@@ -3,12 +3,12 @@
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
-use agate_model::endpoint::Kind;
-use agate_model::id::{EndpointId, ZoneId};
+use agate_model::endpoint::{Kind, Protocol};
+use agate_model::id::{EndpointId, TIER_COUNT, ZoneId};
 
 use crate::health::Health;
 use crate::pool;
-use crate::tuning::{Sharing, Tuning};
+use crate::tuning::Tuning;
 use crate::wish::Report;
 
 slotmap::new_key_type! {
@@ -37,6 +37,8 @@
     pub(crate) zone: ZoneId,
     pub(crate) kind: Kind,
     pub(crate) slots: u32,
+    /// Whether its own queue starts higher tiers first.
+    has_priorities: bool,
     /// Takes no new work; not a member of its pool.
     pub(crate) leaving: bool,
     pub(crate) health: Health,
@@ -58,6 +60,7 @@
             zone: it.zone.clone(),
             kind: it.kind,
             slots: it.slots.max(1),
+            has_priorities: it.protocol == Protocol::Engine,
             leaving: true,
             health: Health::default(),
             own: 0,
@@ -121,19 +124,30 @@
         f64::from(self.slots) * warm.clamp(SLOW_START_MIN, 1.0)
     }
 
-    /// Own requests that this host may have in flight.
-    pub(crate) fn cap(&self, live_hosts: u32, sharing: Sharing) -> u32 {
-        let slots = f64::from(self.slots);
-        let part = slots / f64::from(live_hosts.max(1));
-        let cap = match sharing {
-            Sharing::Whole => slots,
-            Sharing::Equal { factor } => part * factor,
-            Sharing::Borrow { fraction } => {
-                let free = slots - self.reported();
-                part.max(part + fraction * (free - part))
-            }
+    fn headroom(&self, tier: usize, tuning: &Tuning) -> f64 {
+        let headroom = tuning.headroom[tier];
+        if self.has_priorities {
+            headroom
+        } else {
+            headroom.min(1.0)
+        }
+    }
+
+    /// The lowest tier for which another request may be added, when this host
+    /// may have `allowances` on the whole pool.
+    pub(crate) fn lowest_tier(
+        &self,
+        allowances: &[f64; TIER_COUNT],
+        pool_slots: u32,
+        tuning: &Tuning,
+    ) -> Option<usize> {
+        let part = f64::from(self.slots) / f64::from(pool_slots.max(1));
+        let fits = |&tier: &usize| {
+            let whole = (f64::from(self.slots) * self.headroom(tier, tuning)).ceil() as u32;
+            let cap = (allowances[tier] * part).ceil() as u32;
+            self.own < cap.min(whole).max(1)
         };
-        (cap.ceil() as u32).clamp(1, self.slots)
+        (0..TIER_COUNT).rev().find(fits)
     }
 
     /// Ends an ejection; the endpoint starts slowly again.
--- a/crates/pick/src/picker.rs
+++ b/crates/pick/src/picker.rs
@@ -4,7 +4,7 @@
 use std::time::{Duration, Instant};
 
 use agate_model::endpoint::{Endpoint, Kind};
-use agate_model::id::{EndpointId, PoolId};
+use agate_model::id::{EndpointId, PoolId, TIER_COUNT};
 use rand::RngCore;
 use slotmap::SlotMap;
 
@@ -121,6 +121,7 @@
         if !entry.leaving {
             let pool = &mut self.pools[entry.pool];
             pool.others = (pool.others + entry.reported() - before).max(0.0);
+            pool.adjust(now, self.live_hosts, &self.tuning);
         }
         self.refresh(key);
     }
@@ -135,9 +136,12 @@
         self.readmit(now);
         let mut room = Room::default();
         for key in pools.iter().filter_map(|id| self.pool_names.get(id)) {
-            let pool = &self.pools[*key];
-            room.standard |= pool.standard.len() > 0;
-            room.reclaimable |= pool.reclaimable.len() > 0;
+            let pool = &mut self.pools[*key];
+            let allowances = pool.allowances(self.live_hosts, &self.tuning);
+            pool.note_limits(&allowances);
+            let lowest = |kind| pool.lowest_tier(kind, &allowances);
+            room.standard = room.standard.max(lowest(Kind::Standard));
+            room.reclaimable = room.reclaimable.max(lowest(Kind::Reclaimable));
         }
         room
     }
@@ -272,9 +276,16 @@
     /// Updates whether an endpoint may be chosen.
     fn refresh(&mut self, key: Key) {
         let entry = &self.entries[key];
-        let cap = entry.cap(self.live_hosts, self.tuning.sharing);
-        let open = !entry.leaving && !entry.health.is_ejected() && entry.own < cap;
-        self.pools[entry.pool].available(entry.kind).set(key, open);
+        let is_tested = entry.health.is_on_probation() && entry.own > 0;
+        let lowest = match entry.leaving || entry.health.is_ejected() || is_tested {
+            true => None,
+            false => {
+                let pool = &self.pools[entry.pool];
+                let allowances = pool.allowances(self.live_hosts, &self.tuning);
+                entry.lowest_tier(&allowances, pool.slots, &self.tuning)
+            }
+        };
+        self.pools[entry.pool].set_open(entry.kind, key, lowest);
     }
 
     /// Ejects an outlier, unless too few endpoints would be left.
@@ -322,6 +333,10 @@
         wish: &Wish<'_>,
         rng: &mut dyn RngCore,
     ) -> Option<Choice> {
+        let allowances = self.pools[pool].allowances(self.live_hosts, &self.tuning);
+        if !self.pools[pool].allows(tier(wish), &allowances) {
+            return None;
+        }
         if let Some(key) = self.cached(now, pool, wish) {
             return Some(self.choice(now, key, wish, true));
         }
@@ -357,12 +372,12 @@
     ) -> Option<Key> {
         let pool = &self.pools[pool];
         let empty = Set::default();
-        let reclaimable = if wish.reclaimable {
-            &pool.reclaimable
-        } else {
-            &empty
+        let tier = tier(wish);
+        let standard = pool.open(Kind::Standard, tier);
+        let reclaimable = match wish.reclaimable {
+            true => pool.open(Kind::Reclaimable, tier),
+            false => &empty,
         };
-        let standard = &pool.standard;
         let fits = |key: Key| Some(key) != but && !wish.excluded.contains(&self.entries[key].id);
         let prefer = but.is_none() && reclaimable.len() > 0;
         for _ in 0..MAX_DRAWS {
@@ -385,6 +400,7 @@
         let blocks = &wish.prefix[..wish.prefix.len().min(MAX_BLOCKS)];
         self.pools[pool].popularity.observe(blocks);
         let pool = &self.pools[pool];
+        let tier = tier(wish);
         let most = SPECIFIC / pool.members.max(1) as f64;
         let block = *blocks
             .iter()
@@ -392,8 +408,8 @@
         let bound = (pool.mean_load() * self.tuning.affinity_bound).max(AFFINITY_FREE);
         pool.table.get(block).find(|&key| {
             let entry = &self.entries[key];
-            let open =
-                pool.standard.contains(key) || (wish.reclaimable && pool.reclaimable.contains(key));
+            let open = pool.open(Kind::Standard, tier).contains(key)
+                || (wish.reclaimable && pool.open(Kind::Reclaimable, tier).contains(key));
             open && !wish.excluded.contains(&entry.id) && self.load(now, key) <= bound
         })
     }
@@ -423,3 +439,7 @@
         score
     }
 }
+
+fn tier(wish: &Wish<'_>) -> usize {
+    usize::from(wish.tier).min(TIER_COUNT - 1)
+}
--- a/crates/pick/src/tuning.rs
+++ b/crates/pick/src/tuning.rs
@@ -2,7 +2,10 @@
 
 use std::time::Duration;
 
-/// How much of an endpoint one host may use.
+use agate_model::id::TIER_COUNT;
+
+/// How much of an endpoint one host may use. The slots meant here are those
+/// for the tier of the request, see [`Tuning::headroom`].
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub enum Sharing {
     /// All slots.
@@ -12,10 +15,14 @@
         /// Above 1 the parts overlap.
         factor: f64,
     },
-    /// An equal part, and of what the other hosts leave free a fraction on top.
-    Borrow {
-        /// Between 0 and 1.
-        fraction: f64,
+    /// An equal part, and more for as long as the pool has slots to spare.
+    Adaptive {
+        /// Growth per second while the host uses all of its part, relative to
+        /// the equal part.
+        growth: f64,
+        /// Share of what goes beyond the equal part that is kept for a second
+        /// while the pool has no slots to spare.
+        kept: f64,
     },
 }
 
@@ -24,6 +31,11 @@
 pub struct Tuning {
     /// Part of an endpoint's slots for this host.
     pub sharing: Sharing,
+    /// Slots counted for each tier, relative to the endpoint's slots. Above 1 requests
+    /// may wait on the endpoint, which starts higher tiers first; falling with the tier,
+    /// so that lower tiers leave room for higher ones. At most 1 for plain services,
+    /// which know no priorities.
+    pub headroom: [f64; TIER_COUNT],
     /// Age at which a load report has lost most of its weight.
     pub report_memory: Duration,
     /// Load of the endpoint preferred for its prefix cache, relative to the
@@ -52,7 +64,11 @@
 impl Default for Tuning {
     fn default() -> Self {
         Self {
-            sharing: Sharing::Borrow { fraction: 0.5 },
+            sharing: Sharing::Adaptive {
+                growth: 0.5,
+                kept: 0.3,
+            },
+            headroom: [2.0, 2.0, 1.0, 0.85, 0.75],
             report_memory: Duration::from_secs(5),
             affinity_bound: 1.25,
             zone_cost: Duration::from_millis(2),
--- a/crates/platform/tests/http.rs
+++ b/crates/platform/tests/http.rs
@@ -1,11 +1,17 @@
 //! The HTTP client against servers that show what they received.
 
+use std::cell::Cell;
+use std::io::Read as _;
 use std::net::SocketAddr;
+use std::sync::mpsc;
+use std::thread::JoinHandle;
 use std::time::Duration;
 
+use agate_model::endpoint::{Endpoint, Fencing, Kind, Protocol};
 use agate_platform::Error;
-use agate_platform::http::Client;
-use agate_platform::interface::{Orders as _, Tables as _};
+use agate_platform::http::{Client, EngineClient};
+use agate_platform::interface::{Engines as _, Orders as _, Tables as _};
+use agate_wire::engine::{self, Fenced};
 use agate_wire::order::{Action, Order, Receipt};
 use agate_wire::table::{Check, Conflict, Transaction};
 use rstest::rstest;
@@ -155,3 +161,117 @@
     let received = received.await.expect("request").to_lowercase();
     assert!(received.contains("idempotency-key: o-1"), "{received}");
 }
+
+#[actix_rt::test]
+async fn fenced_order_is_answered_with_a_receipt() {
+    let receipt = Receipt::Fenced { epoch: 7 };
+    let body = serde_json::to_string(&receipt).expect("json");
+    let (address, _received) = server(reply("409 Conflict", &body)).await;
+    let outcome = Client::new(address, TIMEOUT)
+        .order(&order(), TIMEOUT, &|| true)
+        .await;
+    assert_eq!(outcome, Ok(receipt));
+}
+
+fn engine(address: SocketAddr) -> Endpoint {
+    Endpoint {
+        id: "e".to_owned(),
+        pool: "p".to_owned(),
+        address,
+        zone: "a".to_owned(),
+        kind: Kind::Standard,
+        fencing: Fencing::Checked,
+        protocol: Protocol::Engine,
+        slots: 8,
+        credential: Some("endpoint-secret".to_owned()),
+        leaving: false,
+    }
+}
+
+#[rstest]
+#[case("409 Conflict", r#"{"epoch":7}"#, Err(Fenced { epoch: 7 }))]
+#[case("200 OK", "{}", Ok(()))]
+#[actix_rt::test]
+async fn engine_order_carries_the_endpoints_credential(
+    #[case] status: &str,
+    #[case] body: &str,
+    #[case] expected: Result<(), Fenced>,
+) {
+    let (address, received) = server(reply(status, body)).await;
+    let order = engine::Order {
+        id: "load/1/e/m/0".to_owned(),
+        epoch: 1,
+        sender: "host-1".to_owned(),
+        action: engine::Action::Drain,
+    };
+    let client = EngineClient::new(TIMEOUT);
+    let outcome = client
+        .order(&engine(address), &order, TIMEOUT, &|| true)
+        .await;
+    assert_eq!(outcome, Ok(expected));
+    let received = received.await.expect("request").to_lowercase();
+    assert!(received.contains("bearer endpoint-secret"), "{received}");
+    assert!(received.starts_with("post /orders "), "{received}");
+}
+
+#[actix_rt::test]
+async fn engine_order_is_not_sent_without_permission() {
+    let (address, received) = server(reply("200 OK", "{}")).await;
+    let order = engine::Order {
+        id: "load/1/e/m/0".to_owned(),
+        epoch: 1,
+        sender: "host-1".to_owned(),
+        action: engine::Action::Drain,
+    };
+    let client = EngineClient::new(TIMEOUT);
+    let outcome = client
+        .order(&engine(address), &order, TIMEOUT, &|| false)
+        .await;
+    assert!(matches!(outcome, Err(Error::Unreached(_))));
+    assert_eq!(received.await.expect("connection"), "");
+}
+
+/// Closes a connection on which nothing arrives, and tells when it has done so.
+/// Yields the bytes received.
+fn idle_server(closes: bool) -> (SocketAddr, mpsc::Receiver<()>, JoinHandle<usize>) {
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("bind");
+    let address = listener.local_addr().expect("address");
+    let (sender, closed) = mpsc::channel();
+    let server = std::thread::spawn(move || {
+        let (mut stream, _) = listener.accept().expect("accept");
+        let idle = if closes { 50 } else { 10_000 };
+        let timeout = Some(Duration::from_millis(idle));
+        stream.set_read_timeout(timeout).expect("timeout");
+        let mut buf = [0; 4096];
+        if !closes {
+            let _ = sender.send(());
+        }
+        let received = stream.read(&mut buf).unwrap_or(0);
+        drop(stream);
+        let _ = sender.send(());
+        received
+    });
+    (address, closed, server)
+}
+
+/// The sender is frozen between the last check and the first byte. What protects a
+/// receiver that ignores fencing numbers is that it has closed the connection.
+#[rstest]
+#[case::closes_idle_connections(true)]
+#[case::keeps_idle_connections(false)]
+#[actix_rt::test]
+async fn sender_frozen_after_its_last_check(#[case] closes: bool) {
+    let (address, closed, server) = idle_server(closes);
+    let is_frozen = Cell::new(true);
+    let may_send = || {
+        if is_frozen.replace(false) {
+            closed.recv().expect("the server goes on");
+        }
+        true
+    };
+    let client = Client::new(address, TIMEOUT);
+    let outcome = client.order(&order(), TIMEOUT, &may_send).await;
+    assert!(outcome.is_err());
+    let received = server.join().expect("the server ends");
+    assert_eq!(received == 0, closes, "{received} bytes");
+}
--- a/crates/steer/src/run.rs
+++ b/crates/steer/src/run.rs
@@ -14,6 +14,7 @@
 use crate::config::copy::Copy;
 use crate::config::{reader, witness};
 use crate::context::Context;
+use crate::duty::Duty;
 use crate::endpoints::Board;
 use crate::gossip::exchange::Gossip;
 use crate::inbox::Inbox;
@@ -81,6 +82,7 @@
     pub context: Context,
     rpc: Server,
     tasks: Vec<JoinHandle<()>>,
+    duty: Duty,
 }
 
 impl Process {
@@ -107,12 +109,14 @@
             platform,
             copy: Rc::new(Copy::default()),
             members: Rc::new(Members::new(own)),
+            roster: Rc::default(),
             peers: Rc::new(peers),
             endpoints: Rc::new(Board::default()),
             inbox: Rc::new(Inbox::default()),
             rumours: Rc::default(),
             lease: Rc::new(RefCell::new(None)),
             usage: Rc::new(RefCell::new(None)),
+            duty: Rc::default(),
             leaving: Rc::new(Cell::new(false)),
             metrics,
         };
@@ -133,10 +137,12 @@
             actix_rt::spawn(witness::run(context.clone())),
             actix_rt::spawn(api::server::run(context.clone(), sockets.api)),
         ];
+        let duty = Duty::start(&context);
         Ok(Self {
             context,
             rpc: sockets.rpc,
             tasks,
+            duty,
         })
     }
 
@@ -147,10 +153,13 @@
         context.members.leave();
         report(directory::register(context).await);
         wait_for_gate(context).await;
+        self.duty.close(context).await;
         witness::leave(context).await;
         report(directory::remove(context).await);
-        for task in &self.tasks {
+        for task in self.tasks {
             task.abort();
+            // A task that was aborted drops its sockets before its handle is ready.
+            let _ = task.await;
         }
         self.rpc.close().await;
     }
