--- a/crates/gate/tests/support/mod.rs
+++ b/crates/gate/tests/support/mod.rs
@@ -89,6 +89,7 @@
         let service = factory.new_service(()).await.expect("an HTTP service");
         actix_rt::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
+                stream.set_nodelay(true).expect("an open socket");
                 actix_rt::spawn(service.call(stream));
             }
         });
@@ -230,6 +231,12 @@
         "protocol": "plain", "slots": 4})
 }
 
+/// The endpoint in another availability zone, so that it is chosen after those in the gate's own.
+pub fn remote(mut endpoint: Value) -> Value {
+    endpoint["zone"] = json!("b");
+    endpoint
+}
+
 pub fn settings() -> Settings {
     let any = SocketAddr::from(([127, 0, 0, 1], 0));
     Settings {
--- a/crates/pick/src/endpoint.rs
+++ b/crates/pick/src/endpoint.rs
@@ -3,7 +3,7 @@
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
-use agate_model::endpoint::Kind;
+use agate_model::endpoint::{Kind, Protocol};
 use agate_model::id::{EndpointId, TIER_COUNT, ZoneId};
 
 use crate::health::Health;
@@ -37,6 +37,8 @@
     pub(crate) zone: ZoneId,
     pub(crate) kind: Kind,
     pub(crate) slots: u32,
+    /// Whether its own queue starts higher tiers first.
+    has_priorities: bool,
     /// Takes no new work; not a member of its pool.
     pub(crate) leaving: bool,
     pub(crate) health: Health,
@@ -58,6 +60,7 @@
             zone: it.zone.clone(),
             kind: it.kind,
             slots: it.slots.max(1),
+            has_priorities: it.protocol == Protocol::Engine,
             leaving: true,
             health: Health::default(),
             own: 0,
@@ -121,6 +124,15 @@
         f64::from(self.slots) * warm.clamp(SLOW_START_MIN, 1.0)
     }
 
+    fn headroom(&self, tier: usize, tuning: &Tuning) -> f64 {
+        let headroom = tuning.headroom[tier];
+        if self.has_priorities {
+            headroom
+        } else {
+            headroom.min(1.0)
+        }
+    }
+
     /// The lowest tier for which another request may be added, when this host
     /// may have `allowances` on the whole pool.
     pub(crate) fn lowest_tier(
@@ -131,7 +143,7 @@
     ) -> Option<usize> {
         let part = f64::from(self.slots) / f64::from(pool_slots.max(1));
         let fits = |&tier: &usize| {
-            let whole = (f64::from(self.slots) * tuning.headroom[tier]).ceil() as u32;
+            let whole = (f64::from(self.slots) * self.headroom(tier, tuning)).ceil() as u32;
             let cap = (allowances[tier] * part).ceil() as u32;
             self.own < cap.min(whole).max(1)
         };
--- a/crates/steer/src/context.rs
+++ b/crates/steer/src/context.rs
@@ -8,12 +8,14 @@
 
 use crate::api::usage::Source;
 use crate::config::copy::Copy;
+use crate::duty;
 use crate::endpoints::Board;
 use crate::gossip::rumours::Rumours;
 use crate::inbox::Inbox;
 use crate::member::Members;
 use crate::metrics::Metrics;
 use crate::platform::Platform;
+use crate::roster::Roster;
 use crate::rpc::client::Peers;
 use crate::settings::Settings;
 
@@ -39,6 +41,8 @@
     pub copy: Rc<Copy>,
     /// Entry hosts.
     pub members: Rc<Members>,
+    /// The platform's lists.
+    pub roster: Rc<Roster>,
     /// Calls to peers.
     pub peers: Rc<Peers>,
     /// States of endpoints, as handed to gates.
@@ -51,6 +55,8 @@
     pub lease: Rc<RefCell<Option<Lease>>>,
     /// Reader of the usage of all hosts; without it the API shows what this host received.
     pub usage: Rc<RefCell<Option<Rc<dyn Source>>>>,
+    /// State of the lease holder's work.
+    pub duty: Rc<duty::State>,
     /// Set once this host shuts down.
     pub leaving: Rc<Cell<bool>>,
     /// Counters and gauges.
