--- a/crates/load/src/live/caller.rs
+++ b/crates/load/src/live/caller.rs
@@ -28,6 +28,8 @@
     route: Route,
     client: awc::Client,
     sequence: Cell<u64>,
+    /// Makes the idempotency keys of this run differ from those of others.
+    run: u64,
 }
 
 impl Caller {
@@ -43,6 +45,7 @@
             route,
             client,
             sequence: Cell::new(0),
+            run: rand::random(),
         }
     }
 
@@ -112,10 +115,14 @@
             ..
         } = call.what
         {
-            request = request.insert_header(("idempotency-key", format!("load-{number}")));
+            request = request.insert_header((
+                "idempotency-key",
+                format!("load-{:016x}-{number}", self.run),
+            ));
         }
         if self.route == Route::Endpoints {
-            return request.insert_header(("x-request-id", format!("load-{number}")));
+            return request
+                .insert_header(("x-request-id", format!("load-{:016x}-{number}", self.run)));
         }
         if call.send_class {
             request = request.insert_header(("x-agate-class", call.class.clone()));
--- a/crates/load/tests/sim.rs
+++ b/crates/load/tests/sim.rs
@@ -3,6 +3,7 @@
 use std::path::Path;
 
 use agate_load::experiment::{Experiment, Policy};
+use agate_load::live::plan::Plan;
 use agate_load::sim::{self, metric::Outcome};
 use agate_settings::file;
 
@@ -106,10 +107,11 @@
             .unwrap_or_default()
             .to_string_lossy()
             .into_owned();
-        if name.starts_with("live") {
-            continue;
-        }
-        if let Err(report) = file::load::<Experiment>(&path) {
+        let fault = match name.starts_with("live") {
+            true => file::load::<Plan>(&path).err(),
+            false => file::load::<Experiment>(&path).err(),
+        };
+        if let Some(report) = fault {
             panic!("{report}");
         }
         count += 1;
