queue: patience of a class

The early refusal counted the whole first-token target as time to wait, although requests also wait on the engines after their start. The time from the start to the first token is now tracked for each class and left out of the wait.

--- a/crates/load/src/sim/attempt.rs
+++ b/crates/load/src/sim/attempt.rs
@@ -158,6 +158,7 @@
         let tokens = work_tokens(u64::from(prompt), u64::from(answer));
         self.fleet.note_service(request.pool, total);
         let cheap = self.engines[attempt.engine].endpoint.kind == Kind::Reclaimable;
+        let sent = attempt.sent;
         self.end_attempt(key, Outcome::Success(Latency { total, tokens }), false);
         let first = self.runs[no]
             .first_token
@@ -172,6 +173,9 @@
             && end <= self.runs[no].deadline;
         let state = &mut self.hosts[request.host].classes[request.class];
         state.observe(answer, first_token, end - first);
+        state
+            .patience
+            .observe(first.saturating_duration_since(sent));
         let used = u64::from(prompt) + u64::from(answer);
         self.finish(
             no,
--- a/crates/load/src/sim/host.rs
+++ b/crates/load/src/sim/host.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use agate_queue::Ticket;
+use agate_queue::patience::Patience;
 use agate_retry::budget::Budget;
 use agate_retry::hedge::Delay;
 
@@ -31,6 +32,7 @@
     answer: f64,
     /// Mean time from the first to the last token, in seconds.
     stream: f64,
+    pub(crate) patience: Patience,
 }
 
 impl ClassState {
@@ -69,6 +71,7 @@
             delay: Delay::default(),
             answer: FIRST_GUESS,
             stream: 0.0,
+            patience: Patience::default(),
         };
         Self {
             zone: experiment.zones[no % experiment.zones.len()].clone(),
--- a/crates/queue/src/lib.rs
+++ b/crates/queue/src/lib.rs
@@ -8,6 +8,7 @@
 mod flow;
 pub mod item;
 pub mod limit;
+pub mod patience;
 mod rate;
 pub mod scheduler;
 mod share;
