Calls of gates need the cluster key unless the settings say otherwise

Cause: the default still allowed unsealed calls from the own host, as gates could not seal. They can now.

--- a/crates/steer/src/settings.rs
+++ b/crates/steer/src/settings.rs
@@ -46,7 +46,7 @@
     pub cluster_key_file: Option<PathBuf>,
     /// Whether the gate of this host must seal its calls with the cluster key. Gates of other
     /// hosts and peers always must.
-    #[serde(default)]
+    #[serde(default = "yes")]
     pub require_token: bool,
     /// SHA-256 of a credential that is an admin's from the start, in hexadecimal digits.
     #[serde(default, skip_serializing_if = "Option::is_none")]
@@ -189,6 +189,10 @@
     }
 }
 
+fn yes() -> bool {
+    true
+}
+
 fn window() -> Duration {
     Duration::from_secs(3600)
 }
