--- a/crates/proof/src/deployment.rs
+++ b/crates/proof/src/deployment.rs
@@ -21,6 +21,9 @@
 /// Cluster key of the tests.
 const CLUSTER_KEY: &str = "0123456789abcdef0123456789abcdef0123456789abcdef0123456789abcdef";
 
+/// Name of the file with the cluster key.
+const KEY_FILE: &str = "cluster.key";
+
 /// Availability zones, taken in turn.
 const ZONES: [&str; 3] = ["hal-noord", "hal-zuid", "meetkamer"];
 
@@ -53,8 +56,9 @@
     pub keep_addresses: Duration,
     /// Further settings of the control processes, in YAML.
     pub steer: String,
-    /// Numbers of the hosts whose control process takes no unsealed calls of gates.
-    pub sealed: Vec<u8>,
+    /// Numbers of the hosts whose gate has no cluster key, so that only the control process
+    /// of its own host answers it.
+    pub keyless: Vec<u8>,
 }
 
 impl Default for Options {
@@ -68,7 +72,7 @@
             window: Duration::from_secs(3600),
             keep_addresses: Duration::from_secs(1),
             steer: String::new(),
-            sealed: Vec::new(),
+            keyless: Vec::new(),
         }
     }
 }
@@ -123,6 +127,8 @@
         let lock = lock();
         let network = Network::pick();
         let dir = tempfile::tempdir().expect("temporary directory");
+        let key = dir.path().join(KEY_FILE);
+        std::fs::write(key, CLUSTER_KEY).expect("cluster key can be written");
         let mut deployment = Self {
             hosts: Vec::new(),
             engines: Vec::new(),
@@ -200,22 +206,11 @@
         .await;
         let text = String::from_utf8_lossy(&accepted.body).into_owned();
         assert_eq!(accepted.status, 200, "resources are declared: {text}");
-        for host in self.served_hosts() {
-            self.hosts[host].ready().await;
+        for host in &self.hosts {
+            host.ready().await;
         }
     }
 
-    /// Indexes of the hosts whose gates get a configuration.
-    fn served_hosts(&self) -> impl Iterator<Item = usize> + use<'_> {
-        let is_sealed = |it: usize| {
-            self.options
-                .sealed
-                .iter()
-                .any(|n| usize::from(*n) == it + 1)
-        };
-        (0..self.hosts.len()).filter(move |it| !is_sealed(*it))
-    }
-
     /// Declared endpoints.
     pub fn endpoints(&self) -> Vec<Endpoint> {
         let named = |name: &str, number: usize| format!("{name}-{}", number + 1);
@@ -271,7 +266,7 @@
     /// A new key that every gate accepts.
     pub async fn key(&self, id: &str) -> String {
         let key = self.operator(0).grant(ACCOUNT, id).await.key;
-        for host in self.served_hosts() {
+        for host in 0..self.hosts.len() {
             let models = Request::new(Method::GET, self.gate(host), "/v1/models")
                 .header("authorization", format!("Bearer {key}"));
             until("new key is in force", START, || async {
@@ -324,8 +319,6 @@
         let seeds = (1..=self.options.hosts).map(|it| self.network.host(it).peers);
         let seeds: Vec<String> = seeds.map(|it| format!("\"{it}\"")).collect();
         let seeds = seeds.join(", ");
-        let is_sealed = |it: &u8| self.network.host(*it).peers == addresses.peers;
-        let sealed = self.options.sealed.iter().any(is_sealed);
         let HostAddresses {
             gate,
             api,
@@ -336,7 +329,8 @@
         let text = format!(
             "host: {name}\nzone: {zone}\ngate: {gate}\nlisten: {api}\npeers_listen: {peers}\n\
              gossip: {gossip}\nplatform: {platform}\nseeds: [{seeds}]\ncluster_key: \"{CLUSTER_KEY}\"\n\
-             bootstrap_operator_digest: \"{digest}\"\nwindow: {window}s\nrequire_token: {sealed}\n{}\n",
+             bootstrap_operator_digest: \"{digest}\"\nwindow: {window}s\nrequire_token: {}\n{}\n",
+            !self.is_keyless(addresses),
             self.options.steer
         );
         self.run(&format!("steer-{name}"), "agate-steer", &text)
@@ -355,11 +349,26 @@
         let keep = self.options.keep_addresses.as_secs();
         let text = format!(
             "host: {name}\nzone: {zone}\nlisten: {gate}\nadmin: {admin}\nsteer: [\"{peers}\"]\n\
-             platform: {platform}\nkeep_addresses: {keep}s\ndrain_timeout: 30s\n"
+             platform: {platform}\nkeep_addresses: {keep}s\ndrain_timeout: 30s\n{}",
+            self.gate_key(addresses)
         );
         self.run(&format!("gate-{name}"), "agate-gate", &text)
     }
 
+    fn is_keyless(&self, addresses: &HostAddresses) -> bool {
+        let is_it = |it: &u8| self.network.host(*it).gate == addresses.gate;
+        self.options.keyless.iter().any(is_it)
+    }
+
+    /// Setting with the cluster key of a gate.
+    fn gate_key(&self, addresses: &HostAddresses) -> String {
+        if self.is_keyless(addresses) {
+            return String::new();
+        }
+        let path = self.dir.path().join(KEY_FILE);
+        format!("cluster_key_file: {}\n", path.display())
+    }
+
     fn run(&self, name: &str, binary: &str, settings: &str) -> Program {
         let path = self.dir.path().join(format!("{name}.yaml"));
         std::fs::write(&path, settings).expect("settings can be written");
--- a/crates/proof/tests/cutoff.rs
+++ b/crates/proof/tests/cutoff.rs
@@ -63,7 +63,7 @@
 #[actix_rt::test]
 async fn gate_without_any_control_process_refuses_a_withdrawn_key() {
     let deployment = Deployment::start(Options {
-        sealed: vec![1, 2],
+        keyless: vec![3],
         ..three_hosts()
     })
     .await;
