Lookups by kind; tests of agatectl

Resources of one kind stand together, so that a range finds them. Also: agatectl had no tests; they run it against a control process over the platform's stand-in.

--- /dev/null
+++ b/crates/ctl/tests/read.rs
@@ -0,0 +1,57 @@
+//! `agatectl get`, `describe`, `delete`, `watch` and `status`.
+
+mod workdir;
+
+use workdir::Workdir;
+
+#[test]
+fn a_resource_is_described_with_what_uses_it() {
+    let work = Workdir::with_resources();
+    let printed = work.run(&["describe", "class/chat"]);
+    assert!(
+        printed.out.contains("# used by account/smith"),
+        "{}",
+        printed.out
+    );
+}
+
+#[test]
+fn a_deleted_resource_is_gone() {
+    let work = Workdir::with_resources();
+    assert_eq!(work.run(&["delete", "account/smith"]).code, 0);
+    assert_eq!(work.run(&["delete", "account/smith"]).code, 4);
+}
+
+#[test]
+fn a_class_in_use_cannot_be_deleted() {
+    let work = Workdir::with_resources();
+    let printed = work.run(&["delete", "class/chat"]);
+    assert_eq!(printed.code, 2, "{}", printed.err);
+}
+
+#[test]
+fn changes_are_watched_from_a_version() {
+    let work = Workdir::with_resources();
+    let printed = work.run(&["watch", "--from", "1", "--count", "1"]);
+    let lines: Vec<&str> = printed
+        .out
+        .lines()
+        .filter_map(|line| line.split_once(' ').map(|(_, edit)| edit))
+        .collect();
+    assert_eq!(lines, ["put class/chat", "put account/smith"]);
+}
+
+#[test]
+fn the_status_names_the_host() {
+    let work = Workdir::new();
+    let printed = work.run(&["status"]);
+    assert_eq!(printed.code, 0);
+    assert!(printed.out.contains("host-1"), "{}", printed.out);
+}
+
+#[test]
+fn a_server_that_is_not_there_has_its_exit_code() {
+    let work = Workdir::new();
+    let printed = work.run(&["status", "--server", "127.0.0.1:1"]);
+    assert_eq!(printed.code, 6);
+}
--- a/crates/fake/src/platform/mod.rs
+++ b/crates/fake/src/platform/mod.rs
@@ -50,6 +50,27 @@
     pub engine: engine::Settings,
 }
 
+impl Settings {
+    /// Defaults for an address and a seed.
+    pub fn new(listen: SocketAddr, seed: u64) -> Self {
+        Self {
+            server: Options {
+                listen,
+                idle: Duration::from_secs(1),
+                seed,
+            },
+            list_lag: Duration::from_secs(1),
+            reads_per_second: 0,
+            writes_per_second: 0,
+            fencing: Fencing::Checked,
+            boot: Duration::from_secs(1),
+            stop_grace: Duration::from_secs(1),
+            zone_capacity: 8,
+            engine: engine::Settings::new(SocketAddr::new(listen.ip(), 0), seed),
+        }
+    }
+}
+
 /// A running platform.
 pub struct Running {
     /// Address that it listens on.
--- a/crates/model/src/snapshot.rs
+++ b/crates/model/src/snapshot.rs
@@ -142,9 +142,17 @@
         }
     }
 
+    /// All accounts, ordered by name.
+    pub fn accounts(&self) -> impl Iterator<Item = &Account> {
+        self.of_kind(Kind::Account).filter_map(|it| match &it.spec {
+            Spec::Account(account) => Some(account),
+            _ => None,
+        })
+    }
+
     /// All classes.
     pub fn classes(&self) -> impl Iterator<Item = &Class> {
-        self.resources().filter_map(|it| match &it.spec {
+        self.of_kind(Kind::Class).filter_map(|it| match &it.spec {
             Spec::Class(class) => Some(class),
             _ => None,
         })
@@ -152,7 +160,7 @@
 
     /// All pools.
     pub fn pools(&self) -> impl Iterator<Item = &Pool> {
-        self.resources().filter_map(|it| match &it.spec {
+        self.of_kind(Kind::Pool).filter_map(|it| match &it.spec {
             Spec::Pool(pool) => Some(pool),
             _ => None,
         })
@@ -160,15 +168,16 @@
 
     /// All endpoints.
     pub fn endpoints(&self) -> impl Iterator<Item = &Endpoint> {
-        self.resources().filter_map(|it| match &it.spec {
-            Spec::Endpoint(endpoint) => Some(endpoint),
-            _ => None,
-        })
+        self.of_kind(Kind::Endpoint)
+            .filter_map(|it| match &it.spec {
+                Spec::Endpoint(endpoint) => Some(endpoint),
+                _ => None,
+            })
     }
 
     /// All routes.
     pub fn routes(&self) -> impl Iterator<Item = &Route> {
-        self.resources().filter_map(|it| match &it.spec {
+        self.of_kind(Kind::Route).filter_map(|it| match &it.spec {
             Spec::Route(route) => Some(route),
             _ => None,
         })
@@ -218,6 +227,18 @@
         }
     }
 
+    /// Resources of one kind. They stand together, so that others are not looked at.
+    fn of_kind(&self, kind: Kind) -> impl Iterator<Item = &Resource> {
+        let first = Name {
+            kind,
+            id: String::new(),
+        };
+        self.resources
+            .range(first..)
+            .take_while(move |(name, _)| name.kind == kind)
+            .map(|(_, resource)| resource)
+    }
+
     fn spec(&self, kind: Kind, id: &str) -> Option<&Spec> {
         let name = Name {
             kind,
--- a/crates/steer/src/api/status.rs
+++ b/crates/steer/src/api/status.rs
@@ -2,7 +2,6 @@
 
 use std::net::SocketAddr;
 
-use agate_model::resource::Spec;
 use agate_wire::api::{self, Status};
 use agate_wire::peer::{self, Announce, Standing};
 use futures_util::StreamExt as _;
@@ -86,11 +85,7 @@
 fn endpoints(context: &Context) -> Vec<api::Endpoint> {
     let leaving = context.endpoints.leaving();
     let snapshot = context.copy.snapshot();
-    let declared = snapshot.resources().filter_map(|it| match &it.spec {
-        Spec::Endpoint(endpoint) => Some(endpoint),
-        _ => None,
-    });
-    let declared = declared.map(|it| api::Endpoint {
+    let declared = snapshot.endpoints().map(|it| api::Endpoint {
         id: it.id.clone(),
         pool: it.pool.clone(),
         zone: it.zone.clone(),
--- a/crates/steer/src/duty/claims.rs
+++ b/crates/steer/src/duty/claims.rs
@@ -8,7 +8,6 @@
 use agate_claim::digest::TABLE;
 use agate_claim::{Record, abandon};
 use agate_model::id::AccountId;
-use agate_model::resource::Kind;
 use agate_platform::Error;
 use agate_wire::claim;
 use agate_wire::table::{Row, Transaction, Write};
@@ -70,10 +69,8 @@
 /// The account after `last` among those that this host looks after.
 fn next_account(context: &Context, last: &AccountId) -> Option<AccountId> {
     let snapshot = context.copy.snapshot();
-    let names = snapshot.resources().map(|it| it.spec.name());
-    let accounts = names.filter(|it| it.kind == Kind::Account);
-    let mut own = accounts.map(|it| it.id).filter(|it| is_own(context, it));
-    own.find(|it| it > last)
+    let mut later = snapshot.accounts().map(|it| &it.id).filter(|it| *it > last);
+    later.find(|it| is_own(context, it)).cloned()
 }
 
 /// Rendezvous hashing over the live hosts.
