One property runner for all tests

Cause: the runner with its fixed seed stood in six places, and the documented longer run (PROPTEST_CASES) had no effect, as each test set its own number of cases.

--- a/crates/fleet/tests/plan.rs
+++ b/crates/fleet/tests/plan.rs
@@ -4,11 +4,11 @@
 
 use std::time::{Duration, Instant};
 
+use agate_check::runner;
 use agate_fleet::demand::Demand;
 use agate_fleet::plan::{Plan, Planner, Size, Tuning, Zone};
 use agate_model::endpoint::Kind;
 use agate_model::pool::Pool;
-use common::runner;
 use proptest::prelude::*;
 
 const INTERVAL: Duration = Duration::from_secs(5);
--- a/crates/fleet/tests/reconcile.rs
+++ b/crates/fleet/tests/reconcile.rs
@@ -4,11 +4,11 @@
 
 use std::collections::{BTreeMap, HashSet};
 
+use agate_check::runner;
 use agate_fleet::machine::{Action, Machine, Order, Place, Progress, Record, State, stop_id};
 use agate_fleet::plan::Target;
 use agate_fleet::reconcile::reconcile;
 use agate_model::endpoint::Kind;
-use common::runner;
 use proptest::prelude::*;
 
 fn place() -> Place {
--- a/crates/pick/tests/common/mod.rs
+++ b/crates/pick/tests/common/mod.rs
@@ -6,17 +6,6 @@
 use agate_model::endpoint::{Endpoint, Fencing, Kind, Protocol};
 use agate_model::id::{EndpointId, PoolId, Tier, ZoneId};
 use agate_pick::Wish;
-use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
-
-pub(crate) fn runner(cases: u32) -> TestRunner {
-    let config = Config {
-        cases,
-        failure_persistence: None,
-        ..Config::default()
-    };
-    let rng = TestRng::deterministic_rng(RngAlgorithm::ChaCha);
-    TestRunner::new_with_rng(config, rng)
-}
 
 pub(crate) fn endpoint(n: usize, kind: Kind) -> Endpoint {
     Endpoint {
--- a/crates/pick/tests/properties.rs
+++ b/crates/pick/tests/properties.rs
@@ -4,9 +4,10 @@
 
 use std::time::{Duration, Instant};
 
+use agate_check::runner;
 use agate_model::endpoint::Kind;
 use agate_pick::{Flight, Latency, Outcome, Picker, Report};
-use common::{Asked, endpoint, runner};
+use common::{Asked, endpoint};
 use proptest::prelude::*;
 use rand::SeedableRng as _;
 use rand_chacha::ChaCha8Rng;
--- a/crates/queue/tests/common/mod.rs
+++ b/crates/queue/tests/common/mod.rs
@@ -4,17 +4,6 @@
 use std::time::{Duration, Instant};
 
 use agate_queue::Item;
-use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
-
-pub(crate) fn runner(cases: u32) -> TestRunner {
-    let config = Config {
-        cases,
-        failure_persistence: None,
-        ..Config::default()
-    };
-    let rng = TestRng::deterministic_rng(RngAlgorithm::ChaCha);
-    TestRunner::new_with_rng(config, rng)
-}
 
 /// An item of class `c<tier>` with 100 tokens, due in an hour.
 pub(crate) fn item(now: Instant, account: &str, tier: u8) -> Item {
--- a/crates/queue/tests/properties.rs
+++ b/crates/queue/tests/properties.rs
@@ -5,9 +5,10 @@
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
+use agate_check::runner;
 use agate_model::refusal::Reason;
 use agate_queue::{Charge, Offer, Room, Scheduler, Ticket};
-use common::{item, runner};
+use common::item;
 use proptest::prelude::*;
 
 #[derive(Clone, Debug)]
--- a/crates/retry/tests/properties.rs
+++ b/crates/retry/tests/properties.rs
@@ -4,10 +4,10 @@
 
 use std::time::{Duration, Instant};
 
+use agate_check::runner;
 use agate_retry::backoff::Backoff;
 use agate_retry::budget::Budget;
 use agate_retry::decision::{History, MAX_SENDS, Next, Outcome, next};
-use common::runner;
 use proptest::prelude::*;
 use rand::SeedableRng as _;
 use rand_chacha::ChaCha8Rng;
--- a/crates/stream/tests/reassembly.rs
+++ b/crates/stream/tests/reassembly.rs
@@ -5,21 +5,14 @@
 use agate_stream::sse::{Event, Oversize, Parser};
 use bytes::Bytes;
 use proptest::prelude::*;
-use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
 use rstest::rstest;
 
+/// Cases of each property.
+const CASES: u32 = 512;
+
 const BOUND: usize = 8;
 const EVENT_BOUND: usize = 1024;
 
-fn runner() -> TestRunner {
-    let config = Config {
-        cases: 512,
-        failure_persistence: None,
-        ..Config::default()
-    };
-    TestRunner::new_with_rng(config, TestRng::deterministic_rng(RngAlgorithm::ChaCha))
-}
-
 /// Delivers connections one after the other; returns what came out and the last state.
 fn deliver(connections: &[Vec<u64>], count: u64) -> (Vec<u64>, State) {
     let mut assembler = Assembler::new(BOUND);
@@ -51,7 +44,7 @@
         let offsets = prop::collection::vec(0..count, 0..120);
         (Just(count), prop::collection::vec(offsets, 1..4))
     });
-    runner()
+    agate_check::runner(CASES)
         .run(&arrivals, |(count, connections)| {
             let (out, _) = deliver(&connections, count);
             let expected: Vec<u64> = (0..out.len() as u64).collect();
@@ -65,7 +58,7 @@
 fn a_resumed_connection_completes_any_loss() {
     let arrivals =
         (1..40u64).prop_flat_map(|count| (Just(count), prop::collection::vec(0..count, 0..120)));
-    runner()
+    agate_check::runner(CASES)
         .run(&arrivals, |(count, first)| {
             let rest: Vec<u64> = (0..count).collect();
             let (out, state) = deliver(&[first, rest.clone()], count);
@@ -122,7 +115,7 @@
             data: Bytes::from_static(data.as_bytes()),
         });
     let cuts = prop::collection::vec(0..text.len(), 0..20);
-    runner()
+    agate_check::runner(CASES)
         .run(&cuts, |mut cuts| {
             cuts.sort_unstable();
             cuts.push(text.len());
--- a/crates/usage/tests/merge.rs
+++ b/crates/usage/tests/merge.rs
@@ -7,23 +7,16 @@
 use agate_usage::window::{Head, Schedule};
 use agate_usage::{Figures, Ledger, Part, Row};
 use proptest::prelude::*;
-use proptest::test_runner::{Config, RngAlgorithm, TestRng, TestRunner};
 use rstest::rstest;
 
+/// Cases of each property.
+const CASES: u32 = 256;
+
 const SCHEDULE: Schedule = Schedule {
     length: Duration::from_secs(10),
     grace: Duration::from_secs(2),
 };
 
-fn runner() -> TestRunner {
-    let config = Config {
-        cases: 256,
-        failure_persistence: None,
-        ..Config::default()
-    };
-    TestRunner::new_with_rng(config, TestRng::deterministic_rng(RngAlgorithm::ChaCha))
-}
-
 fn rows() -> impl Strategy<Value = Row> {
     let part = ("[a-c]", 0u64..3).prop_map(|(account, window)| Part {
         account,
@@ -45,7 +38,7 @@
 
 #[test]
 fn merge_is_idempotent_commutative_and_associative() {
-    runner()
+    agate_check::runner(CASES)
         .run(&(rows(), rows(), rows()), |(a, b, c)| {
             prop_assert_eq!(merged(&[&a, &b]), merged(&[&b, &a, &b, &a]));
             let left = merged(&[&merged(&[&a, &b]), &c]);
@@ -57,7 +50,7 @@
 
 #[test]
 fn figures_do_not_depend_on_the_order_of_rows() {
-    runner()
+    agate_check::runner(CASES)
         .run(&prop::collection::vec(rows(), 0..5), |mut rows| {
             let forward = report::figures(10, &rows);
             rows.reverse();
