--- a/crates/ctl/src/cmd/apply.rs
+++ b/crates/ctl/src/cmd/apply.rs
@@ -20,9 +20,8 @@
 /// the change is in force.
 ///
 ///
-/// Examples:
-///     agatectl apply -f resources.yaml
-///     agatectl apply -f class.yaml --expect 41
+/// Examples: `agatectl apply -f resources.yaml`,
+/// `agatectl apply -f class.yaml --expect 41`
 #[derive(Clone, Debug, Bpaf)]
 #[bpaf(command("apply"))]
 pub struct Args {
--- a/crates/ctl/src/cmd/delete.rs
+++ b/crates/ctl/src/cmd/delete.rs
@@ -13,8 +13,7 @@
 /// Delete a resource
 ///
 ///
-/// Example:
-///     agatectl delete route/catalogue --expect 12
+/// Example: `agatectl delete route/catalogue --expect 12`
 #[derive(Clone, Debug, Bpaf)]
 #[bpaf(command("delete"))]
 pub struct Args {
--- a/crates/ctl/src/cmd/describe.rs
+++ b/crates/ctl/src/cmd/describe.rs
@@ -12,8 +12,7 @@
 /// Print one resource, its version and what refers to it
 ///
 ///
-/// Example:
-///     agatectl describe pool/prism-8b
+/// Example: `agatectl describe pool/prism-8b`
 #[derive(Clone, Debug, Bpaf)]
 #[bpaf(command("describe"))]
 pub struct Args {
--- a/crates/ctl/src/cmd/diff.rs
+++ b/crates/ctl/src/cmd/diff.rs
@@ -14,8 +14,7 @@
 /// Compare a file with what is declared; exit code 10 if they differ
 ///
 ///
-/// Example:
-///     agatectl diff -f resources.yaml
+/// Example: `agatectl diff -f resources.yaml`
 #[derive(Clone, Debug, Bpaf)]
 #[bpaf(command("diff"))]
 pub struct Args {
--- a/crates/ctl/src/cmd/explain.rs
+++ b/crates/ctl/src/cmd/explain.rs
@@ -15,9 +15,8 @@
 /// It asks the gate of one host, on its admin address. Nothing is sent to an endpoint.
 ///
 ///
-/// Examples:
-///     agatectl explain --gate 127.0.0.1:7441 --key-id night-shift-1 --model prism-8b
-///     agatectl explain --gate 127.0.0.1:7441 --key-id night-shift-1 --path /spindles/7
+/// Examples: `agatectl explain --gate 127.0.0.1:7441 --key-id night-shift-1 --model prism-8b`,
+/// `agatectl explain --gate 127.0.0.1:7441 --key-id night-shift-1 --path /spindles/7`
 #[derive(Clone, Debug, Bpaf)]
 #[bpaf(command("explain"))]
 pub struct Args {
--- a/crates/ctl/src/cmd/get.rs
+++ b/crates/ctl/src/cmd/get.rs
@@ -12,10 +12,9 @@
 /// List resources, or print one as YAML
 ///
 ///
-/// Examples:
-///     agatectl get
-///     agatectl get classes
-///     agatectl get class/chat
+/// Examples: `agatectl get`,
+/// `agatectl get classes`,
+/// `agatectl get class/chat`
 #[derive(Clone, Debug, Bpaf)]
 #[bpaf(command("get"))]
 pub struct Args {
--- a/crates/ctl/src/cmd/host.rs
+++ b/crates/ctl/src/cmd/host.rs
@@ -13,8 +13,7 @@
 /// host that has really ended: one that still runs could serve an older configuration.
 ///
 ///
-/// Example:
-///     agatectl host ended host-3
+/// Example: `agatectl host ended host-3`
 #[derive(Clone, Debug, Bpaf)]
 #[bpaf(command("host"))]
 pub struct Args {
--- a/crates/ctl/src/cmd/key.rs
+++ b/crates/ctl/src/cmd/key.rs
@@ -16,9 +16,8 @@
 /// withdraw the old one.
 ///
 ///
-/// Examples:
-///     agatectl key grant night-shift --id night-shift-2 --valid 30d
-///     agatectl key withdraw night-shift-1
+/// Examples: `agatectl key grant night-shift --id night-shift-2 --valid 30d`,
+/// `agatectl key withdraw night-shift-1`
 #[derive(Clone, Debug, Bpaf)]
 #[bpaf(command("key"))]
 pub struct Args {
--- a/crates/ctl/src/cmd/status.rs
+++ b/crates/ctl/src/cmd/status.rs
@@ -10,8 +10,7 @@
 /// Show hosts, versions in force, the holder of the lease and endpoints
 ///
 ///
-/// Example:
-///     agatectl status --output json
+/// Example: `agatectl status --output json`
 #[derive(Clone, Debug, Bpaf)]
 #[bpaf(command("status"))]
 pub struct Args {
--- a/crates/ctl/src/cmd/top.rs
+++ b/crates/ctl/src/cmd/top.rs
@@ -15,8 +15,7 @@
 /// Show status and usage again every few seconds
 ///
 ///
-/// Example:
-///     agatectl top --interval 1s
+/// Example: `agatectl top --interval 1s`
 #[derive(Clone, Debug, Bpaf)]
 #[bpaf(command("top"))]
 pub struct Args {
--- a/crates/ctl/src/cmd/usage.rs
+++ b/crates/ctl/src/cmd/usage.rs
@@ -13,8 +13,7 @@
 /// Figures of an open window still grow; those of a closed one are what is reported.
 ///
 ///
-/// Example:
-///     agatectl usage --window 1796342400 --account night-shift
+/// Example: `agatectl usage --window 1796342400 --account night-shift`
 #[derive(Clone, Debug, Bpaf)]
 #[bpaf(command("usage"))]
 pub struct Args {
--- a/crates/ctl/src/cmd/watch.rs
+++ b/crates/ctl/src/cmd/watch.rs
@@ -14,8 +14,7 @@
 /// Print changes as they are made, one line an edit
 ///
 ///
-/// Example:
-///     agatectl watch --from 40
+/// Example: `agatectl watch --from 40`
 #[derive(Clone, Debug, Bpaf)]
 #[bpaf(command("watch"))]
 pub struct Args {
