--- a/crates/ctl/tests/read.rs
+++ b/crates/ctl/tests/read.rs
@@ -55,3 +55,11 @@
     let printed = work.run(&["status", "--server", "127.0.0.1:1"]);
     assert_eq!(printed.code, 6);
 }
+
+#[test]
+fn a_host_that_runs_cannot_be_declared_as_ended() {
+    let work = Workdir::new();
+    let printed = work.run(&["host", "ended", "host-1"]);
+    assert_eq!(printed.code, 4, "{}", printed.err);
+    assert_eq!(work.run(&["host", "ended", "nobody"]).code, 4);
+}
