--- a/crates/proof/tests/withdrawal.rs
+++ b/crates/proof/tests/withdrawal.rs
@@ -62,6 +62,13 @@
     let first = deployment.key("first").await;
     let second = deployment.key("second").await;
     let gate = deployment.gate(0);
+    // This stream is open while the other key is withdrawn.
+    let open = chat(gate, &first, &completion("open-stream", 300, true));
+    let open = actix_rt::spawn(async move { stream(&open, |_| {}).await });
+    until("the stream is open", START, || async {
+        (deployment.received("open-stream").await > 0).then_some(())
+    })
+    .await;
     // These requests take more than every place that the gate gives the engine.
     let long: Vec<_> = (0..LONG)
         .map(|number| {
@@ -89,6 +96,7 @@
     assert_eq!(code(&response), "key_invalid");
     assert_eq!(response.execution.as_deref(), Some("not run"));
     assert_eq!(deployment.received("queued-request").await, 0);
+    assert!(open.await.expect("caller ends").whole, "the stream is cut");
     until("the other key is not affected", START, || async {
         let request = chat(gate, &first, &completion("after", 1, false));
         request.send().await.ok().filter(|it| it.status == 200)
