A running endpoint is stopped only once those that replace it run

Cause: the planner's target for standard endpoints falls from 2 to 0 in the round in which the first reclaimable ones are wanted (its minimum counts both kinds), and reconcile() sent the stops in that same round. The log of a played test shows it: 19.340 stop/prism-hal-noord-1, 19.342 start reclaimable/1, 19.344 stop/prism-hal-zuid-2. A stopped endpoint is listed as leaving at once, a new one as running after its boot of 300 ms, so for that time the list has none that takes work, and a gate that reads it then refuses until its next reading. Ruled out: ejection (no endpoint_ejected in the logs), the reclaim itself (comes seconds later).

Change: reconcile() stops a running endpoint only while as many as the pool's targets ask for run beside it; endpoints that still boot are stopped as before.

Test: no_running_endpoint_is_stopped_before_those_that_replace_it_run; failed before (both stopped in the first round), passes now.

--- a/crates/fleet/src/reconcile.rs
+++ b/crates/fleet/src/reconcile.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet, HashSet};
 
-use agate_model::id::{EndpointId, Epoch};
+use agate_model::id::{EndpointId, Epoch, PoolId};
 
 use crate::machine::{
     Action, Machine, Order, OrderId, Place, Progress, Record, State, start_id, start_number,
@@ -23,6 +23,10 @@
 /// its own identity, so a lost answer never leads to a second endpoint. The
 /// identities of new orders follow from the records, so a holder that repeats
 /// this step with the same records repeats the same orders.
+///
+/// A running endpoint is stopped only if as many as the targets of its pool ask for run beside
+/// it. Otherwise a pool whose kinds or zones change places would have none while the new ones
+/// boot.
 pub fn reconcile(
     epoch: Epoch,
     targets: &[Target],
@@ -34,8 +38,11 @@
     };
     let state = Fleet::new(machines, records);
     let mut orders = repeats(records);
-    for (place, wanted) in state.wanted(targets) {
-        state.adjust(epoch, &place, wanted, &mut orders);
+    let wanted = state.wanted(targets);
+    let mut spare = state.spare(&wanted);
+    for (place, wanted) in wanted {
+        let spare = spare.entry(place.pool.clone()).or_default();
+        state.adjust(epoch, &place, wanted, spare, &mut orders);
     }
     orders
 }
@@ -84,7 +91,29 @@
         wanted
     }
 
-    fn adjust(&self, epoch: Epoch, place: &Place, wanted: usize, orders: &mut Vec<Order>) {
+    /// Running endpoints of each pool beyond those that its targets ask for.
+    fn spare(&self, wanted: &BTreeMap<Place, usize>) -> BTreeMap<PoolId, usize> {
+        let mut spare = BTreeMap::new();
+        for place in wanted.keys() {
+            let serving = self.serving(place).into_iter();
+            let running = serving.filter(|it| it.state == State::Running).count();
+            *spare.entry(place.pool.clone()).or_insert(0) += running;
+        }
+        for (place, wanted) in wanted {
+            let spare = spare.entry(place.pool.clone()).or_insert(0);
+            *spare = spare.saturating_sub(*wanted);
+        }
+        spare
+    }
+
+    fn adjust(
+        &self,
+        epoch: Epoch,
+        place: &Place,
+        wanted: usize,
+        spare: &mut usize,
+        orders: &mut Vec<Order>,
+    ) {
         let mut have = self.serving(place);
         let pending = self.pending(place);
         let total = have.len() + pending;
@@ -94,7 +123,15 @@
         }
         have.sort_by_key(|machine| (machine.state == State::Running, &machine.id));
         let surplus = (total - wanted).min(MAX_STOPS);
-        orders.extend(have.into_iter().take(surplus).map(stop));
+        for machine in have.into_iter().take(surplus) {
+            if machine.state == State::Running {
+                let Some(rest) = spare.checked_sub(1) else {
+                    return;
+                };
+                *spare = rest;
+            }
+            orders.push(stop(machine));
+        }
     }
 
     /// Listed endpoints of a place that are to stay.
--- a/crates/fleet/tests/reconcile.rs
+++ b/crates/fleet/tests/reconcile.rs
@@ -103,6 +103,56 @@
     assert_eq!(stopped, ["stop/a"]);
 }
 
+/// The kinds change places: the demand that brings reclaimable endpoints lets the standard ones
+/// of the start go. The platform's list shows an endpoint that was stopped as leaving before it
+/// shows one that was started as running.
+#[test]
+fn no_running_endpoint_is_stopped_before_those_that_replace_it_run() {
+    let place = |zone: &str, kind| Place {
+        pool: "pool".to_owned(),
+        zone: zone.to_owned(),
+        kind,
+    };
+    let machine = |id: &str, place: &Place, state| Machine {
+        id: id.to_owned(),
+        order: format!("order-{id}"),
+        place: place.clone(),
+        state,
+    };
+    let (old_a, old_b) = (place("a", Kind::Standard), place("b", Kind::Standard));
+    let (new_a, new_b) = (place("a", Kind::Reclaimable), place("b", Kind::Reclaimable));
+    let target = |place: &Place, count| Target {
+        place: place.clone(),
+        count,
+    };
+    let targets = [
+        target(&old_a, 0),
+        target(&old_b, 0),
+        target(&new_a, 1),
+        target(&new_b, 1),
+    ];
+    let mut machines = vec![
+        machine("s1", &old_a, State::Running),
+        machine("s2", &old_b, State::Running),
+    ];
+    let stops = |machines: &[Machine]| -> Vec<String> {
+        let orders = reconcile(1, &targets, Some(machines), &[]);
+        let stops = orders.into_iter().filter_map(|order| match order.action {
+            Action::Stop(id) => Some(id),
+            Action::Start(_) => None,
+        });
+        stops.collect()
+    };
+    assert_eq!(stops(&machines), [""; 0], "nothing has been started yet");
+    machines.push(machine("r1", &new_a, State::Starting));
+    machines.push(machine("r2", &new_b, State::Starting));
+    assert_eq!(stops(&machines), [""; 0], "both still boot");
+    machines[2].state = State::Running;
+    assert_eq!(stops(&machines).len(), 1, "one of two runs");
+    machines[3].state = State::Running;
+    assert_eq!(stops(&machines).len(), 2, "both run");
+}
+
 #[derive(Clone, Debug)]
 enum Step {
     /// A holder plans; some orders and some answers are lost.
