One host of a zone writes the heartbeats of all; usage waits for every host's figures

While the store did not answer, four tasks of each host repeated every 250 to 300 ms. Rows carried usage and offers, so every host read those of all others although only the holder of the lease needs them. - A host hands its heartbeat to the reader of its zone (the largest host, by name among equals), which writes all in one transaction.

A window is now frozen as soon as every run has written after its end, and without the rest 2.5 s before it is due. The reader also writes what a host had counted until it lost power.

--- a/crates/edge/src/duty/demand.rs
+++ b/crates/edge/src/duty/demand.rs
@@ -5,7 +5,7 @@
 
 use tokio::time::Instant;
 
-use crate::hosts::Row;
+use crate::ledger::Row;
 
 /// Busy share of an endpoint at which its answers are in time beside bursts.
 const BUSY: f64 = 0.45;
@@ -92,7 +92,7 @@
                 work: offer.work,
                 rate: 0.0,
             };
-            let known = self.runs.entry(row.key()).or_insert(fresh);
+            let known = self.runs.entry(row.run.clone()).or_insert(fresh);
             if row.at > known.at {
                 let millis = (row.at - known.at) as f64;
                 known.rate = (offer.work - known.work).max(0.0) / millis;
--- a/crates/edge/src/duty/fleet.rs
+++ b/crates/edge/src/duty/fleet.rs
@@ -1,6 +1,6 @@
 //! Orders of endpoints, from the work that all hosts are offered.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -13,6 +13,7 @@
 use crate::clock;
 use crate::config::{Service, ServiceId};
 use crate::edge::Edge;
+use crate::hosts;
 use crate::interface::Order;
 use crate::metrics::count;
 
@@ -63,12 +64,21 @@
     let now = Instant::now();
     let listed = listed(edge, &service.id);
     let demand = book.demand.entry(service.id.clone()).or_default();
-    demand.observe(
-        now,
-        &service.id,
-        &edge.hosts.borrow().live(now),
-        listed.values().sum(),
-    );
+    {
+        let live: HashSet<String> = edge
+            .hosts
+            .borrow()
+            .live(now)
+            .into_iter()
+            .map(hosts::Row::key)
+            .collect();
+        let ledger = edge.ledger.borrow();
+        if !ledger.is_known() {
+            return;
+        }
+        let rows: Vec<_> = ledger.rows().filter(|it| live.contains(&it.run)).collect();
+        demand.observe(now, &service.id, &rows, listed.values().sum());
+    }
     let Some(needed) = demand.endpoints(now) else {
         return;
     };
--- a/crates/edge/src/duty/usage.rs
+++ b/crates/edge/src/duty/usage.rs
@@ -14,7 +14,6 @@
 use crate::edge::Edge;
 use crate::interface::Counts;
 use crate::metrics::count;
-use crate::usage;
 
 /// Table of frozen figures.
 const TABLE: &str = "usage";
@@ -22,9 +21,14 @@
 const HEAD_KEY: &str = "head";
 /// Between two looks at the clock.
 const STEP: Duration = Duration::from_millis(400);
-/// From the end of a window until the rows of all hosts must have been read: one heartbeat, one
-/// reading, and the time of both calls.
-const SETTLED: Duration = Duration::from_millis(4_600);
+/// A row counts for a window if it was written this long after the window's end: hosts agree on
+/// the end within this time.
+const AGREEMENT: Duration = Duration::from_millis(200);
+/// A host that has not written for this long has ended and brings no more counts.
+const SILENCE: Duration = Duration::from_secs(15);
+/// Rows that are missing are waited for until this long before the report is due; then it is
+/// made without them.
+const RESERVE: Duration = Duration::from_millis(2_500);
 /// Before a failed call is repeated.
 const RETRY: Duration = Duration::from_millis(300);
 /// Frozen windows that stay in the store.
@@ -96,14 +100,34 @@
     i64::try_from(u128::from(window + 1) * length).unwrap_or(i64::MAX)
 }
 
+/// Whether a window is over and every run that may have counts of it has brought them, or too
+/// little time is left to wait for the rest.
 fn is_due(edge: &Edge, window: u64) -> bool {
-    let settled = i64::try_from(SETTLED.as_millis()).unwrap_or(0);
-    edge.true_millis() >= end_millis(edge, window) + settled
+    let end = end_millis(edge, window) + millis(AGREEMENT);
+    let now = edge.true_millis();
+    let ledger = edge.ledger.borrow();
+    if now < end || !ledger.is_known() {
+        return false;
+    }
+    let Some(end) = edge.store_millis(end) else {
+        return false;
+    };
+    let bound = edge.settings.borrow().bounds.report;
+    let last = end_millis(edge, window) + millis(bound.saturating_sub(RESERVE));
+    let missing = ledger.missing(end, SILENCE).count();
+    if missing > 0 && now >= last {
+        tracing::warn!(event = "usage_incomplete", window, missing);
+    }
+    missing == 0 || now >= last
+}
+
+fn millis(time: Duration) -> i64 {
+    i64::try_from(time.as_millis()).unwrap_or(i64::MAX)
 }
 
 fn is_missed(edge: &Edge, window: u64) -> bool {
-    let late = i64::try_from(edge.settings.borrow().bounds.report.as_millis()).unwrap_or(0);
-    edge.true_millis() >= end_millis(edge, window) + late
+    let late = edge.settings.borrow().bounds.report;
+    edge.true_millis() >= end_millis(edge, window) + millis(late)
 }
 
 async fn report(edge: &Edge, window: u64) -> Result<(), Error> {
@@ -131,7 +155,7 @@
 
 /// Writes the figures of a window unless they stand already; returns those that stand.
 async fn freeze(edge: &Edge, window: u64) -> Result<Counts, Error> {
-    let counts = usage::sum(edge.hosts.borrow().rows(), window);
+    let counts = edge.ledger.borrow().sum(window);
     let unreadable = |err| Error::Unknown(format!("figures of window {window}: {err}"));
     let frozen = Frozen { counts };
     let value = serde_json::to_string(&frozen).map_err(unreadable)?;
--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -2,6 +2,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -16,11 +17,14 @@
 use crate::config::{Config, ServiceId};
 use crate::duty::seat::Seat;
 use crate::evidence::Evidence;
-use crate::hosts::{Hosts, Offer};
+use crate::handover::Tray;
+use crate::hosts::Hosts;
 use crate::interface::{Decoder, Dialect, Duties};
 use crate::lane::{Lane, Profile};
+use crate::ledger::{Ledger, Offer};
 use crate::line::Line;
 use crate::metrics::{Metrics, count};
+use crate::outage::Outage;
 use crate::place::{Board, Tuning};
 use crate::relay::Mirrors;
 use crate::roster::{Change, Roster};
@@ -78,6 +82,12 @@
     pub hosts: RefCell<Hosts>,
     /// Tables that this host reads for others of its zone.
     pub mirrors: Mirrors,
+    /// Heartbeats that this host writes for others of its zone.
+    pub tray: Tray,
+    /// What all runs count, while this host holds the lease.
+    pub ledger: RefCell<Ledger>,
+    /// Whether the store answers this host.
+    pub outage: Outage,
     /// Usage of this run.
     pub tally: RefCell<Tally>,
     /// Work offered to each service.
@@ -115,6 +125,9 @@
             pool: RefCell::default(),
             hosts: RefCell::default(),
             mirrors: Mirrors::default(),
+            tray: Tray::default(),
+            ledger: RefCell::default(),
+            outage: Outage::default(),
             tally: RefCell::default(),
             offers: RefCell::default(),
             seat: Seat::default(),
@@ -307,6 +320,19 @@
         hosts.sharing(Instant::now()).max(1)
     }
 
+    /// Where the host that reads and writes the store for this zone listens; `None` if that is
+    /// this one.
+    pub fn reader(&self) -> Option<SocketAddr> {
+        let settings = self.settings.borrow();
+        settings.listen.relay?;
+        let hosts = self.hosts.borrow();
+        let reader = hosts.reader(Instant::now(), &settings.zone)?;
+        if reader.host == settings.host {
+            return None;
+        }
+        reader.relay
+    }
+
     /// True time as most hosts agree on it, in milliseconds since the Unix epoch.
     pub fn true_millis(&self) -> i64 {
         let store = self.store_clock.get().now(clock::boot());
@@ -317,6 +343,13 @@
         }
     }
 
+    /// The store's clock at a moment of true time, in milliseconds; 0 for a time before that clock
+    /// was started.
+    pub fn store_millis(&self, true_millis: i64) -> Option<u64> {
+        let offset = self.hosts.borrow().offset(Instant::now())?;
+        Some(u64::try_from(true_millis - offset).unwrap_or(0))
+    }
+
     /// Number of the current usage window.
     pub fn window(&self) -> u64 {
         let length = self.settings.borrow().bounds.window.as_millis().max(1);
--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -15,17 +15,19 @@
 use crate::edge::Edge;
 use crate::hosts::{self, Row};
 use crate::lapse::{Lapses, Verdict};
+use crate::ledger;
 use crate::metrics::count;
 use crate::relay::Source;
 
 /// Longest wait of the store for a change of the configuration. The heartbeats bring the evidence
 /// that there is none; this bounds the time for which a connection that has gone silent hides one.
-const CONFIG_WAIT: Duration = Duration::from_secs(12);
+const CONFIG_WAIT: Duration = Duration::from_secs(25);
 /// Longest wait of the store for a change of the list of endpoints.
-const ENDPOINT_WAIT: Duration = Duration::from_millis(900);
-/// Oldest list of endpoints that is taken from another host: with the wait and the time of the
-/// call it stays below the time within which a leaving endpoint gets no new work.
-const ENDPOINT_AGE: Duration = Duration::from_millis(1200);
+const ENDPOINT_WAIT: Duration = Duration::from_millis(600);
+/// Oldest list of endpoints that is taken from another host: longer than the wait and the pause
+/// of its reader, and with the pause of this host below the time within which a leaving endpoint
+/// gets no new work.
+const ENDPOINT_AGE: Duration = Duration::from_millis(1300);
 /// Between two readings of the hosts' rows: these change all the time, so a waiting call would
 /// return at once.
 const HOST_PAUSE: Duration = Duration::from_millis(1200);
@@ -35,9 +37,13 @@
 /// batches.
 const CONFIG_PAUSE: Duration = Duration::from_millis(100);
 /// The same for the list of endpoints.
-const ENDPOINT_PAUSE: Duration = Duration::from_millis(300);
-/// Before a failed call is repeated.
-const RETRY: Duration = Duration::from_millis(250);
+const ENDPOINT_PAUSE: Duration = Duration::from_millis(500);
+/// Between two readings of the ledger by the holder of the lease.
+const LEDGER_PAUSE: Duration = Duration::from_millis(900);
+/// Between two looks at the lease.
+const LEASE_STEP: Duration = Duration::from_millis(200);
+/// Longest time without a look at what is due, beside the wait.
+const LOOK: Duration = Duration::from_millis(250);
 
 /// Taken off the time within which an endpoint that has left gets no new work, for the way of a
 /// request that is just being sent.
@@ -79,22 +85,31 @@
 impl<S: Sink> Follower<S> {
     async fn run(mut self) {
         loop {
-            let began = Instant::now();
-            match self.step().await {
-                Ok(()) => {
-                    if std::mem::take(&mut self.is_lost) {
-                        tracing::info!(event = "store_regained", table = self.table);
-                    }
-                    let elapsed = began.elapsed();
-                    sleep(self.pause.saturating_sub(elapsed)).await;
+            self.round().await;
+        }
+    }
+
+    /// One answer, and the pause after it.
+    async fn round(&mut self) {
+        let began = Instant::now();
+        match self.step().await {
+            Ok(()) => {
+                if std::mem::take(&mut self.is_lost) {
+                    tracing::info!(event = "store_regained", table = self.table);
+                }
+                let elapsed = began.elapsed();
+                sleep(self.pause.saturating_sub(elapsed)).await;
+            }
+            Err(err) => {
+                if !std::mem::replace(&mut self.is_lost, true) {
+                    tracing::warn!(event = "store_lost", table = self.table, error = %err);
                 }
-                Err(err) => {
-                    if !std::mem::replace(&mut self.is_lost, true) {
-                        tracing::warn!(event = "store_lost", table = self.table, error = %err);
-                    }
-                    count(&self.edge.metrics.calls, "feed_failed");
-                    self.sink.lost();
-                    sleep(RETRY).await;
+                count(&self.edge.metrics.calls, "feed_failed");
+                self.sink.lost();
+                self.edge.outage.lost(Instant::now());
+                tokio::select! {
+                    () = self.edge.outage.turn() => {}
+                    () = settle(&self.edge, &mut self.sink) => {}
                 }
             }
         }
@@ -142,7 +157,7 @@
         };
         let changes = loop {
             let due = self.sink.due(&self.edge);
-            let due = due.unwrap_or_else(|| Instant::now() + self.wait + RETRY);
+            let due = due.unwrap_or_else(|| Instant::now() + self.wait + LOOK);
             tokio::select! {
                 biased;
                 changes = &mut call => break changes?,
@@ -155,6 +170,7 @@
         };
         drop(call);
         count(&self.edge.metrics.calls, "feed");
+        self.edge.outage.over();
         let Some(changes) = changes else {
             tracing::warn!(
                 event = "history_lost",
@@ -364,6 +380,39 @@
     }
 }
 
+/// Rows of the ledger.
+struct LedgerSink;
+
+impl LedgerSink {
+    fn take(edge: &Edge, change: &Change) {
+        let mut ledger = edge.ledger.borrow_mut();
+        let Some(value) = &change.value else {
+            ledger.remove(&change.key);
+            return;
+        };
+        match serde_json::from_slice(value) {
+            Ok(row) => ledger.insert(row),
+            Err(err) => tracing::warn!(event = "ledger_malformed", row = change.key, error = %err),
+        }
+    }
+}
+
+impl Sink for LedgerSink {
+    fn snapshot(&mut self, edge: &Edge, changes: Changes, _is_behind: bool) {
+        for change in &changes.rows {
+            Self::take(edge, change);
+        }
+    }
+
+    fn change(&mut self, edge: &Edge, change: Change) {
+        Self::take(edge, &change);
+    }
+
+    fn confirmed(&mut self, edge: &Edge, _at: Duration, clock: u64) {
+        edge.ledger.borrow_mut().observe(clock);
+    }
+}
+
 /// Does what is due without an answer, for as long as anything is due; never ends.
 async fn settle<S: Sink>(edge: &Edge, sink: &mut S) {
     while let Some(due) = sink.due(edge) {
@@ -420,6 +469,32 @@
     .await;
 }
 
+/// Follows what all runs count while this host holds the lease, until the task is dropped.
+pub async fn ledger(edge: Rc<Edge>) {
+    let mut reading = None;
+    loop {
+        if edge.seat.permit().is_none() {
+            if reading.take().is_some() {
+                edge.ledger.take();
+            }
+            sleep(LEASE_STEP).await;
+            continue;
+        }
+        let follower = reading.get_or_insert_with(|| {
+            let wait = Duration::ZERO;
+            follower(
+                edge.clone(),
+                ledger::TABLE,
+                wait,
+                LEDGER_PAUSE,
+                None,
+                LedgerSink,
+            )
+        });
+        follower.round().await;
+    }
+}
+
 fn follower<S: Sink>(
     edge: Rc<Edge>,
     table: &'static str,
--- a/crates/edge/src/hosts.rs
+++ b/crates/edge/src/hosts.rs
@@ -1,7 +1,7 @@
-//! What hosts tell each other by rows in the store: where callers reach them, what they count,
-//! and how their clocks stand.
+//! What hosts tell each other by rows in the store: where callers reach them, and how their
+//! clocks stand.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -10,8 +10,6 @@
 use tokio::time::Instant;
 
 use crate::clock;
-use crate::config::ServiceId;
-use crate::interface::Counts;
 
 /// Table of the hosts' rows.
 pub const TABLE: &str = "hosts";
@@ -20,19 +18,6 @@
 /// Prefix of the keys of hosts.
 pub const PREFIX: &str = "host/";
 
-/// Work offered to one service, since the start of a run.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
-pub struct Offer {
-    /// Requests of callers.
-    pub requests: u64,
-    /// Estimated work of the requests, in milliseconds of an engine.
-    pub work: f64,
-    /// Requests at endpoints now.
-    pub running: u32,
-    /// Requests in line now.
-    pub waiting: u32,
-}
-
 /// The row of one run of a host.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Row {
@@ -54,10 +39,6 @@
     pub offset: Option<i64>,
     /// The store's clock at which it was written, in milliseconds.
     pub at: u64,
-    /// Requests that began, by window and account.
-    pub windows: BTreeMap<u64, Counts>,
-    /// Work offered by service.
-    pub offers: BTreeMap<ServiceId, Offer>,
 }
 
 impl Row {
@@ -89,9 +70,14 @@
 const RETURN: Duration = Duration::from_millis(2_000);
 
 impl Hosts {
-    /// Takes a row over.
+    /// Takes a row over, unless a newer one of the same run is known: the reader of a zone may
+    /// write a copy after its host has written itself.
     pub fn insert(&mut self, row: Row) {
-        self.rows.insert(row.key(), row);
+        let key = row.key();
+        let is_newer = self.rows.get(&key).is_none_or(|known| known.at <= row.at);
+        if is_newer {
+            self.rows.insert(key, row);
+        }
     }
 
     /// Forgets a row.
@@ -136,6 +122,17 @@
         live.max(self.most.div_ceil(2))
     }
 
+    /// The host that reads the store and writes to it for the others of a zone: the largest that
+    /// is ready, by name among equals. All hosts of the zone find the same one.
+    pub fn reader(&self, now: Instant, zone: &str) -> Option<&Row> {
+        let live = self.live(now).into_iter();
+        let ready = live.filter(|row| row.ready && row.zone == zone);
+        ready.max_by(|left, right| {
+            let by_size = left.weight.total_cmp(&right.weight);
+            by_size.then_with(|| right.host.cmp(&left.host))
+        })
+    }
+
     /// All rows, of ended runs too.
     pub fn rows(&self) -> impl Iterator<Item = &Row> {
         self.rows.values()
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -5,68 +5,67 @@
 //! whose reader is silent or behind asks the store itself. The configuration is never handed on:
 //! it holds keys.
 
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-use actix_http::header::HeaderMap;
 use actix_http::{Method, StatusCode};
 use agate_store::interface::{Change, Changes};
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use futures_util::future::LocalBoxFuture;
 use serde::{Deserialize, Serialize};
-use tokio::net::TcpStream;
 use tokio::sync::Notify;
 use tokio::time::{Instant, timeout};
 
-use crate::channel::{self, Exchange, Outgoing};
 use crate::edge::Edge;
 use crate::front::Incoming;
-use crate::{headers, page};
+use crate::link::{Error, Link, Question};
+use crate::{handover, headers, page};
 
 /// Changes that are kept for others; whoever needs older ones asks the store.
 const KEPT: usize = 4096;
-/// Longest time to reach another host of the zone.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
-/// Time of an answer beside the wait that it was asked for.
-const ANSWER_TIMEOUT: Duration = Duration::from_millis(250);
-/// A reader that failed is not asked again for this long.
-const REST: Duration = Duration::from_secs(4);
-
-/// Why there is no answer of another host.
-#[derive(Debug, thiserror::Error)]
-pub enum Error {
-    /// No host of the zone reads the table for this one.
-    #[error("no reader")]
-    NoReader,
-    /// The connection failed.
-    #[error(transparent)]
-    Channel(#[from] channel::Error),
-    /// The answer took too long.
-    #[error("timeout")]
-    Timeout,
-    /// The reader has nothing to tell.
-    #[error("status {0}")]
-    Refused(StatusCode),
-    /// The answer can't be read.
-    #[error("malformed answer: {0}")]
-    Malformed(String),
-    /// What the reader tells is too old.
-    #[error("{0:?} old")]
-    Old(Duration),
-}
-
 /// A change on the wire.
 #[derive(Debug, Serialize, Deserialize)]
 struct Row {
     key: String,
-    /// In hexadecimal; missing if the row was removed.
-    value: Option<String>,
+    /// Missing if the row was removed.
+    value: Option<Value>,
     revision: u64,
 }
 
+/// Contents of a row: text as a rule.
+#[derive(Debug, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+enum Value {
+    Text(String),
+    Hex(String),
+}
+
+impl From<&Bytes> for Value {
+    fn from(it: &Bytes) -> Self {
+        match std::str::from_utf8(it) {
+            Ok(text) => Value::Text(text.to_owned()),
+            Err(_) => Value::Hex(hex::encode(it)),
+        }
+    }
+}
+
+impl TryFrom<Value> for Bytes {
+    type Error = Error;
+
+    fn try_from(it: Value) -> Result<Self, Error> {
+        match it {
+            Value::Text(text) => Ok(Bytes::from(text)),
+            Value::Hex(text) => match hex::decode(text) {
+                Ok(bytes) => Ok(Bytes::from(bytes)),
+                Err(err) => Err(Error::Malformed(err.to_string())),
+            },
+        }
+    }
+}
+
 /// An answer on the wire.
 #[derive(Debug, Serialize, Deserialize)]
 struct Page {
@@ -80,7 +79,7 @@
     fn from(it: &Change) -> Self {
         Self {
             key: it.key.clone(),
-            value: it.value.as_ref().map(hex::encode),
+            value: it.value.as_ref().map(Value::from),
             revision: it.revision,
         }
     }
@@ -90,10 +89,9 @@
     type Error = Error;
 
     fn try_from(it: Row) -> Result<Self, Error> {
-        let decode = |text| hex::decode(text).map_err(|err| Error::Malformed(err.to_string()));
         Ok(Self {
             key: it.key,
-            value: it.value.map(decode).transpose()?.map(Bytes::from),
+            value: it.value.map(Bytes::try_from).transpose()?,
             revision: it.revision,
         })
     }
@@ -151,16 +149,22 @@
         self.tables.borrow_mut().remove(table);
     }
 
-    async fn page(&self, table: &str, after: u64, wait: Duration) -> Option<Page> {
-        let until = Instant::now() + wait;
+    /// Changes after a commit, as soon as there are any or `wait` is over; `None` if the table
+    /// was last read longer ago than `oldest`, also while the question waits.
+    async fn page(&self, query: &Query<'_>) -> Option<Page> {
+        let until = Instant::now() + query.wait;
         loop {
             let changed = self.changed.notified();
-            let page = self.read(table, after)?;
+            let page = self.read(query.table, query.after)?;
+            let age = Duration::from_millis(page.age_ms);
+            if age >= query.oldest {
+                return None;
+            }
             let left = until.saturating_duration_since(Instant::now());
             if !page.rows.is_empty() || left.is_zero() {
                 return Some(page);
             }
-            let _ = timeout(left, changed).await;
+            let _ = timeout(left.min(query.oldest - age), changed).await;
         }
     }
 
@@ -178,7 +182,7 @@
     }
 }
 
-/// Shows other hosts the tables that this one reads.
+/// Shows other hosts the tables that this one reads, and takes their heartbeats.
 pub struct Shelf {
     edge: Rc<Edge>,
 }
@@ -189,34 +193,42 @@
         Self { edge }
     }
 
-    async fn find(&self, target: &str) -> page::Page {
-        let Some((table, after, wait)) = parse(target) else {
-            return page::Page::bare(StatusCode::BAD_REQUEST);
-        };
-        let changes = match self.edge.is_leaving() {
-            true => None,
-            false => self.edge.mirrors.page(table, after, wait).await,
-        };
-        let Some(changes) = changes else {
+    async fn find(&self, incoming: &Incoming) -> page::Page {
+        // Whoever asks is to find another reader before this host has left.
+        if self.edge.is_leaving() {
             return page::Page::bare(StatusCode::SERVICE_UNAVAILABLE);
+        }
+        let target = incoming.request.head().uri.path();
+        if target == handover::TARGET {
+            return answer(handover::take(&self.edge, &incoming.body));
+        }
+        let Some(query) = Query::parse(target) else {
+            return page::Page::bare(StatusCode::BAD_REQUEST);
         };
-        match serde_json::to_vec(&changes) {
-            Ok(body) => page::Page {
-                status: StatusCode::OK,
-                headers: headers::media_type("application/json"),
-                body: Bytes::from(body),
-            },
-            Err(err) => {
-                tracing::error!(event = "relay_not_written", error = %err);
-                page::Page::bare(StatusCode::INTERNAL_SERVER_ERROR)
-            }
+        answer(self.edge.mirrors.page(&query).await)
+    }
+}
+
+fn answer<T: Serialize>(found: Option<T>) -> page::Page {
+    let Some(found) = found else {
+        return page::Page::bare(StatusCode::SERVICE_UNAVAILABLE);
+    };
+    match serde_json::to_vec(&found) {
+        Ok(body) => page::Page {
+            status: StatusCode::OK,
+            headers: headers::media_type("application/json"),
+            body: Bytes::from(body),
+        },
+        Err(err) => {
+            tracing::error!(event = "relay_not_written", error = %err);
+            page::Page::bare(StatusCode::INTERNAL_SERVER_ERROR)
         }
     }
 }
 
 impl page::Source for Shelf {
     fn page<'a>(&'a self, incoming: &'a Incoming) -> LocalBoxFuture<'a, page::Page> {
-        Box::pin(self.find(incoming.request.head().uri.path()))
+        Box::pin(self.find(incoming))
     }
 
     fn is_closing(&self) -> bool {
@@ -224,17 +236,38 @@
     }
 }
 
-/// Path of a question: table, commit, and longest wait in milliseconds.
-fn target(table: &str, after: u64, wait: Duration) -> String {
-    format!("/{table}/{after}/{}", wait.as_millis())
+/// What is asked of a reader.
+#[derive(Clone, Copy, Debug)]
+struct Query<'a> {
+    table: &'a str,
+    /// Commit whose changes are known.
+    after: u64,
+    /// Longest wait for a change.
+    wait: Duration,
+    /// Oldest reading of the table that is of use.
+    oldest: Duration,
 }
 
-fn parse(target: &str) -> Option<(&str, u64, Duration)> {
-    let mut parts = target.trim_start_matches('/').split('/');
-    let table = parts.next()?;
-    let after = parts.next()?.parse().ok()?;
-    let wait = parts.next()?.parse().ok()?;
-    Some((table, after, Duration::from_millis(wait)))
+impl<'a> Query<'a> {
+    /// Path of the call; times are in milliseconds.
+    fn target(&self) -> String {
+        let (wait, oldest) = (self.wait.as_millis(), self.oldest.as_millis());
+        format!("/{}/{}/{wait}/{oldest}", self.table, self.after)
+    }
+
+    fn parse(target: &'a str) -> Option<Self> {
+        let mut parts = target.trim_start_matches('/').split('/');
+        let table = parts.next()?;
+        let after = parts.next()?.parse().ok()?;
+        let mut millis = || parts.next()?.parse().ok().map(Duration::from_millis);
+        let (wait, oldest) = (millis()?, millis()?);
+        Some(Self {
+            table,
+            after,
+            wait,
+            oldest,
+        })
+    }
 }
 
 /// Reads one table from the reader of this host's zone.
@@ -242,8 +275,7 @@
     edge: Rc<Edge>,
     table: &'static str,
     oldest: Duration,
-    stream: Cell<Option<(SocketAddr, TcpStream)>>,
-    resting: Cell<Option<Instant>>,
+    link: Link,
 }
 
 impl Source {
@@ -253,21 +285,16 @@
             edge,
             table,
             oldest,
-            stream: Cell::new(None),
-            resting: Cell::new(None),
+            link: Link::default(),
         }
     }
 
     /// Changes after a commit, from the reader of the zone.
     pub async fn changes(&self, after: u64, wait: Duration) -> Result<Changes, Error> {
-        if self
-            .resting
-            .get()
-            .is_some_and(|until| until > Instant::now())
-        {
+        if self.link.is_resting() {
             return Err(Error::NoReader);
         }
-        let reader = self.reader().ok_or(Error::NoReader)?;
+        let reader = self.edge.reader().ok_or(Error::NoReader)?;
         let read = self.read(reader, after, wait).await;
         if let Err(err) = &read {
             tracing::info!(
@@ -276,41 +303,25 @@
                 reader = %reader,
                 error = %err,
             );
-            self.resting.set(Some(Instant::now() + REST));
+            self.link.rest();
         }
         read
     }
 
-    /// The first ready host of the zone in an order that all its hosts share; `None` if that is
-    /// this one.
-    fn reader(&self) -> Option<SocketAddr> {
-        let settings = self.edge.settings.borrow();
-        let hosts = self.edge.hosts.borrow();
-        let live = hosts.live(Instant::now());
-        let zone = live
-            .iter()
-            .filter(|row| row.ready && row.zone == settings.zone);
-        let first = zone.min_by(|left, right| left.host.cmp(&right.host))?;
-        if first.host == settings.host {
-            return None;
-        }
-        first.relay
-    }
-
     async fn read(&self, reader: SocketAddr, after: u64, wait: Duration) -> Result<Changes, Error> {
-        let kept = self.stream.take().filter(|(address, _)| *address == reader);
-        let stream = match kept {
-            Some((_, stream)) => stream,
-            None => channel::connect(reader, CONNECT_TIMEOUT).await?,
+        let query = Query {
+            table: self.table,
+            after,
+            wait,
+            oldest: self.oldest,
         };
-        let whole = self.exchange(stream, after, wait);
-        let (stream, body) = match timeout(wait + ANSWER_TIMEOUT, whole).await {
-            Ok(whole) => whole?,
-            Err(_) => return Err(Error::Timeout),
+        let question = Question {
+            method: Method::GET,
+            target: query.target(),
+            body: Bytes::new(),
+            wait,
         };
-        self.stream.set(stream.map(|it| (reader, it)));
-        let page: Page =
-            serde_json::from_slice(&body).map_err(|err| Error::Malformed(err.to_string()))?;
+        let page: Page = self.link.ask(reader, question).await?;
         let age = Duration::from_millis(page.age_ms);
         if age > self.oldest {
             return Err(Error::Old(age));
@@ -323,32 +334,4 @@
             clock: page.clock,
         })
     }
-
-    async fn exchange(
-        &self,
-        stream: TcpStream,
-        after: u64,
-        wait: Duration,
-    ) -> Result<(Option<TcpStream>, Bytes), Error> {
-        let mut headers = HeaderMap::new();
-        headers.insert(
-            actix_http::header::HOST,
-            actix_http::header::HeaderValue::from_static("relay"),
-        );
-        let outgoing = Outgoing {
-            method: Method::GET,
-            target: target(self.table, after, wait),
-            headers,
-            body: Bytes::new(),
-        };
-        let (mut exchange, head) = Exchange::start(stream, outgoing, &|_| true).await?;
-        let mut body = BytesMut::new();
-        while let Some(bytes) = exchange.next().await? {
-            body.extend_from_slice(&bytes);
-        }
-        if head.status != StatusCode::OK {
-            return Err(Error::Refused(head.status));
-        }
-        Ok((exchange.into_stream(), body.freeze()))
-    }
 }
--- a/crates/edge/src/run.rs
+++ b/crates/edge/src/run.rs
@@ -60,6 +60,7 @@
         tasks.push(actix_rt::spawn(sweep(edge.clone())));
         if edge.remote.duties.is_some() {
             tasks.push(actix_rt::spawn(duty::seat::run(edge.clone())));
+            tasks.push(actix_rt::spawn(follow::ledger(edge.clone())));
             tasks.push(actix_rt::spawn(duty::usage::run(edge.clone())));
             tasks.push(actix_rt::spawn(duty::fleet::run(edge.clone())));
         }
@@ -105,9 +106,7 @@
         edge.leave();
         let bounds = edge.settings.borrow().bounds.clone();
         tracing::info!(event = "leaving", running = edge.running());
-        if let Err(err) = heartbeat::write(edge).await {
-            tracing::warn!(event = "heartbeat_failed", error = %err);
-        }
+        heartbeat::publish(edge, false).await;
         let limit = began + bounds.grace.mul_f64(DRAIN_SHARE);
         let linger = bounds.addresses.min(bounds.grace).mul_f64(LINGER_SHARE);
         while Instant::now() < limit && (began.elapsed() < linger || edge.running() > 0) {
@@ -115,12 +114,11 @@
         }
         // From here on nothing new comes; what came last is still finished.
         self.callers.abort();
-        if let Err(err) = heartbeat::write(edge).await {
-            tracing::warn!(event = "heartbeat_failed", error = %err);
-        }
+        heartbeat::publish(edge, false).await;
         while Instant::now() < limit && edge.running() > 0 {
             sleep(DRAIN_STEP).await;
         }
+        heartbeat::publish(edge, edge.running() == 0).await;
         for task in &self.tasks {
             task.abort();
         }
--- a/crates/edge/src/usage.rs
+++ b/crates/edge/src/usage.rs
@@ -4,7 +4,6 @@
 
 use agate_model::id::AccountId;
 
-use crate::hosts::Row;
 use crate::interface::Counts;
 
 /// Windows that a host keeps in its row, the current one included.
@@ -31,14 +30,3 @@
         &self.windows
     }
 }
-
-/// Sums a window over the rows of all hosts, of ended runs too.
-pub fn sum<'a>(rows: impl Iterator<Item = &'a Row>, window: u64) -> Counts {
-    let mut total = Counts::new();
-    for counts in rows.filter_map(|row| row.windows.get(&window)) {
-        for (account, count) in counts {
-            *total.entry(account.clone()).or_default() += count;
-        }
-    }
-    total
-}
--- a/crates/edge/tests/duty.rs
+++ b/crates/edge/tests/duty.rs
@@ -11,7 +11,7 @@
 use agate_edge::settings::Settings;
 use agate_store::Error;
 use agate_store::interface::Answer;
-use support::{Act, Bench, KEY, Server, Store, ask, settings, status};
+use support::{Act, Bench, KEY, Server, Store, Way, ask, settings, status};
 use tokio::time::{Instant, sleep};
 
 const FINE: &str = "HTTP/1.1 200 OK\r\nx-id: {id}\r\nx-signed: 1\r\ncontent-length: 4\r\n\r\nfine";
@@ -137,3 +137,40 @@
     let counted: u64 = figures.values().flat_map(Counts::values).sum();
     assert_eq!(counted, 20);
 }
+
+/// A host was cut off from the store with counts that it had not written, and windows were
+/// reported without them 4.6 s after their end.
+#[actix_rt::test]
+async fn a_window_waits_for_hosts_that_are_cut_off() {
+    let server = Server::start(vec![vec![Act::Say(FINE)]]).await;
+    let store = Rc::new(Store::default());
+    store.put("settings", "config", Some(&format!("1 {KEY}")));
+    store.put("endpoints", "e0", Some(&server.address.to_string()));
+    let office = Rc::new(Office::default());
+    let _holder = host(&store, &office, "one").await;
+    let way = Way::new(store);
+    let mut settings = Settings {
+        host: "two".to_owned(),
+        zone: "b".to_owned(),
+        ..settings().await
+    };
+    settings.bounds.window = Duration::from_secs(1);
+    let cut_off = Bench::with_way(way.clone(), settings, None).await;
+    sleep(Duration::from_secs(3)).await;
+    way.is_cut.set(true);
+    for n in 0..10 {
+        let answer = cut_off.call(&ask("read", &format!("r{n}"), "")).await;
+        assert_eq!(status(&answer), "200");
+    }
+    sleep(Duration::from_millis(5_500)).await;
+    way.is_cut.set(false);
+    sleep(Duration::from_secs(8)).await;
+    let reports = office.reports.borrow();
+    let mut figures: BTreeMap<u64, &Counts> = BTreeMap::new();
+    for report in reports.iter() {
+        let known = figures.entry(report.window).or_insert(&report.counts);
+        assert_eq!(**known, report.counts, "window {}", report.window);
+    }
+    let counted: u64 = figures.values().flat_map(|it| it.values()).sum();
+    assert_eq!(counted, 10);
+}
--- a/crates/edge/tests/fleet.rs
+++ b/crates/edge/tests/fleet.rs
@@ -6,7 +6,7 @@
 use agate_edge::config::Scale;
 use agate_edge::duty::demand::Demand;
 use agate_edge::duty::plan::{Plan, Situation, Size, plan};
-use agate_edge::hosts::{Offer, Row};
+use agate_edge::ledger::{Offer, Row};
 use proptest::prelude::*;
 use tokio::time::Instant;
 
@@ -79,17 +79,10 @@
         ..Offer::default()
     };
     Row {
-        host: "one".to_owned(),
-        incarnation: "x".to_owned(),
-        zone: "a".to_owned(),
-        address: "127.0.0.1:1".parse().expect("an address"),
-        relay: None,
-        ready: true,
-        weight: 1.0,
-        offset: None,
+        run: "host/one/x".to_owned(),
         at,
-        windows: BTreeMap::new(),
         offers: BTreeMap::from([(SERVICE.to_owned(), offer)]),
+        ..Row::default()
     }
 }
 
--- a/crates/edge/tests/hosts.rs
+++ b/crates/edge/tests/hosts.rs
@@ -1,6 +1,5 @@
 //! Which hosts are named to callers.
 
-use std::collections::BTreeMap;
 use std::time::Duration;
 
 use agate_edge::hosts::{Hosts, Row};
@@ -17,8 +16,6 @@
         weight: 1.0,
         offset: None,
         at,
-        windows: BTreeMap::new(),
-        offers: BTreeMap::new(),
     }
 }
 
--- a/crates/edge/tests/support/mod.rs
+++ b/crates/edge/tests/support/mod.rs
@@ -47,6 +47,8 @@
     pub commit_time: Cell<Duration>,
     /// Feed calls by table.
     pub calls: RefCell<HashMap<String, usize>>,
+    /// Commits that were asked for.
+    pub commits: Cell<usize>,
     started: RefCell<Option<Instant>>,
 }
 
@@ -74,6 +76,19 @@
         self.changed.notify_waiters();
     }
 
+    /// Calls so far, of any kind.
+    pub fn call_count(&self) -> usize {
+        self.commits.get() + self.calls.borrow().values().sum::<usize>()
+    }
+
+    /// Contents of all rows of a table.
+    pub fn contents(&self, table: &str) -> Vec<String> {
+        let rows = self.rows.borrow();
+        let rows = rows.iter().filter(|((it, _), _)| it == table);
+        rows.map(|(_, (value, _))| String::from_utf8_lossy(value).into_owned())
+            .collect()
+    }
+
     fn clock(&self) -> u64 {
         let mut started = self.started.borrow_mut();
         let started = started.get_or_insert_with(Instant::now);
@@ -126,6 +141,7 @@
 
     fn commit<'a>(&'a self, transaction: &'a Transaction) -> Answer<'a, Commit> {
         Box::pin(async move {
+            self.commits.set(self.commits.get() + 1);
             sleep(self.commit_time.get()).await;
             self.check()?;
             for check in &transaction.checks {
@@ -190,6 +206,81 @@
     }
 }
 
+/// The way of one host to a store, which can be cut.
+pub struct Way {
+    /// The store.
+    pub store: Rc<Store>,
+    /// Calls get no answer while this is set.
+    pub is_cut: Cell<bool>,
+}
+
+impl Way {
+    /// A way that is open.
+    pub fn new(store: Rc<Store>) -> Rc<Self> {
+        Rc::new(Self {
+            store,
+            is_cut: Cell::new(false),
+        })
+    }
+
+    async fn check(&self) -> Result<(), Error> {
+        if self.is_cut.get() {
+            sleep(Duration::from_millis(300)).await;
+            return Err(Error::Unreached("cut".to_owned()));
+        }
+        Ok(())
+    }
+}
+
+impl Tables for Way {
+    fn get<'a>(&'a self, table: &'a str, key: &'a str) -> Answer<'a, Option<Row>> {
+        Box::pin(async move {
+            self.check().await?;
+            self.store.get(table, key).await
+        })
+    }
+
+    fn scan<'a>(
+        &'a self,
+        table: &'a str,
+        prefix: &'a str,
+        after: &'a str,
+        limit: usize,
+    ) -> Answer<'a, Page> {
+        self.store.scan(table, prefix, after, limit)
+    }
+
+    fn commit<'a>(&'a self, transaction: &'a Transaction) -> Answer<'a, Commit> {
+        Box::pin(async move {
+            self.check().await?;
+            self.store.commit(transaction).await
+        })
+    }
+}
+
+impl Feed for Way {
+    fn snapshot<'a>(&'a self, table: &'a str) -> Answer<'a, Changes> {
+        Box::pin(async move {
+            self.check().await?;
+            self.store.snapshot(table).await
+        })
+    }
+
+    fn changes<'a>(
+        &'a self,
+        table: &'a str,
+        after: u64,
+        wait: Duration,
+    ) -> Answer<'a, Option<Changes>> {
+        Box::pin(async move {
+            self.check().await?;
+            let changes = self.store.changes(table, after, wait).await?;
+            self.check().await?;
+            Ok(changes)
+        })
+    }
+}
+
 /// Headers and rows of the tests.
 struct Plain;
 
@@ -486,12 +577,22 @@
     /// Starts a host that may hold duties, with a store of its own or of others.
     pub async fn with_duties(
         store: Rc<Store>,
+        settings: Settings,
+        duties: Option<Rc<dyn Duties>>,
+    ) -> Self {
+        Self::with_way(Way::new(store), settings, duties).await
+    }
+
+    /// Starts a host that reaches its store by `way`.
+    pub async fn with_way(
+        way: Rc<Way>,
         mut settings: Settings,
         duties: Option<Rc<dyn Duties>>,
     ) -> Self {
+        let store = way.store.clone();
         let remote = Remote {
-            tables: store.clone(),
-            feed: store.clone(),
+            tables: way.clone(),
+            feed: way,
             duties,
             dialect: Rc::new(Plain),
             decoder: Rc::new(Plain),
