Zones that are dry keep what they have; standard endpoints that boot are not let go

Change: a dry zone is planned with the reclaimable endpoints that are listed there, and standard endpoints that were ordered are held like those that are listed until the others serve.

Tests: zones_that_give_no_more_keep_the_reclaimable_ones_that_they_have and standard_endpoints_that_boot_are_kept_until_others_serve; written with the change, as the former plan did not know the numbers that they are given. The property of the bounds of each zone now draws those numbers too.

--- a/crates/edge/src/duty/fleet.rs
+++ b/crates/edge/src/duty/fleet.rs
@@ -8,7 +8,7 @@
 use agate_store::Error;
 use tokio::time::{Instant, sleep};
 
-use super::plan::{Plan, Situation, Size, plan};
+use super::plan::{Plan, Situation, Size, hold, plan};
 use super::{FLIGHT, seat};
 use crate::clock;
 use crate::config::{Service, ServiceId};
@@ -24,9 +24,6 @@
 /// An order whose endpoints are not listed after this long is repeated.
 const REPEAT: Duration = Duration::from_secs(8);
 
-/// Endpoints by zone and kind.
-type Listed = BTreeMap<(ZoneId, bool), u32>;
-
 type Place = (ServiceId, ZoneId, bool);
 
 /// What this holder has ordered.
@@ -77,17 +74,18 @@
             return;
         }
         let rows: Vec<_> = ledger.rows().filter(|it| live.contains(&it.run)).collect();
-        demand.observe(now, &service.id, &rows, listed.values().sum());
+        let there = listed.values().map(|it| it.standard + it.reclaimable);
+        demand.observe(now, &service.id, &rows, there.sum());
     }
     let Some(needed) = demand.endpoints(now) else {
         return;
     };
     book.dry.retain(|_, until| *until > now);
-    let dry: Vec<ZoneId> = book
+    let dry: BTreeMap<ZoneId, u32> = book
         .dry
         .keys()
         .filter(|(id, _, reclaimable)| *id == service.id && *reclaimable)
-        .map(|(_, zone, _)| zone.clone())
+        .map(|(_, zone, _)| (zone.clone(), count_of(&listed, zone, true)))
         .collect();
     let situation = Situation {
         scale,
@@ -102,11 +100,16 @@
     } else {
         needed.least
     };
-    hold(&mut plan, &listed, staying);
+    hold(
+        &mut plan,
+        &listed,
+        &ordered(book, &service.id, now),
+        staying,
+    );
     for order in orders(service, &plan) {
         let place = (order.service.clone(), order.zone.clone(), order.reclaimable);
-        let there = listed.get(&(order.zone.clone(), order.reclaimable));
-        let is_there = there.copied().unwrap_or(0) == order.count;
+        let there = count_of(&listed, &order.zone, order.reclaimable);
+        let is_there = there == order.count;
         let is_known = book.ordered.get(&place).is_some_and(|(count, at)| {
             let age = now.saturating_duration_since(*at);
             *count == order.count && (is_there || age < REPEAT)
@@ -123,10 +126,7 @@
                     zone = order.zone,
                     reclaimable = order.reclaimable,
                     count = order.count,
-                    listed = listed
-                        .get(&(order.zone.clone(), order.reclaimable))
-                        .copied()
-                        .unwrap_or(0),
+                    listed = there,
                     needed = needed.total,
                     base = needed.base,
                     load = needed.load,
@@ -153,39 +153,45 @@
     }
 }
 
-/// Lets no standard endpoint go before the endpoints that replace it are there: while fewer than
-/// `needed` would stay, the zones keep the standard ones that they have.
-fn hold(plan: &mut Plan, listed: &Listed, needed: u32) {
-    let count = |zone: &ZoneId, reclaimable| {
-        let place = (zone.clone(), reclaimable);
-        listed.get(&place).copied().unwrap_or(0)
-    };
-    let stay = |(zone, size): (&ZoneId, &Size)| {
-        count(zone, true).min(size.reclaimable) + count(zone, false).min(size.standard)
-    };
-    let mut staying: u32 = plan.iter().map(stay).sum();
-    for (zone, size) in plan {
-        let there = count(zone, false);
-        while staying < needed && size.standard < there {
-            size.standard += 1;
-            staying += 1;
-        }
-    }
-}
-
-/// Listed endpoints of a service by zone and kind.
-fn listed(edge: &Edge, service: &str) -> Listed {
-    let mut listed = BTreeMap::new();
+/// Listed endpoints of a service.
+fn listed(edge: &Edge, service: &str) -> Plan {
+    let mut listed = Plan::new();
     let roster = edge.roster.borrow();
     for endpoint in roster.endpoints() {
         if endpoint.service == service && !endpoint.draining {
-            let place = (endpoint.zone.clone(), endpoint.reclaimable);
-            *listed.entry(place).or_default() += 1;
+            let size = listed.entry(endpoint.zone.clone()).or_default();
+            *of(size, endpoint.reclaimable) += 1;
         }
     }
     listed
 }
 
+/// What the zones were told to have lately: the endpoints may be booting.
+fn ordered(book: &Book, service: &str, now: Instant) -> Plan {
+    let mut plan = Plan::new();
+    for ((id, zone, reclaimable), (count, at)) in &book.ordered {
+        if id == service && now.saturating_duration_since(*at) < REPEAT {
+            *of(plan.entry(zone.clone()).or_default(), *reclaimable) = *count;
+        }
+    }
+    plan
+}
+
+fn of(size: &mut Size, reclaimable: bool) -> &mut u32 {
+    match reclaimable {
+        true => &mut size.reclaimable,
+        false => &mut size.standard,
+    }
+}
+
+fn count_of(plan: &Plan, zone: &str, reclaimable: bool) -> u32 {
+    let size = plan.get(zone).copied().unwrap_or_default();
+    match reclaimable {
+        true => size.reclaimable,
+        false => size.standard,
+    }
+}
+
 /// One order for each place and kind; what is to grow comes first, so that a service never runs
 /// short while the kinds change places.
 fn orders(service: &Service, plan: &Plan) -> Vec<Order> {
--- a/crates/edge/src/duty/plan.rs
+++ b/crates/edge/src/duty/plan.rs
@@ -29,8 +29,8 @@
     pub least: u32,
     /// Standard endpoints that stay if all reclaimable ones are taken away.
     pub base: u32,
-    /// Zones that have no reclaimable endpoints to give now.
-    pub dry: &'a [ZoneId],
+    /// Zones that have no more reclaimable endpoints to give now, and how many are there.
+    pub dry: &'a BTreeMap<ZoneId, u32>,
 }
 
 /// Standard endpoints up to `base`, the cheapest zones first, and reclaimable ones for the rest,
@@ -53,13 +53,22 @@
     fill(&mut plan, &zones, base, scale.max, |size| {
         &mut size.standard
     });
+    let mut rest = situation.needed - base;
+    let mut given = 0;
+    if is_split {
+        for (zone, there) in situation.dry {
+            let size = plan.entry(zone.clone()).or_default();
+            size.reclaimable = (*there).min(rest).min(scale.max - size.standard);
+            rest -= size.reclaimable;
+            given += size.reclaimable;
+        }
+    }
     let wet: Vec<(&ZoneId, f64)> = zones
         .iter()
         .copied()
-        .filter(|(zone, _)| is_split && !situation.dry.contains(zone))
+        .filter(|(zone, _)| is_split && !situation.dry.contains_key(*zone))
         .collect();
-    let rest = situation.needed - base;
-    let given = fill(&mut plan, &wet, rest, scale.max, |size| {
+    given += fill(&mut plan, &wet, rest, scale.max, |size| {
         &mut size.reclaimable
     });
     let short = situation.least.saturating_sub(base + given);
@@ -102,3 +111,21 @@
     }
     given
 }
+
+/// Lets no standard endpoint go before the endpoints that replace it are there: while fewer than
+/// `needed` would stay, the zones keep the standard ones that they have, booting ones included.
+/// `listed` are the endpoints that serve, `ordered` what the zones were told to have.
+pub fn hold(plan: &mut Plan, listed: &Plan, ordered: &Plan, needed: u32) {
+    let at = |known: &Plan, zone: &ZoneId| known.get(zone).copied().unwrap_or_default();
+    let standing = |zone: &ZoneId| at(listed, zone).standard.max(at(ordered, zone).standard);
+    let stay = |(zone, size): (&ZoneId, &Size)| {
+        at(listed, zone).reclaimable.min(size.reclaimable) + standing(zone).min(size.standard)
+    };
+    let mut staying: u32 = plan.iter().map(stay).sum();
+    for (zone, size) in plan {
+        while staying < needed && size.standard < standing(zone) {
+            size.standard += 1;
+            staying += 1;
+        }
+    }
+}
--- a/crates/edge/tests/fleet.rs
+++ b/crates/edge/tests/fleet.rs
@@ -5,7 +5,7 @@
 
 use agate_edge::config::Scale;
 use agate_edge::duty::demand::Demand;
-use agate_edge::duty::plan::{Plan, Situation, Size, plan};
+use agate_edge::duty::plan::{Plan, Situation, Size, hold, plan};
 use agate_edge::ledger::{Offer, Row};
 use proptest::prelude::*;
 use tokio::time::Instant;
@@ -30,7 +30,7 @@
     })
 }
 
-fn situation<'a>(scale: &'a Scale, dry: &'a [String]) -> Situation<'a> {
+fn situation<'a>(scale: &'a Scale, dry: &'a BTreeMap<String, u32>) -> Situation<'a> {
     Situation {
         scale,
         needed: 18,
@@ -43,7 +43,7 @@
 #[test]
 fn most_of_a_fleet_is_reclaimable_and_spread_evenly() {
     let scale = scale(12);
-    let plan = plan(&situation(&scale, &[]));
+    let plan = plan(&situation(&scale, &BTreeMap::new()));
     assert_eq!(
         total(&plan),
         Size {
@@ -57,7 +57,7 @@
 #[test]
 fn zones_that_give_no_reclaimable_ones_are_made_up_by_the_others() {
     let scale = scale(12);
-    let dry = ["a".to_owned()];
+    let dry = BTreeMap::from([("a".to_owned(), 0)]);
     let plan = plan(&situation(&scale, &dry));
     assert_eq!(plan["a"].reclaimable, 0);
     assert_eq!(total(&plan).reclaimable, 15);
@@ -68,11 +68,46 @@
 #[test]
 fn without_reclaimable_ones_only_what_the_work_needs_is_standard() {
     let scale = scale(12);
-    let dry: Vec<String> = ["a", "b", "c"].map(str::to_owned).into();
+    let dry = ["a", "b", "c"].map(|it| (it.to_owned(), 0)).into();
     let plan = plan(&situation(&scale, &dry));
     assert_eq!(total(&plan).standard, 10);
 }
 
+/// A zone that had no more to give was planned as if it had none. Standard endpoints were ordered
+/// for all that ran there.
+#[test]
+fn zones_that_give_no_more_keep_the_reclaimable_ones_that_they_have() {
+    let scale = scale(12);
+    let dry = ["a", "b", "c"].map(|it| (it.to_owned(), 4)).into();
+    let plan = plan(&situation(&scale, &dry));
+    let expected = Size {
+        standard: 3,
+        reclaimable: 12,
+    };
+    assert_eq!(total(&plan), expected);
+}
+
+/// Once zones were no longer known as dry, the standard endpoints that made up for them were let
+/// go while they booted, and ordered again a second later: seconds that nobody was served in.
+#[test]
+fn standard_endpoints_that_boot_are_kept_until_others_serve() {
+    let scale = scale(12);
+    let of = |standard, reclaimable| Size {
+        standard,
+        reclaimable,
+    };
+    let zones = |size| ["a", "b", "c"].map(|zone| (zone.to_owned(), size)).into();
+    let listed: Plan = zones(of(1, 0));
+    let ordered: Plan = zones(of(4, 0));
+    let mut wanted = plan(&situation(&scale, &BTreeMap::new()));
+    hold(&mut wanted, &listed, &ordered, 10);
+    assert_eq!(total(&wanted).standard, 10);
+    let served: Plan = zones(of(4, 5));
+    let mut wanted = plan(&situation(&scale, &BTreeMap::new()));
+    hold(&mut wanted, &served, &ordered, 10);
+    assert_eq!(total(&wanted).standard, 3);
+}
+
 fn row(at: u64, work: f64) -> Row {
     let offer = Offer {
         work,
@@ -161,7 +196,7 @@
         least in 0_u32..60,
         base in 0_u32..60,
         max in 1_u32..20,
-        dry in proptest::collection::vec("[a-c]", 0..3),
+        dry in proptest::collection::btree_map("[a-c]", 0_u32..25, 0..3),
     ) {
         let scale = scale(max);
         let situation = Situation { scale: &scale, needed, least: least.min(needed), base, dry: &dry };
