--- a/crates/proof/src/program.rs
+++ b/crates/proof/src/program.rs
@@ -22,13 +22,14 @@
     log: PathBuf,
 }
 
-/// Directory with the programs, next to that of the tests.
+/// Directory with the programs: that of this one, or the one above for a test.
 pub fn directory() -> PathBuf {
-    let test = std::env::current_exe().expect("a test knows its executable");
-    let deps = test.parent().expect("an executable lies in a directory");
-    deps.parent()
-        .expect("deps lies in the target directory")
-        .to_owned()
+    let own = std::env::current_exe().expect("a process knows its executable");
+    let beside = own.parent().expect("an executable lies in a directory");
+    match beside.parent() {
+        Some(above) if beside.ends_with("deps") => above.to_owned(),
+        _ => beside.to_owned(),
+    }
 }
 
 impl Program {
