--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -116,7 +116,9 @@
 
     fn choose(&self, work: &Work, progress: &Progress) -> Option<Ticket> {
         let hosts = self.edge.sharing();
+        let zone = self.edge.settings.borrow().zone.clone();
         let wish = Wish {
+            zone: &zone,
             service: &work.service,
             prefix: work.prefix,
             work: work.cost,
--- a/crates/edge/src/interface.rs
+++ b/crates/edge/src/interface.rs
@@ -90,6 +90,13 @@
     pub signed: bool,
 }
 
+/// A caller's question for addresses.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Question {
+    /// Availability zone of the caller, if it says so.
+    pub zone: Option<ZoneId>,
+}
+
 /// How callers and endpoints are spoken to.
 pub trait Dialect {
     /// Reads a caller's request.
@@ -101,8 +108,8 @@
     /// Reads the head of an endpoint's answer.
     fn reply(&self, head: &ResponseHead) -> Reply;
 
-    /// Whether a request to the directory is a question for addresses.
-    fn is_question(&self, head: &RequestHead) -> bool;
+    /// Reads a request to the directory; `None` if it is no question for addresses.
+    fn question(&self, head: &RequestHead) -> Option<Question>;
 
     /// Media type and body of the answer to a question.
     fn addresses(&self, addresses: &[SocketAddr], validity: Duration) -> (&'static str, Bytes);
--- a/crates/edge/src/place.rs
+++ b/crates/edge/src/place.rs
@@ -5,12 +5,12 @@
 //! endpoint that has more than its share of the work is passed over, so that one popular prompt
 //! can't overload it. Work is counted in estimated milliseconds of the engine, not in requests.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::rc::Rc;
 use std::time::Duration;
 
-use agate_model::id::EndpointId;
+use agate_model::id::{EndpointId, ZoneId};
 use slotmap::{SlotMap, new_key_type};
 use tokio::time::Instant;
 
@@ -67,6 +67,8 @@
     pub hosts: usize,
     /// Endpoints that were tried.
     pub excluded: &'a [EndpointId],
+    /// Availability zone of this host.
+    pub zone: &'a ZoneId,
 }
 
 /// How a request at an endpoint ended.
@@ -97,6 +99,11 @@
     resting_until: Option<Instant>,
 }
 
+/// Fewest open endpoints of a zone, as a part of an equal share, that take the work of their zone
+/// alone.
+const NEAR_SHARE: f64 = 0.8;
+/// Fewest endpoints of a zone that do.
+const NEAR_LEAST: usize = 4;
 /// Weight of one request in the share of recent failures.
 const FAILING_WEIGHT: f64 = 0.15;
 /// Share of failures above which an endpoint is left out.
@@ -196,7 +203,7 @@
         let is_light = wish.lane.is_some_and(|lane| lane.is_light);
         let key = match wish.prefix {
             Some(prefix) if !is_light => self.nearest(&open, prefix, wish),
-            _ => self.least(&open),
+            _ => self.least(&self.near(&open, wish)),
         }?;
         let entry = &mut self.entries[key];
         entry.running += 1;
@@ -231,6 +238,19 @@
         if own.is_empty() { open } else { own }
     }
 
+    /// Endpoints of this host's zone, if these are about as many as in other zones, or all.
+    fn near(&self, open: &[Key], wish: &Wish<'_>) -> Vec<Key> {
+        let zone = |key: &Key| &self.entries[*key].endpoint.zone;
+        let zones: HashSet<&ZoneId> = open.iter().map(zone).collect();
+        let own = open.iter().filter(|key| zone(key) == wish.zone).copied();
+        let own: Vec<Key> = own.collect();
+        let share = open.len() as f64 / zones.len().max(1) as f64;
+        if own.len() >= NEAR_LEAST && own.len() as f64 >= share * NEAR_SHARE {
+            return own;
+        }
+        open.to_vec()
+    }
+
     fn ready(&self, service: &str) -> impl Iterator<Item = Key> {
         let keys = self.by_service.get(service).map_or(&[][..], Vec::as_slice);
         let all = keys.iter().copied();
--- a/crates/edge/tests/lane.rs
+++ b/crates/edge/tests/lane.rs
@@ -1,7 +1,9 @@
 //! Short questions beside long prompts: the load of a workshop in which long dossiers are read
 //! while the night shift asks short questions.
 
+use std::collections::HashSet;
 use std::rc::Rc;
+use std::sync::LazyLock;
 
 use agate_edge::lane::{Lane, Profile};
 use agate_edge::place::{Board, Outcome, Tuning, Wish};
@@ -32,6 +34,8 @@
 }
 
 fn wish(service: &String, prefix: Option<u64>, lane: Option<Lane>) -> Wish<'_> {
+    static ZONE: LazyLock<String> = LazyLock::new(|| "a".to_owned());
+    let zone = &*ZONE;
     Wish {
         service,
         prefix,
@@ -39,6 +43,7 @@
         lane,
         hosts: 1,
         excluded: &[],
+        zone,
     }
 }
 
@@ -155,3 +160,29 @@
     let most = counts.values().max().copied().unwrap_or(0);
     assert!(most <= total / ENDPOINTS * 2, "{counts:?}");
 }
+
+/// Short questions of a zone stay there; long prompts go where their shared part is, wherever.
+#[test]
+fn short_questions_stay_in_their_zone_while_it_has_endpoints_enough() {
+    let service = SERVICE.to_owned();
+    let (light, heavy) = profile();
+    let mut board = Board::new(Tuning::default());
+    for n in 0..72 {
+        let zone = ["a", "b", "c"][n % 3].to_owned();
+        let it = Endpoint {
+            zone,
+            ..endpoint(n, false)
+        };
+        board.apply(&Change::Joined(Rc::new(it)));
+    }
+    let mut zones = [HashSet::new(), HashSet::new()];
+    for n in 0..60 {
+        for (at, lane) in [light, heavy].into_iter().enumerate() {
+            let ticket = board.choose(Instant::now(), &wish(&service, Some(n), lane), 16);
+            let ticket = ticket.expect("an endpoint is free");
+            zones[at].insert(ticket.endpoint.zone.clone());
+            board.finish(Instant::now(), &ticket, Outcome::Answered);
+        }
+    }
+    assert_eq!(zones.map(|it| it.len()), [1, 3]);
+}
--- a/crates/edge/tests/support/mod.rs
+++ b/crates/edge/tests/support/mod.rs
@@ -13,7 +13,7 @@
 use actix_http::{RequestHead, ResponseHead};
 use agate_edge::config::{Account, Config, Engine, Kind, Limits, Route, Service};
 use agate_edge::edge::Remote;
-use agate_edge::interface::{Ask, Decoder, Dialect, Duties, Fault, Mark, Reply};
+use agate_edge::interface::{Ask, Decoder, Dialect, Duties, Fault, Mark, Question, Reply};
 use agate_edge::roster::Endpoint;
 use agate_edge::run::Program;
 use agate_edge::settings::{self, Bounds, Listen, Settings};
@@ -326,8 +326,9 @@
         }
     }
 
-    fn is_question(&self, head: &RequestHead) -> bool {
-        head.uri.path() == "/where"
+    fn question(&self, head: &RequestHead) -> Option<Question> {
+        let zone = head.uri.query().map(str::to_owned);
+        (head.uri.path() == "/where").then_some(Question { zone })
     }
 
     fn addresses(&self, addresses: &[SocketAddr], _validity: Duration) -> (&'static str, Bytes) {
