A host that the store turns away serves on by the readers of other zones

Cause: the store may turn some hosts away and serve the others.

Change: while the store does not answer a host, it hands its heartbeat to the readers of other zones too and reads the tables of endpoints and hosts from them. The receipt is evidence only for a host that has the configuration which the reader knows as the newest; the configuration itself, which holds keys, is never handed on. A reader that the store does not answer takes no heartbeats.

Tests: a_host_that_the_store_turns_away_serves_on_by_the_evidence_of_others failed on the commit before (503 with evidence of 4.8 s) and passes; a_key_is_withdrawn_in_time_from_a_host_that_the_store_turns_away passes on both.

--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -320,17 +320,22 @@
         hosts.sharing(Instant::now()).max(1)
     }
 
-    /// Where the host that reads and writes the store for this zone listens; `None` if that is
-    /// this one.
-    pub fn reader(&self) -> Option<SocketAddr> {
+    /// Where the hosts listen that read and write the store for this one: the reader of its zone,
+    /// unless that is this host itself, and those of the other zones while the store does not
+    /// answer this host.
+    pub fn readers(&self) -> Vec<SocketAddr> {
         let settings = self.settings.borrow();
-        settings.listen.relay?;
-        let hosts = self.hosts.borrow();
-        let reader = hosts.reader(Instant::now(), &settings.zone)?;
-        if reader.host == settings.host {
-            return None;
+        if settings.listen.relay.is_none() {
+            return Vec::new();
         }
-        reader.relay
+        let hosts = self.hosts.borrow();
+        let mut readers = hosts.readers(Instant::now());
+        let own = readers.remove(&settings.zone);
+        let others = readers.into_values().filter(|_| self.outage.is_on());
+        let all = own.into_iter().chain(others);
+        all.filter(|row| row.host != settings.host)
+            .filter_map(|row| row.relay)
+            .collect()
     }
 
     /// True time as most hosts agree on it, in milliseconds since the Unix epoch.
--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -133,7 +133,9 @@
     /// Changes from the reader of the zone; `None` if the store is to be asked.
     async fn relayed(&mut self) -> Option<Changes> {
         let (relay, after) = (self.relay.as_ref()?, self.after?);
-        if self.is_lost {
+        // Whoever lost the store for a moment asks it first; while it does not answer this host,
+        // the reader of another zone may have what is wanted.
+        if self.is_lost && !self.edge.outage.is_on() {
             return None;
         }
         let changes = relay.changes(after, self.wait);
--- a/crates/edge/src/handover.rs
+++ b/crates/edge/src/handover.rs
@@ -130,7 +130,7 @@
 
 /// Hands a heartbeat over to the reader of the zone and takes its receipt in.
 pub async fn deliver(edge: &Edge, link: &Link, beat: &Beat) -> Result<Receipt, Error> {
-    let reader = edge.reader().ok_or(Error::NoReader)?;
+    let reader = link.pick(&edge.readers()).ok_or(Error::NoReader)?;
     let body = serde_json::to_vec(beat).map_err(|err| Error::Malformed(err.to_string()))?;
     let question = Question {
         method: Method::POST,
--- a/crates/edge/src/hosts.rs
+++ b/crates/edge/src/hosts.rs
@@ -1,7 +1,7 @@
 //! What hosts tell each other by rows in the store: where callers reach them, and how their
 //! clocks stand.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -122,15 +122,18 @@
         live.max(self.most.div_ceil(2))
     }
 
-    /// The host that reads the store and writes to it for the others of a zone: the largest that
-    /// is ready, by name among equals. All hosts of the zone find the same one.
-    pub fn reader(&self, now: Instant, zone: &str) -> Option<&Row> {
-        let live = self.live(now).into_iter();
-        let ready = live.filter(|row| row.ready && row.zone == zone);
-        ready.max_by(|left, right| {
-            let by_size = left.weight.total_cmp(&right.weight);
-            by_size.then_with(|| right.host.cmp(&left.host))
-        })
+    /// The hosts that read the store and write to it for the others, one for each zone: the
+    /// largest that is ready, by name among equals. All hosts find the same ones.
+    pub fn readers(&self, now: Instant) -> BTreeMap<&ZoneId, &Row> {
+        let mut readers: BTreeMap<&ZoneId, &Row> = BTreeMap::new();
+        for row in self.live(now).into_iter().filter(|row| row.ready) {
+            let reader = readers.entry(&row.zone).or_insert(row);
+            let by_size = row.weight.total_cmp(&reader.weight);
+            if by_size.then_with(|| reader.host.cmp(&row.host)).is_gt() {
+                *reader = row;
+            }
+        }
+        readers
     }
 
     /// All rows, of ended runs too.
--- a/crates/edge/src/link.rs
+++ b/crates/edge/src/link.rs
@@ -1,6 +1,7 @@
 //! Calls to another host of the zone.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -18,7 +19,7 @@
 /// Time of an answer beside the wait that it was asked for.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(250);
 /// A host that failed is not asked again for this long.
-const REST: Duration = Duration::from_secs(4);
+const REST: Duration = Duration::from_secs(2);
 
 /// Why there is no answer of another host.
 #[derive(Debug, thiserror::Error)]
@@ -55,23 +56,28 @@
     pub wait: Duration,
 }
 
-/// A connection that is kept between calls.
+/// A connection that is kept between calls, to one of several hosts.
 #[derive(Default)]
 pub struct Link {
     stream: Cell<Option<(SocketAddr, TcpStream)>>,
-    resting: Cell<Option<Instant>>,
+    /// Until when hosts that failed are not asked.
+    resting: RefCell<HashMap<SocketAddr, Instant>>,
 }
 
 impl Link {
-    /// Whether the last call failed a short while ago.
-    pub fn is_resting(&self) -> bool {
-        let until = self.resting.get();
-        until.is_some_and(|until| until > Instant::now())
+    /// The first of the hosts that has not failed a short while ago.
+    pub fn pick(&self, hosts: &[SocketAddr]) -> Option<SocketAddr> {
+        let now = Instant::now();
+        let mut resting = self.resting.borrow_mut();
+        resting.retain(|_, until| *until > now);
+        let found = hosts.iter().find(|it| !resting.contains_key(it));
+        found.copied()
     }
 
-    /// Makes no call for a while: the answers are of no use.
-    pub fn rest(&self) {
-        self.resting.set(Some(Instant::now() + REST));
+    /// Does not ask a host for a while: its answers are of no use.
+    pub fn rest(&self, host: SocketAddr) {
+        let until = Instant::now() + REST;
+        self.resting.borrow_mut().insert(host, until);
     }
 
     /// Asks the host at `address`.
@@ -80,12 +86,9 @@
         address: SocketAddr,
         question: Question,
     ) -> Result<T, Error> {
-        if self.is_resting() {
-            return Err(Error::NoReader);
-        }
         let answer = self.call(address, question).await;
         if answer.is_err() {
-            self.rest();
+            self.rest(address);
         }
         let body = answer?;
         serde_json::from_slice(&body).map_err(|err| Error::Malformed(err.to_string()))
--- a/crates/edge/src/outage.rs
+++ b/crates/edge/src/outage.rs
@@ -34,6 +34,11 @@
         }
     }
 
+    /// Whether the store does not answer this host.
+    pub fn is_on(&self) -> bool {
+        self.next.get().is_some()
+    }
+
     /// Waits until it is this task's turn to call, or the store answers again.
     pub async fn turn(&self) {
         loop {
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -200,7 +200,10 @@
         }
         let target = incoming.request.head().uri.path();
         if target == handover::TARGET {
-            return answer(handover::take(&self.edge, &incoming.body));
+            // Whoever hands over is to find a reader that the store answers.
+            let is_answered = !self.edge.outage.is_on();
+            let receipt = is_answered.then(|| handover::take(&self.edge, &incoming.body));
+            return answer(receipt.flatten());
         }
         let Some(query) = Query::parse(target) else {
             return page::Page::bare(StatusCode::BAD_REQUEST);
@@ -291,10 +294,8 @@
 
     /// Changes after a commit, from the reader of the zone.
     pub async fn changes(&self, after: u64, wait: Duration) -> Result<Changes, Error> {
-        if self.link.is_resting() {
-            return Err(Error::NoReader);
-        }
-        let reader = self.edge.reader().ok_or(Error::NoReader)?;
+        let readers = self.edge.readers();
+        let reader = self.link.pick(&readers).ok_or(Error::NoReader)?;
         let read = self.read(reader, after, wait).await;
         if let Err(err) = &read {
             tracing::info!(
@@ -303,7 +304,7 @@
                 reader = %reader,
                 error = %err,
             );
-            self.link.rest();
+            self.link.rest(reader);
         }
         read
     }
--- a/crates/edge/tests/heartbeat.rs
+++ b/crates/edge/tests/heartbeat.rs
@@ -3,10 +3,12 @@
 mod support;
 
 use std::collections::BTreeMap;
+use std::rc::Rc;
 use std::time::Duration;
 
 use agate_edge::ledger;
-use support::{Act, Bench, Server, ask, status};
+use agate_edge::settings::Settings;
+use support::{Act, Bench, Server, Way, ask, settings, status};
 use tokio::time::{Instant, sleep};
 
 const FINE: &str = "HTTP/1.1 200 OK\r\nx-id: {id}\r\nx-signed: 1\r\ncontent-length: 4\r\n\r\nfine";
@@ -102,3 +104,57 @@
         assert_eq!(status(&bench.call(&ask("read", "r", "")).await), "200");
     }
 }
+
+/// Two hosts of different zones with one store, and the second one's way to it.
+async fn zones() -> (Server, Bench, Bench, Rc<Way>) {
+    let server = Server::start(vec![vec![Act::Say(FINE)]]).await;
+    let first = Bench::start(&[&server]).await;
+    let way = Way::new(first.store.clone());
+    let settings = Settings {
+        host: "two".to_owned(),
+        zone: "b".to_owned(),
+        ..settings().await
+    };
+    let second = Bench::with_way(way.clone(), settings, None).await;
+    sleep(Duration::from_millis(4_000)).await;
+    (server, first, second, way)
+}
+
+/// A host that the store turned away refused all work with a key after five seconds.
+#[actix_rt::test]
+async fn a_host_that_the_store_turns_away_serves_on_by_the_evidence_of_others() {
+    let (_server, _first, second, way) = zones().await;
+    way.is_cut.set(true);
+    let until = Instant::now() + Duration::from_secs(9);
+    while Instant::now() < until {
+        let answer = second.call(&ask("read", "r", "")).await;
+        assert_eq!(
+            status(&answer),
+            "200",
+            "{:?}",
+            second.program.edge().evidence_age()
+        );
+        sleep(Duration::from_millis(200)).await;
+    }
+}
+
+/// What others know is no evidence for a host that has an older configuration.
+#[actix_rt::test]
+async fn a_key_is_withdrawn_in_time_from_a_host_that_the_store_turns_away() {
+    let (_server, first, second, way) = zones().await;
+    way.is_cut.set(true);
+    sleep(Duration::from_millis(2_500)).await;
+    first.store.put("settings", "config", Some("2 other"));
+    let withdrawn = Instant::now();
+    let bound = second.settings.bounds.withdraw;
+    while withdrawn.elapsed() < Duration::from_secs(9) {
+        let sent = withdrawn.elapsed();
+        let answer = second.call(&ask("read", "r", "")).await;
+        let is_late = sent > bound;
+        assert!(
+            !is_late || status(&answer) != "200",
+            "served {sent:?} after the withdrawal"
+        );
+        sleep(Duration::from_millis(100)).await;
+    }
+}
