agate-site notices a settings file that changes without a signal

The program now looks at it once a second and reloads it if it holds something else; the log line names the cause (signal or file).

--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -5,3 +5,4 @@
 pub mod place;
 pub mod signal;
 pub mod size;
+pub mod watch;
