A refusal for want of evidence is logged with its account

It is now the one that the key had in the configuration in force, whether or not that can be shown to be the newest.

--- a/crates/edge/src/forward/admit.rs
+++ b/crates/edge/src/forward/admit.rs
@@ -49,6 +49,10 @@
             return Err(self.deny(Reason::RouteUnknown));
         };
         record.route = route.id.clone();
+        // A refusal for want of evidence is logged with the account that the key had last.
+        let keys = config.keys.as_ref();
+        let known = ask.key.as_ref().and_then(|key| keys?.get(key));
+        record.account = known.map(|it| it.id.clone());
         let account = self.account(&config, route, &ask)?;
         record.account = account.as_ref().map(|it| it.id.clone());
         let service = route.service(estimate::hash(&ask.id)).clone();
