The soak finds seven variants that are broken on purpose

Variants exist only in programs built with the feature `sabotage`, by the environment variable AGATE_SABOTAGE; scripts/soak-broken builds them apart and runs the soak until it finds each one.

--- a/crates/edge/src/duty/usage.rs
+++ b/crates/edge/src/duty/usage.rs
@@ -14,6 +14,7 @@
 use crate::edge::Edge;
 use crate::interface::Counts;
 use crate::metrics::count;
+use crate::sabotage::{self, Variant};
 
 /// Table of frozen figures.
 const TABLE: &str = "usage";
@@ -177,6 +178,9 @@
     };
     match edge.remote.tables.commit(&transaction).await {
         Ok(_) => Ok(frozen.counts),
+        Err(Error::Conflict(_) | Error::Unknown(_)) if sabotage::is(Variant::TwoFigures) => {
+            Ok(frozen.counts)
+        }
         Err(Error::Conflict(_) | Error::Unknown(_)) => {
             let found = edge.remote.tables.get(TABLE, &key(window)).await?;
             let missing = || Error::Unreached(format!("window {window} is not frozen"));
--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -28,6 +28,7 @@
 use crate::place::{Board, Tuning};
 use crate::relay::Mirrors;
 use crate::roster::{Change, Roster};
+use crate::sabotage::{self, Variant};
 use crate::settings::Settings;
 use crate::usage::Tally;
 
@@ -191,7 +192,7 @@
             .bounds
             .withdraw
             .saturating_sub(TRANSIT);
-        self.evidence.get().is_fresh(clock::boot(), limit)
+        self.evidence.get().is_fresh(clock::boot(), limit) || sabotage::is(Variant::StaleKeys)
     }
 
     /// Whether it may be said that a route or key does not exist.
@@ -311,7 +312,7 @@
         }
         let mut budgets = self.budgets.borrow_mut();
         let budget = budgets.entry(service.clone()).or_default();
-        budget.take(now, &terms, hosts)
+        budget.take(now, &terms, hosts) || sabotage::is(Variant::GreedyRepeats)
     }
 
     /// Number of hosts that share what there is.
--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -24,6 +24,7 @@
 use crate::place::{Outcome, Ticket, Wish};
 use crate::record::Record;
 use crate::refusal::{Reason, Refusal};
+use crate::sabotage::{self, Variant};
 
 /// Longest time to open a connection to an endpoint.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(700);
@@ -193,7 +194,7 @@
         let is_own = |head: &ResponseHead| {
             let reply = dialect.reply(head);
             match reply.request {
-                Some(id) => id == work.ask.id,
+                Some(id) => id == work.ask.id || sabotage::is(Variant::AnyAnswer),
                 None => !reply.signed && !head.status.is_success(),
             }
         };
@@ -317,12 +318,16 @@
                 }
                 Attempt::Lost => {
                     held.close(Outcome::Failed);
-                    let may = work.route.kind.is_repeatable();
+                    let may = self.is_repeatable(work);
                     if !may || !self.may_go_on(work, &progress, "lost") {
                         if answer.is_begun() {
                             return Ok(End::Broken);
                         }
-                        return Err(Refusal::new(Reason::EndpointFailed));
+                        let reason = match sabotage::is(Variant::FalseRefusal) {
+                            true => Reason::Declined,
+                            false => Reason::EndpointFailed,
+                        };
+                        return Err(Refusal::new(reason));
                     }
                 }
                 Attempt::TimedOut => {
@@ -339,12 +344,16 @@
         }
     }
 
+    fn is_repeatable(&self, work: &Work) -> bool {
+        work.route.kind.is_repeatable() || sabotage::is(Variant::RepeatOnce)
+    }
+
     /// Whether another endpoint may be tried after one that may have got the request.
     fn may_go_on(&self, work: &Work, progress: &Progress, why: &'static str) -> bool {
-        let kind_allows = work.route.kind.is_repeatable() || !progress.may_have_run;
-        let may = kind_allows
-            && progress.sends < work.route.attempts
-            && self.edge.may_repeat(&work.service);
+        let kind_allows = self.is_repeatable(work) || !progress.may_have_run;
+        let is_left = progress.sends < work.route.attempts
+            || sabotage::is(Variant::RepeatOnce) && progress.sends < 2;
+        let may = kind_allows && is_left && self.edge.may_repeat(&work.service);
         if may {
             count(&self.edge.metrics.repeats, why);
             tracing::info!(
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -33,5 +33,6 @@
 pub mod relay;
 pub mod roster;
 pub mod run;
+pub mod sabotage;
 pub mod settings;
 pub mod usage;
--- a/crates/edge/src/run.rs
+++ b/crates/edge/src/run.rs
@@ -13,6 +13,7 @@
 use crate::forward::Forwarder;
 use crate::front::{self, Handler};
 use crate::page::Desk;
+use crate::sabotage::{self, Variant};
 use crate::settings::Settings;
 use crate::{duty, follow, heartbeat, metrics, relay};
 
@@ -107,7 +108,10 @@
         let bounds = edge.settings.borrow().bounds.clone();
         tracing::info!(event = "leaving", running = edge.running());
         heartbeat::publish(edge, false).await;
-        let limit = began + bounds.grace.mul_f64(DRAIN_SHARE);
+        let limit = match sabotage::is(Variant::HastyStop) {
+            true => began,
+            false => began + bounds.grace.mul_f64(DRAIN_SHARE),
+        };
         let linger = bounds.addresses.min(bounds.grace).mul_f64(LINGER_SHARE);
         while Instant::now() < limit && (began.elapsed() < linger || edge.running() > 0) {
             sleep(DRAIN_STEP).await;
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -14,7 +14,7 @@
 /// Mean time between the begins of two faults.
 const GAP: Duration = Duration::from_millis(1100);
 /// Shortest and longest fault.
-const LENGTHS: (f64, f64) = (0.4, 4.5);
+const LENGTHS: (f64, f64) = (0.4, 7.0);
 
 /// What goes wrong.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize)]
@@ -56,13 +56,13 @@
     EndpointCrash,
     /// An endpoint announces that it leaves, and ends later.
     EndpointLeave,
-    /// An endpoint answers nothing.
+    /// An endpoint, or all of them, answers nothing.
     EndpointDark,
-    /// An endpoint fails some requests.
+    /// An endpoint, or all of them, fails some requests.
     EndpointGrey,
-    /// An endpoint runs requests and cuts their answers.
+    /// An endpoint, or all of them, runs requests and cuts their answers.
     EndpointCuts,
-    /// An endpoint answers with what belongs to other requests.
+    /// An endpoint, or all of them, answers with what belongs to other requests.
     EndpointForeign,
     /// An endpoint's connections are reset.
     EndpointReset,
