--- /dev/null
+++ b/crates/edge/tests/support/store.rs
@@ -0,0 +1,262 @@
+//! A store in memory, and the way of one host to it.
+
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, HashMap};
+use std::rc::Rc;
+use std::time::Duration;
+
+use agate_store::Error;
+use agate_store::interface::{Answer, Change, Changes, Feed, Tables};
+use agate_wire::table::{Commit, Conflict, Page, Row, Transaction};
+use bytes::Bytes;
+use tokio::sync::Notify;
+use tokio::time::{Instant, sleep, timeout_at};
+
+/// Rows in memory, with their history.
+#[derive(Default)]
+pub struct Store {
+    rows: RefCell<BTreeMap<(String, String), (Bytes, u64)>>,
+    log: RefCell<Vec<(String, Change)>>,
+    revision: Cell<u64>,
+    changed: Notify,
+    /// Calls fail while this is set.
+    pub is_down: Cell<bool>,
+    /// Calls that wait for changes never return while this is set.
+    pub is_silent: Cell<bool>,
+    /// Time that a commit takes.
+    pub commit_time: Cell<Duration>,
+    /// Feed calls by table.
+    pub calls: RefCell<HashMap<String, usize>>,
+    /// Commits that were asked for.
+    pub commits: Cell<usize>,
+    started: RefCell<Option<Instant>>,
+}
+
+impl Store {
+    /// Writes or removes a row.
+    pub fn put(&self, table: &str, key: &str, value: Option<&str>) {
+        let revision = self.revision.get() + 1;
+        self.revision.set(revision);
+        let value = value.map(|it| Bytes::from(it.to_owned()));
+        let place = (table.to_owned(), key.to_owned());
+        match &value {
+            Some(value) => drop(
+                self.rows
+                    .borrow_mut()
+                    .insert(place, (value.clone(), revision)),
+            ),
+            None => drop(self.rows.borrow_mut().remove(&place)),
+        }
+        let change = Change {
+            key: key.to_owned(),
+            value,
+            revision,
+        };
+        self.log.borrow_mut().push((table.to_owned(), change));
+        self.changed.notify_waiters();
+    }
+
+    /// Calls so far, of any kind.
+    pub fn call_count(&self) -> usize {
+        self.commits.get() + self.calls.borrow().values().sum::<usize>()
+    }
+
+    /// Contents of all rows of a table.
+    pub fn contents(&self, table: &str) -> Vec<String> {
+        let rows = self.rows.borrow();
+        let rows = rows.iter().filter(|((it, _), _)| it == table);
+        rows.map(|(_, (value, _))| String::from_utf8_lossy(value).into_owned())
+            .collect()
+    }
+
+    fn clock(&self) -> u64 {
+        let mut started = self.started.borrow_mut();
+        let started = started.get_or_insert_with(Instant::now);
+        1000 + u64::try_from(started.elapsed().as_millis()).unwrap_or(0)
+    }
+
+    fn check(&self) -> Result<(), Error> {
+        match self.is_down.get() {
+            true => Err(Error::Unknown("down".to_owned())),
+            false => Ok(()),
+        }
+    }
+
+    fn since(&self, table: &str, after: u64) -> Vec<Change> {
+        let log = self.log.borrow();
+        let newer = log
+            .iter()
+            .filter(|(it, change)| it == table && change.revision > after);
+        newer.map(|(_, change)| change.clone()).collect()
+    }
+
+    fn row(&self, table: &str, key: &str) -> Option<Row> {
+        let rows = self.rows.borrow();
+        let (value, revision) = rows.get(&(table.to_owned(), key.to_owned()))?;
+        Some(Row {
+            key: key.to_owned(),
+            value: String::from_utf8_lossy(value).into_owned(),
+            revision: *revision,
+        })
+    }
+}
+
+impl Tables for Store {
+    fn get<'a>(&'a self, table: &'a str, key: &'a str) -> Answer<'a, Option<Row>> {
+        Box::pin(async move {
+            self.check()?;
+            Ok(self.row(table, key))
+        })
+    }
+
+    fn scan<'a>(
+        &'a self,
+        _table: &'a str,
+        _prefix: &'a str,
+        _after: &'a str,
+        _limit: usize,
+    ) -> Answer<'a, Page> {
+        Box::pin(async { Err(Error::Unreached("not part of this stand-in".to_owned())) })
+    }
+
+    fn commit<'a>(&'a self, transaction: &'a Transaction) -> Answer<'a, Commit> {
+        Box::pin(async move {
+            self.commits.set(self.commits.get() + 1);
+            sleep(self.commit_time.get()).await;
+            self.check()?;
+            for check in &transaction.checks {
+                let found = self.row(&check.table, &check.key);
+                if found.as_ref().map(|it| it.revision) != check.revision {
+                    let check = check.clone();
+                    return Err(Error::Conflict(Box::new(Conflict { check, found })));
+                }
+            }
+            for write in &transaction.writes {
+                self.put(&write.table, &write.key, write.value.as_deref());
+            }
+            Ok(Commit {
+                revision: self.revision.get(),
+            })
+        })
+    }
+}
+
+impl Feed for Store {
+    fn snapshot<'a>(&'a self, table: &'a str) -> Answer<'a, Changes> {
+        Box::pin(async move {
+            self.check()?;
+            let rows = self.rows.borrow();
+            let rows = rows.iter().filter(|((it, _), _)| it == table);
+            let rows = rows.map(|((_, key), (value, revision))| Change {
+                key: key.clone(),
+                value: Some(value.clone()),
+                revision: *revision,
+            });
+            Ok(Changes {
+                rows: rows.collect(),
+                revision: self.revision.get(),
+                clock: self.clock(),
+            })
+        })
+    }
+
+    fn changes<'a>(
+        &'a self,
+        table: &'a str,
+        after: u64,
+        wait: Duration,
+    ) -> Answer<'a, Option<Changes>> {
+        Box::pin(async move {
+            *self.calls.borrow_mut().entry(table.to_owned()).or_default() += 1;
+            self.check()?;
+            let until = Instant::now() + wait;
+            while self.since(table, after).is_empty() && Instant::now() < until {
+                let _ = timeout_at(until, self.changed.notified()).await;
+            }
+            if self.is_silent.get() && !wait.is_zero() {
+                std::future::pending::<()>().await;
+            }
+            self.check()?;
+            Ok(Some(Changes {
+                rows: self.since(table, after),
+                revision: self.revision.get(),
+                clock: self.clock(),
+            }))
+        })
+    }
+}
+
+/// The way of one host to a store, which can be cut.
+pub struct Way {
+    /// The store.
+    pub store: Rc<Store>,
+    /// Calls get no answer while this is set.
+    pub is_cut: Cell<bool>,
+}
+
+impl Way {
+    /// A way that is open.
+    pub fn new(store: Rc<Store>) -> Rc<Self> {
+        Rc::new(Self {
+            store,
+            is_cut: Cell::new(false),
+        })
+    }
+
+    async fn check(&self) -> Result<(), Error> {
+        if self.is_cut.get() {
+            sleep(Duration::from_millis(300)).await;
+            return Err(Error::Unreached("cut".to_owned()));
+        }
+        Ok(())
+    }
+}
+
+impl Tables for Way {
+    fn get<'a>(&'a self, table: &'a str, key: &'a str) -> Answer<'a, Option<Row>> {
+        Box::pin(async move {
+            self.check().await?;
+            self.store.get(table, key).await
+        })
+    }
+
+    fn scan<'a>(
+        &'a self,
+        table: &'a str,
+        prefix: &'a str,
+        after: &'a str,
+        limit: usize,
+    ) -> Answer<'a, Page> {
+        self.store.scan(table, prefix, after, limit)
+    }
+
+    fn commit<'a>(&'a self, transaction: &'a Transaction) -> Answer<'a, Commit> {
+        Box::pin(async move {
+            self.check().await?;
+            self.store.commit(transaction).await
+        })
+    }
+}
+
+impl Feed for Way {
+    fn snapshot<'a>(&'a self, table: &'a str) -> Answer<'a, Changes> {
+        Box::pin(async move {
+            self.check().await?;
+            self.store.snapshot(table).await
+        })
+    }
+
+    fn changes<'a>(
+        &'a self,
+        table: &'a str,
+        after: u64,
+        wait: Duration,
+    ) -> Answer<'a, Option<Changes>> {
+        Box::pin(async move {
+            self.check().await?;
+            let changes = self.store.changes(table, after, wait).await?;
+            self.check().await?;
+            Ok(changes)
+        })
+    }
+}
