Withdrawn key served again: evidence from before the withdrawal, within the bound

Cause: the gate refuses once its own evidence is 2.5 s old. A paused control process may hold newer evidence, from a read of the store after the gate's last call and before the pause. Once it goes on, the gate fetches that and accepts the key until the evidence lapses. Ruled out: a version that goes back, ages that count from the answer.

--- a/crates/gate/tests/config.rs
+++ b/crates/gate/tests/config.rs
@@ -64,6 +64,27 @@
     assert!(!config.is_current(sent + millis(2001), LIMIT));
 }
 
+/// A control process that was paused passes on evidence from before the pause that the gate had not
+/// fetched yet. Keys are accepted again until that evidence lapses, which is no longer than the limit
+/// after it was true.
+#[test]
+fn evidence_fetched_after_a_lapse_is_dated_from_before_it() {
+    let paused = Instant::now() + 60 * SECOND;
+    let mut config = Config::default();
+    config
+        .apply(response(3, Some(900), snapshot(3)), paused)
+        .expect("an update");
+    let resumed = paused + millis(1700);
+    assert!(!config.is_current(resumed, LIMIT));
+    // Between the last call of the gate and the pause, the control process read the store.
+    config
+        .apply(response(3, Some(1750), None), resumed)
+        .expect("a response");
+    let evidence = paused - millis(50);
+    assert!(config.is_current(evidence + LIMIT, LIMIT));
+    assert!(!config.is_current(evidence + LIMIT + millis(1), LIMIT));
+}
+
 #[test]
 fn a_response_without_evidence_leaves_the_version_without_evidence() {
     let sent = Instant::now() + 60 * SECOND;
