Hashes with a published algorithm decide which endpoint holds a prompt

Cause: std's DefaultHasher may change with the compiler, so hosts of two builds would rank the endpoints of a prompt differently during a rolling upgrade and split every prefix. The first build that has it splits prefixes once against the builds before it.

--- a/crates/edge/src/balancer.rs
+++ b/crates/edge/src/balancer.rs
@@ -7,7 +7,6 @@
 //! in requests.
 
 use std::collections::{HashMap, HashSet};
-use std::hash::{DefaultHasher, Hash, Hasher};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -16,6 +15,7 @@
 use tokio::time::Instant;
 
 use crate::config::ServiceId;
+use crate::estimate::hash_pair;
 use crate::roster::{Change, Endpoint};
 use crate::subset::Subset;
 
@@ -320,7 +320,7 @@
         let limit = mean * self.tuning.balance_factor + slack;
         let mut ranked: Vec<(u64, Key)> = open
             .iter()
-            .map(|key| (rank(prefix, &self.entries[*key].endpoint.id), *key))
+            .map(|key| (hash_pair(prefix, &self.entries[*key].endpoint.id), *key))
             .collect();
         ranked.sort_unstable_by_key(|(rank, _)| std::cmp::Reverse(*rank));
         let found = ranked
@@ -397,11 +397,3 @@
         })
     }
 }
-
-/// Returns the rendezvous hash of a prefix and an endpoint.
-fn rank(prefix: u64, endpoint: &str) -> u64 {
-    let mut hasher = DefaultHasher::new();
-    prefix.hash(&mut hasher);
-    endpoint.hash(&mut hasher);
-    hasher.finish()
-}
--- a/crates/edge/src/estimate.rs
+++ b/crates/edge/src/estimate.rs
@@ -1,6 +1,6 @@
 //! Estimates the work of a request and identifies the prompt part that it shares with others.
 
-use std::hash::{DefaultHasher, Hash, Hasher};
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use crate::interface::RequestInfo;
 
@@ -50,9 +50,13 @@
     }
 }
 
-/// Returns an evenly distributed hash of a text, the same on all hosts.
+/// Returns an evenly distributed hash of a text, the same on all hosts and in all builds: hosts of
+/// two builds must agree on the endpoint of a prompt.
 pub fn hash(text: &str) -> u64 {
-    let mut hasher = DefaultHasher::new();
-    text.hash(&mut hasher);
-    hasher.finish()
+    xxh3_64(text.as_bytes())
+}
+
+/// Returns an evenly distributed hash of a number and a text, as stable as [`hash`].
+pub fn hash_pair(number: u64, text: &str) -> u64 {
+    xxh3_64_with_seed(text.as_bytes(), number)
 }
