--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -22,6 +22,7 @@
 use crate::hosts::Hosts;
 use crate::interface::{Decoder, Dialect, Duties};
 use crate::ledger::{Ledger, Offer};
+use crate::meter::{MeteredFeed, MeteredTables};
 use crate::metrics::{Metrics, count};
 use crate::outage::Outage;
 use crate::queue::Queue;
@@ -117,11 +118,17 @@
 impl Edge {
     /// Creates the state of a host that has read nothing from the store yet.
     pub fn new(settings: Settings, remote: Remote) -> Rc<Self> {
+        let metrics = Metrics::new();
+        let remote = Remote {
+            tables: Rc::new(MeteredTables::new(remote.tables, metrics.store.clone())),
+            feed: Rc::new(MeteredFeed::new(remote.feed, metrics.store.clone())),
+            ..remote
+        };
         Rc::new(Self {
             settings: RefCell::new(settings),
             incarnation: hex::encode(rand::random::<[u8; 8]>()),
             remote,
-            metrics: Metrics::new(),
+            metrics,
             roster: RefCell::default(),
             has_roster: Cell::new(false),
             board: RefCell::new(Balancer::new(Tuning::default())),
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod hosts;
 pub mod interface;
 pub mod ledger;
+pub mod meter;
 pub mod metrics;
 pub mod outage;
 pub mod peer;
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -15,6 +15,7 @@
 
 use crate::edge::Edge;
 use crate::headers;
+use crate::meter::Meter;
 use crate::refusal::Reason;
 use crate::response::{Responder, Response};
 use crate::server::Incoming;
@@ -67,6 +68,8 @@
     pub in_flight: Gauge,
     /// 1 while this host holds the lease, otherwise 0.
     pub lease_held: Gauge,
+    /// Calls to the store by kind and table.
+    pub store: Meter,
     latency: Latency,
 }
 
@@ -138,6 +141,13 @@
         registry.register("attempts", "Attempts by outcome", self.attempts.clone());
         registry.register("repeats", "Repeats by reason", self.retries.clone());
         registry.register("calls", "Calls to remote services", self.calls.clone());
+        let store = &self.store;
+        registry.register("store_calls", "Calls to the store", store.calls.clone());
+        registry.register(
+            "store_bytes",
+            "Bytes of rows read or written",
+            store.bytes.clone(),
+        );
         registry.register("changes", "Changes of belief by kind", self.changes.clone());
         let version = self.config_version.clone();
         registry.register("config_version", "Configuration in force", version);
