Turned-away hosts read again: a turn to probe is used, and data is not handed on twice

Cause: two readers that the store had turned away read from each other, ten seconds after it served them again. The task of the heartbeats took each turn to probe and wrote nothing, since another host wrote for it, so the outage never ended there; and each handed on the old configuration that it had from the other.

Change: a turn of the heartbeat is used for a write; a host hands on only what it read from the store itself, and nothing while it has lost the store. Two tests, of a host that was turned away and of two that were.

Hosts learn the kinds of requests from each other as well. The reader of a zone now sums what its hosts have seen, the recent with more weight, and tells them with each receipt, so that they divide the endpoints soon and alike. A test at 9, 75, 300 and 1,000 hosts.

--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -31,7 +31,7 @@
 use crate::roster::{Change, Roster};
 use crate::sabotage::{self, Variant};
 use crate::settings::Settings;
-use crate::subset::{Profile, Subset};
+use crate::subset::{Profile, Recent, Subset, Sums};
 use crate::usage::Counters;
 
 /// Subtracted from the bound on withdrawn keys, for the time that a request takes from the last
@@ -93,6 +93,8 @@
     pub mirrors: Mirrors,
     /// Heartbeats that other hosts handed over to be written by this host.
     pub inbox: Inbox,
+    /// Recent requests of the hosts for which this one reads, including this host.
+    pub recent: RefCell<Recent>,
     /// Usage and demand of all hosts; filled only while this host holds the lease.
     pub ledger: RefCell<Ledger>,
     /// Whether the store is unreachable from this host.
@@ -142,6 +144,7 @@
             hosts: RefCell::default(),
             mirrors: Mirrors::default(),
             inbox: Inbox::default(),
+            recent: RefCell::default(),
             ledger: RefCell::default(),
             outage: Outage::default(),
             usage: RefCell::default(),
@@ -321,6 +324,23 @@
         profile.observe(route, prompt_tokens, work)
     }
 
+    /// Returns the requests that this host has observed since its start.
+    pub fn request_sums(&self) -> Sums {
+        let profiles = self.profiles.borrow();
+        profiles
+            .iter()
+            .map(|(service, profile)| (service.clone(), profile.sums().clone()))
+            .collect()
+    }
+
+    /// Takes over the averages of recent requests of several hosts.
+    pub fn learn(&self, sums: &Sums) {
+        let mut profiles = self.profiles.borrow_mut();
+        for (service, sums) in sums {
+            profiles.entry(service.clone()).or_default().learn(sums);
+        }
+    }
+
     /// Takes one retry from the budget of a service; returns whether it was granted.
     pub fn may_retry(&self, service: &ServiceId) -> bool {
         let now = Instant::now();
--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -17,7 +17,7 @@
 use crate::hosts::{self, Row};
 use crate::ledger;
 use crate::metrics::count;
-use crate::relay::{Client, Relayed};
+use crate::relay::{Client, Relayed, Source};
 use crate::removal::{Decision, Removals};
 use crate::{outage, peer};
 
@@ -255,10 +255,9 @@
         let Some(relay) = &self.relay else { return };
         self.edge.outage.dispel(Instant::now());
         let (revision, clock) = (relayed.changes.revision, relayed.changes.clock);
-        let now = Instant::now();
-        let at = now.checked_sub(relayed.age).unwrap_or(now);
         let mirrors = &self.edge.mirrors;
-        mirrors.record(relay.table, &relayed.changes, relayed.is_snapshot, at);
+        let (changes, is_snapshot) = (&relayed.changes, relayed.is_snapshot);
+        mirrors.record(relay.table, changes, is_snapshot, Source::Host);
         self.sink.start_batch();
         match self.sink.relayed(&self.edge, relayed) {
             Outcome::Complete => {
@@ -391,7 +390,7 @@
         if let (Some(relay), Some(changes)) = (&self.relay, handed_on) {
             let changes = self.sink.publish(&self.edge, changes, is_snapshot);
             let mirrors = &self.edge.mirrors;
-            mirrors.record(relay.table, &changes, is_snapshot, Instant::now());
+            mirrors.record(relay.table, &changes, is_snapshot, Source::Store);
         }
         Ok(())
     }
--- a/crates/edge/src/handover.rs
+++ b/crates/edge/src/handover.rs
@@ -17,6 +17,7 @@
 use crate::clock;
 use crate::edge::Edge;
 use crate::peer::{Client, Error, MAX_READERS, Request};
+use crate::subset::Sums;
 use crate::{hosts, ledger};
 
 /// Path of the request that hands a heartbeat over.
@@ -34,6 +35,9 @@
     pub host: hosts::Row,
     /// Row for the lease holder: usage and demand.
     pub ledger: ledger::Row,
+    /// Requests that the host has observed since its start.
+    #[serde(default)]
+    pub sums: Sums,
 }
 
 /// Evidence of a reader that its configuration is the newest.
@@ -57,13 +61,16 @@
 }
 
 /// Response to a heartbeat.
-#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct Receipt {
     /// Timestamp, by the store's clock in milliseconds, of the incarnation's newest rows that the
     /// store has acknowledged; 0 for none.
     pub written: u64,
     /// The reader's evidence; `None` if it has none.
     pub newest: Option<Evidence>,
+    /// Recent requests of all hosts of the reader.
+    #[serde(default)]
+    pub sums: Sums,
 }
 
 /// Last heartbeat of one incarnation.
@@ -139,9 +146,12 @@
             return None;
         }
     };
+    let mut recent = edge.recent.borrow_mut();
+    recent.record(Instant::now(), &heartbeat.ledger.run, &heartbeat.sums);
     Some(Receipt {
         written: edge.inbox.put(heartbeat),
         newest: Evidence::of(edge),
+        sums: recent.sums().clone(),
     })
 }
 
@@ -166,6 +176,7 @@
         outcome = link.call::<Receipt>(reader, request).await;
         if let Ok(receipt) = &outcome {
             edge.outage.dispel(Instant::now());
+            edge.learn(&receipt.sums);
             if let Some(newest) = &receipt.newest {
                 confirm(edge, sent_at, newest);
             }
--- a/crates/edge/src/heartbeat.rs
+++ b/crates/edge/src/heartbeat.rs
@@ -88,17 +88,21 @@
     // The random delay spreads the writes of hosts that start at the same time.
     let mut delay = HANDOVER_INTERVAL.mul_f64(rand::random_range(0.1..0.6));
     loop {
-        let may_write = wait(&edge, delay).await;
+        let is_probe = wait(&edge, delay).await;
         let own = heartbeat(&edge, false);
         let receipt = handover::deliver(&edge, &link, &own).await;
         publisher.record(receipt.as_ref().ok());
         // The readers probe the store already.
         let is_lost = receipt.as_ref().is_err_and(peer::Error::is_outage);
-        let is_suspected = is_lost && !edge.outage.is_active();
-        if is_suspected {
+        if is_lost && !edge.outage.is_active() {
             edge.outage.suspect(Instant::now(), edge.probe_limit());
         }
         let is_reader = !edge.inbox.is_empty();
+        if is_reader {
+            let mut recent = edge.recent.borrow_mut();
+            recent.record(Instant::now(), &own.ledger.run, &own.sums);
+            edge.learn(recent.sums());
+        }
         let write_age = publisher.last_write.map(|at| at.elapsed());
         let write_interval = match edge.outage.is_recovering(Instant::now()) {
             true => WRITE_INTERVAL / 2,
@@ -114,7 +118,7 @@
             Err(_) => (true, write_interval),
         };
         delay = interval.mul_f64(rand::random_range(0.9..1.0));
-        if !is_due || !may_write || is_suspected {
+        if !is_probe && (!is_due || edge.outage.is_active()) {
             continue;
         }
         let at = own.host.at;
@@ -132,16 +136,16 @@
     }
 }
 
-/// Waits until the next heartbeat is due. Returns whether it may be written to the store: during an
-/// outage only if it is this task's turn to probe.
+/// Waits until the next heartbeat is due. Returns whether it is to be written to the store to probe
+/// that, since there is an outage and it is this task's turn.
 async fn wait(edge: &Edge, delay: Duration) -> bool {
     if !edge.outage.is_active() {
         sleep(delay).await;
-        return true;
+        return false;
     }
     tokio::select! {
-        () = edge.wait_for_probe() => true,
-        () = sleep(delay) => !edge.outage.is_active(),
+        () = edge.wait_for_probe() => edge.outage.is_active(),
+        () = sleep(delay) => false,
     }
 }
 
@@ -308,5 +312,9 @@
         windows: edge.usage.borrow().windows().clone(),
         offers: offers.into_iter().collect(),
     };
-    Heartbeat { host, ledger }
+    Heartbeat {
+        host,
+        ledger,
+        sums: edge.request_sums(),
+    }
 }
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -98,8 +98,6 @@
     pub changes: Changes,
     /// Whether they are all rows of the table.
     pub is_snapshot: bool,
-    /// Age of the store's response that they are from, at most.
-    pub age: Duration,
     /// Digest of the keys of all rows at the other host; `None` if it sent none.
     pub digest: Option<u64>,
 }
@@ -126,6 +124,15 @@
     }
 }
 
+/// Where a response came from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Source {
+    /// The store.
+    Store,
+    /// Another host.
+    Host,
+}
+
 /// One table as this host knows it, with its recent changes.
 #[derive(Debug)]
 struct Mirror {
@@ -133,6 +140,9 @@
     rows: BTreeMap<String, Change>,
     /// Whether `rows` started with a snapshot.
     is_complete: bool,
+    /// Whether the last response was the store's. Others are not handed on: two hosts that read from
+    /// each other would both keep what is outdated.
+    is_direct: bool,
     /// Recent changes, oldest first.
     changes: VecDeque<Change>,
     /// Revision after which the changes are complete; older ones may be missing.
@@ -146,19 +156,21 @@
 }
 
 impl Mirror {
-    fn new(revision: u64, at: Instant) -> Self {
+    fn new(revision: u64) -> Self {
         Self {
             rows: BTreeMap::new(),
             is_complete: false,
+            is_direct: false,
             changes: VecDeque::new(),
             oldest_revision: revision,
             revision: 0,
             clock: 0,
-            at,
+            at: Instant::now(),
         }
     }
 
-    fn record(&mut self, changes: &Changes, is_snapshot: bool, at: Instant) {
+    fn record(&mut self, changes: &Changes, is_snapshot: bool, source: Source) {
+        self.is_direct = source == Source::Store;
         if is_snapshot {
             self.rows.clear();
             self.changes.clear();
@@ -181,14 +193,14 @@
         }
         self.revision = self.revision.max(changes.revision);
         self.clock = self.clock.max(changes.clock);
-        self.at = at;
+        self.at = Instant::now();
     }
 
     /// Returns the changes after a revision, or all rows if some of the changes are missing; `None`
     /// if some of the rows are missing as well.
     fn page(&self, after: u64) -> Option<Page> {
         let is_snapshot = self.oldest_revision > after;
-        if is_snapshot && !self.is_complete {
+        if !self.is_direct || is_snapshot && !self.is_complete {
             return None;
         }
         let rows = match is_snapshot {
@@ -226,13 +238,19 @@
 }
 
 impl Mirrors {
-    /// Records a response that was received at `at`; a snapshot replaces the known rows.
-    pub fn record(&self, table: &'static str, changes: &Changes, is_snapshot: bool, at: Instant) {
+    /// Records a response; a snapshot replaces the known rows.
+    pub fn record(
+        &self,
+        table: &'static str,
+        changes: &Changes,
+        is_snapshot: bool,
+        source: Source,
+    ) {
         let mut tables = self.tables.borrow_mut();
         let mirror = tables
             .entry(table)
-            .or_insert_with(|| Mirror::new(changes.revision, at));
-        mirror.record(changes, is_snapshot, at);
+            .or_insert_with(|| Mirror::new(changes.revision));
+        mirror.record(changes, is_snapshot, source);
         drop(tables);
         self.changed.notify_waiters();
     }
@@ -283,18 +301,18 @@
             return response::Response::bare(StatusCode::SERVICE_UNAVAILABLE);
         }
         let target = incoming.request.head().uri.path();
+        // The other host must switch to a reader that can reach the store.
+        if self.edge.outage.is_active() {
+            return response::Response::bare(OUTAGE_STATUS);
+        }
         if target == handover::PATH {
-            // The other host must switch to a reader that can reach the store.
-            if self.edge.outage.is_active() {
-                return response::Response::bare(OUTAGE_STATUS);
-            }
             return encode(handover::accept(&self.edge, &incoming.body));
         }
         let Some(query) = Query::parse(target) else {
             return response::Response::bare(StatusCode::BAD_REQUEST);
         };
         let page = self.edge.mirrors.page(&query).await;
-        if page.is_none() && self.edge.outage.is_active() {
+        if self.edge.outage.is_active() {
             return response::Response::bare(OUTAGE_STATUS);
         }
         encode(page.map(|page| Page {
@@ -442,7 +460,6 @@
                 clock: page.clock,
             },
             is_snapshot: page.is_snapshot,
-            age: age + clock::boot().saturating_sub(sent_at),
             digest: page.digest,
         })
     }
--- a/crates/edge/tests/heartbeat.rs
+++ b/crates/edge/tests/heartbeat.rs
@@ -181,3 +181,47 @@
         sleep(Duration::from_millis(100)).await;
     }
 }
+
+/// Guards against hosts that keep believing in an outage which is over: the task of the heartbeats
+/// took each turn to probe, but wrote nothing since another host wrote for it.
+#[actix_rt::test]
+async fn a_reader_that_was_turned_away_reads_again() {
+    let (_server, first, second, connection) = zones().await;
+    connection.is_cut.set(true);
+    sleep(Duration::from_millis(2_500)).await;
+    assert!(second.program.edge().outage.is_active());
+    connection.is_cut.set(false);
+    sleep(Duration::from_millis(1_500)).await;
+    assert!(!second.program.edge().outage.is_active());
+    drop(first);
+}
+
+/// Guards against two readers that were turned away and then read from each other: both kept an old
+/// configuration, each other's, as long as the other answered.
+#[actix_rt::test]
+async fn readers_that_were_turned_away_learn_of_a_new_version() {
+    let server = Server::start(vec![vec![Step::Write(OK_RESPONSE)]]).await;
+    let first = Harness::start(&[&server]).await;
+    let mut others = Vec::new();
+    for zone in ["b", "c"] {
+        let connection = Connection::new(first.store.clone());
+        let settings = Settings {
+            host: format!("host-{zone}"),
+            zone: zone.to_owned(),
+            ..settings().await
+        };
+        let harness = Harness::with_connection(connection.clone(), settings, None).await;
+        others.push((harness, connection));
+    }
+    sleep(Duration::from_millis(4_000)).await;
+    for (_, connection) in &others {
+        connection.is_cut.set(true);
+    }
+    sleep(Duration::from_millis(3_000)).await;
+    first.store.put("settings", "config", Some("2 other"));
+    sleep(first.settings.bounds.apply).await;
+    for (harness, _) in &others {
+        let config = harness.program.edge().config().expect("a configuration");
+        assert_eq!(config.version, 2, "{}", harness.settings.host);
+    }
+}
--- a/crates/edge/tests/subset.rs
+++ b/crates/edge/tests/subset.rs
@@ -4,10 +4,12 @@
 use std::collections::HashSet;
 use std::rc::Rc;
 use std::sync::LazyLock;
+use std::time::Duration;
 
 use agate_edge::balancer::{Balancer, Criteria, Outcome, Tuning};
 use agate_edge::roster::{Change, Endpoint};
-use agate_edge::subset::{Profile, Subset};
+use agate_edge::subset::{Profile, Recent, Subset, Sum, Sums};
+use rstest::rstest;
 use tokio::time::Instant;
 
 const SERVICE: &str = "model";
@@ -195,3 +197,66 @@
     }
     assert_eq!(zones.map(|used| used.len()), [1, 3]);
 }
+
+/// Guards against hosts of a large fleet that send short requests to the endpoints of long ones for
+/// the first 20 s, since each sees two requests a second and classifies none before the thirtieth.
+#[rstest]
+#[case(9)]
+#[case(75)]
+#[case(300)]
+#[case(1000)]
+fn a_fleet_classifies_within_a_few_requests_of_each_host(#[case] count: usize) {
+    let now = Instant::now();
+    let mut recent = Recent::default();
+    let kinds = [
+        ("long", 9000, 120.0),
+        ("short", 700, 30.0),
+        ("note", 2400, 50.0),
+    ];
+    // The reader of a zone learns what its hosts have seen: five requests each.
+    let zone = count.min(60);
+    let mut hosts: Vec<Profile> = (0..zone).map(|_| Profile::default()).collect();
+    for (n, host) in hosts.iter_mut().enumerate() {
+        for request in 0..5 {
+            let (route, tokens, work) = kinds[(n + request) % kinds.len()];
+            assert_eq!(host.observe(&route.to_owned(), tokens, work), None);
+        }
+        let sums = Sums::from([(SERVICE.to_owned(), host.sums().clone())]);
+        recent.record(now, &format!("host-{n}"), &sums);
+    }
+    let mut counts = HashSet::new();
+    for host in &mut hosts {
+        host.learn(&recent.sums()[SERVICE]);
+        let short = host.observe(&"short".to_owned(), 700, 30.0);
+        let short = short.expect("a subset");
+        let long = host.observe(&"long".to_owned(), 9000, 120.0);
+        assert!(short.is_light && !long.expect("a subset").is_light);
+        counts.insert(short.light_count(150));
+    }
+    assert_eq!(counts.len(), 1, "hosts divide the endpoints alike");
+}
+
+/// The requests of a minute ago count for little, also those of hosts that have ended.
+#[test]
+fn recent_requests_count_for_more() {
+    let now = Instant::now();
+    let mut recent = Recent::default();
+    let sums = |requests: f64| {
+        let sum = Sum {
+            requests,
+            prompt_tokens: requests * 100.0,
+            work: requests,
+        };
+        Sums::from([(
+            SERVICE.to_owned(),
+            [("route".to_owned(), sum)].into_iter().collect(),
+        )])
+    };
+    recent.record(now, "one", &sums(1000.0));
+    recent.record(now + Duration::from_secs(5), "one", &sums(1010.0));
+    let requests = recent.sums()[SERVICE]["route"].requests;
+    assert!((requests - 510.0).abs() < 0.01, "{requests}");
+    recent.record(now + Duration::from_secs(60), "two", &sums(10.0));
+    let requests = recent.sums()[SERVICE]["route"].requests;
+    assert!((10.0..11.0).contains(&requests), "{requests}");
+}
