--- a/crates/edge/src/client.rs
+++ b/crates/edge/src/client.rs
@@ -30,6 +30,14 @@
 const IDLE_MARGIN: Duration = Duration::from_millis(600);
 /// Responses to earlier requests that are skipped on one connection.
 const MAX_FOREIGN_RESPONSES: u32 = 2;
+/// Bytes of the bodies of those responses that are skipped.
+const MAX_FOREIGN_BYTES: usize = 256 << 10;
+/// Informational responses before the final one.
+const MAX_INFORMATIONAL: u32 = 8;
+/// Bytes of the head of a response.
+const MAX_HEAD_BYTES: usize = 64 << 10;
+/// Bytes of a body's framing, such as sizes and extensions of chunks, without any byte of the body.
+const MAX_FRAMING_BYTES: usize = 16 << 10;
 
 /// Why there is no complete response.
 #[derive(Debug, thiserror::Error)]
@@ -43,6 +51,14 @@
     /// The received bytes are not a valid response to this request.
     #[error("malformed response: {0}")]
     Malformed(String),
+    /// More bytes came than any response has in this place, and more may follow without end.
+    #[error("{part} of the response exceeds {limit}")]
+    Endless {
+        /// Part of the response, also the label in metrics.
+        part: &'static str,
+        /// Limit in bytes, or in responses.
+        limit: usize,
+    },
 }
 
 /// Sets the socket options of every connection: no delay of small packets, and a timeout for
@@ -214,10 +230,18 @@
         };
         let bytes = exchange.encode(outgoing)?;
         let mut skipped = 0;
+        let mut skipped_bytes = 0;
+        let mut informational = 0;
         let mut pending = Some(bytes);
         loop {
             let head = exchange.read_head(&mut pending).await?;
             if head.status.is_informational() {
+                informational += 1;
+                if informational > MAX_INFORMATIONAL {
+                    let limit = MAX_INFORMATIONAL as usize;
+                    let part = "informational_heads";
+                    return Err(Error::Endless { part, limit });
+                }
                 continue;
             }
             exchange.set_framing(&head)?;
@@ -231,7 +255,14 @@
                     "too many responses to other requests".to_owned(),
                 ));
             }
-            while exchange.next().await?.is_some() {}
+            while let Some(bytes) = exchange.next().await? {
+                skipped_bytes += bytes.len();
+                if skipped_bytes > MAX_FOREIGN_BYTES {
+                    let part = "foreign_body";
+                    let limit = MAX_FOREIGN_BYTES;
+                    return Err(Error::Endless { part, limit });
+                }
+            }
         }
     }
 
@@ -278,6 +309,13 @@
                 }
                 return Ok(head);
             }
+            if self.read_buffer.len() > MAX_HEAD_BYTES {
+                let limit = MAX_HEAD_BYTES;
+                return Err(Error::Endless {
+                    part: "head",
+                    limit,
+                });
+            }
             let read = match pending {
                 None => reader.read_buf(&mut self.read_buffer).await,
                 Some(bytes) => tokio::select! {
@@ -346,6 +384,7 @@
 
     /// Returns the next bytes of the body; `None` at its end.
     pub async fn next(&mut self) -> Result<Option<Bytes>, Error> {
+        let mut framing_bytes = 0;
         loop {
             match &mut self.framing {
                 Framing::Ended => return Ok(None),
@@ -365,13 +404,18 @@
                     }
                 }
             }
+            if framing_bytes > MAX_FRAMING_BYTES {
+                let part = "framing";
+                let limit = MAX_FRAMING_BYTES;
+                return Err(Error::Endless { part, limit });
+            }
             match self.stream.read_buf(&mut self.read_buffer).await {
                 Ok(0) if matches!(self.framing, Framing::Connection) => {
                     self.framing = Framing::Ended;
                     return Ok(None);
                 }
                 Ok(0) => return Err(Error::Interrupted(io::ErrorKind::UnexpectedEof.into())),
-                Ok(_) => {}
+                Ok(count) => framing_bytes += count,
                 Err(err) => return Err(Error::Interrupted(err)),
             }
         }
--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -111,6 +111,8 @@
     pub config_outdated: Notify,
     /// Newest known revision of the store, of any table; 0 before the first.
     pub newest_revision: Cell<u64>,
+    /// Bytes of responses of endpoints that are buffered.
+    pub buffered_bytes: Cell<usize>,
     /// Estimate of the store's clock from its responses.
     pub store_clock: Cell<StoreClock>,
     config: RefCell<Option<Rc<Config>>>,
@@ -153,6 +155,7 @@
             config_revision: Cell::new(None),
             config_outdated: Notify::new(),
             newest_revision: Cell::new(0),
+            buffered_bytes: Cell::new(0),
             store_clock: Cell::default(),
             config: RefCell::default(),
             evidence: Cell::default(),
--- a/crates/edge/src/event.rs
+++ b/crates/edge/src/event.rs
@@ -3,6 +3,13 @@
 
 use bytes::{Bytes, BytesMut};
 
+/// Bytes of one event. An event holds some tokens of a text, so a longer one has no end.
+pub const MAX_EVENT_BYTES: usize = 256 << 10;
+
+/// An event is longer than [`MAX_EVENT_BYTES`].
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Overlong;
+
 /// Splits a stream into complete events and a partial one, and tracks the last event id.
 #[derive(Debug, Default)]
 pub struct Splitter {
@@ -11,17 +18,26 @@
 }
 
 impl Splitter {
-    /// Adds received bytes and returns all complete events that were not returned yet.
-    pub fn push(&mut self, bytes: &[u8]) -> Bytes {
+    /// Adds received bytes and returns all complete events that were not returned yet. Fails if the
+    /// partial event is too long.
+    pub fn push(&mut self, bytes: &[u8]) -> Result<Bytes, Overlong> {
+        // A boundary may begin in the bytes received before.
+        let start = self.partial.len().saturating_sub(BOUNDARY_BYTES - 1);
         self.partial.extend_from_slice(bytes);
-        let Some(end) = last_boundary(&self.partial) else {
-            return Bytes::new();
+        let Some(end) = last_boundary(&self.partial[start..]) else {
+            return match self.partial.len() > MAX_EVENT_BYTES {
+                true => Err(Overlong),
+                false => Ok(Bytes::new()),
+            };
         };
-        let complete = self.partial.split_to(end).freeze();
+        let complete = self.partial.split_to(start + end).freeze();
         if let Some(id) = find_last_id(&complete) {
             self.last_id = Some(id);
         }
-        complete
+        match self.partial.len() > MAX_EVENT_BYTES {
+            true => Err(Overlong),
+            false => Ok(complete),
+        }
     }
 
     /// Returns the id of the last complete event that has one.
@@ -40,6 +56,44 @@
     }
 }
 
+/// Measures the events of a stream that is passed on as it arrives.
+#[derive(Debug, Default)]
+pub struct Gauge {
+    /// Bytes since the last boundary.
+    length: usize,
+    /// Last bytes received, in which a boundary may begin.
+    tail: Vec<u8>,
+}
+
+impl Gauge {
+    /// Adds received bytes. Fails if the partial event is too long.
+    pub fn push(&mut self, bytes: &[u8]) -> Result<(), Overlong> {
+        let before = self.tail.len();
+        let seam = bytes.len().min(BOUNDARY_BYTES - 1);
+        self.tail.extend_from_slice(&bytes[..seam]);
+        let in_seam = last_boundary(&self.tail).map(|end| end.saturating_sub(before));
+        match last_boundary(bytes).or(in_seam) {
+            Some(end) => self.length = bytes.len().saturating_sub(end),
+            None => self.length += bytes.len(),
+        }
+        if bytes.len() >= BOUNDARY_BYTES {
+            self.tail.clear();
+            self.tail
+                .extend_from_slice(&bytes[bytes.len() - (BOUNDARY_BYTES - 1)..]);
+        } else {
+            let surplus = self.tail.len().saturating_sub(BOUNDARY_BYTES - 1);
+            self.tail.drain(..surplus);
+        }
+        match self.length > MAX_EVENT_BYTES {
+            true => Err(Overlong),
+            false => Ok(()),
+        }
+    }
+}
+
+/// Bytes of the longest boundary between two events.
+const BOUNDARY_BYTES: usize = 4;
+
 /// Returns the offset after the last complete event.
 fn last_boundary(bytes: &[u8]) -> Option<usize> {
     let lf = bytes
--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -247,9 +247,12 @@
             endpoint = reservation.assignment().endpoint.id,
             error = %error,
         );
+        if let Error::Endless { part, .. } = error {
+            count(&self.edge.metrics.endless, part);
+        }
         match error {
             Error::Unsent(_) => Attempt::Unsent,
-            Error::Interrupted(_) | Error::Malformed(_) => Attempt::Lost,
+            Error::Interrupted(_) | Error::Malformed(_) | Error::Endless { .. } => Attempt::Lost,
         }
     }
 
--- a/crates/edge/src/forward/delivery.rs
+++ b/crates/edge/src/forward/delivery.rs
@@ -6,9 +6,10 @@
 
 use super::admit::Call;
 use super::{Forwarder, Reservation};
-use crate::client::Exchange;
+use crate::client::{Error, Exchange};
 use crate::config::Kind;
-use crate::event::Splitter;
+use crate::edge::Edge;
+use crate::event::{self, Gauge, Splitter};
 use crate::headers;
 use crate::record::Record;
 use crate::server::ResponseWriter;
@@ -16,6 +17,8 @@
 /// Largest response body that is buffered, in bytes; a longer one counts as a failure of the
 /// endpoint.
 const MAX_BUFFERED: usize = 4 << 20;
+/// Bytes of all responses that are buffered at one time: a part of the memory of the smallest hosts.
+const MAX_ALL_BUFFERED: usize = 16 << 20;
 
 /// Result of passing on the response of one endpoint.
 pub(super) enum Transfer {
@@ -98,6 +101,7 @@
         if self.splitter.is_partial() {
             self.splitter.discard_partial();
         }
+        let mut gauge = Gauge::default();
         loop {
             let next = timeout_at(call.deadline, exchange.next()).await;
             let bytes = match next {
@@ -111,7 +115,13 @@
             let Some(bytes) = bytes else { break };
             let events = match self.is_resumable {
                 true => self.splitter.push(&bytes),
-                false => bytes,
+                false => gauge.push(&bytes).map(|()| bytes),
+            };
+            let Ok(events) = events else {
+                let (part, limit) = ("event", event::MAX_EVENT_BYTES);
+                forwarder.attempt_failed(call, reservation, &Error::Endless { part, limit });
+                self.splitter.discard_partial();
+                return Transfer::EndpointFailed;
             };
             if events.is_empty() {
                 continue;
@@ -149,6 +159,41 @@
     }
 }
 
+/// Bytes of one buffered response; dropping it releases them.
+struct Buffered<'a> {
+    edge: &'a Edge,
+    bytes: usize,
+}
+
+impl<'a> Buffered<'a> {
+    fn new(edge: &'a Edge) -> Self {
+        Self { edge, bytes: 0 }
+    }
+
+    /// Adds bytes, unless the response or all of them together become too long.
+    fn add(&mut self, bytes: usize) -> Result<(), Error> {
+        let (part, limit) = ("body", MAX_BUFFERED);
+        if self.bytes + bytes > limit {
+            return Err(Error::Endless { part, limit });
+        }
+        let all = self.edge.buffered_bytes.get() + bytes;
+        let (part, limit) = ("all_bodies", MAX_ALL_BUFFERED);
+        if all > limit {
+            return Err(Error::Endless { part, limit });
+        }
+        self.bytes += bytes;
+        self.edge.buffered_bytes.set(all);
+        Ok(())
+    }
+}
+
+impl Drop for Buffered<'_> {
+    fn drop(&mut self) {
+        let all = self.edge.buffered_bytes.get();
+        self.edge.buffered_bytes.set(all - self.bytes);
+    }
+}
+
 /// Buffers the response of one endpoint and passes it on once it is complete.
 async fn buffered(
     forwarder: &Forwarder,
@@ -159,20 +204,17 @@
     writer: &mut ResponseWriter<'_>,
 ) -> Transfer {
     let mut body = BytesMut::new();
+    let mut buffered = Buffered::new(&forwarder.edge);
     loop {
         match timeout_at(call.deadline, exchange.next()).await {
             Err(_) => return Transfer::TimedOut,
-            Ok(Ok(Some(bytes))) if body.len() + bytes.len() <= MAX_BUFFERED => {
+            Ok(Ok(Some(bytes))) => {
+                if let Err(err) = buffered.add(bytes.len()) {
+                    forwarder.attempt_failed(call, reservation, &err);
+                    return Transfer::EndpointFailed;
+                }
                 body.extend_from_slice(&bytes);
             }
-            Ok(Ok(Some(_))) => {
-                tracing::warn!(
-                    event = "answer_too_long",
-                    request = call.info.id,
-                    limit = MAX_BUFFERED
-                );
-                return Transfer::EndpointFailed;
-            }
             Ok(Ok(None)) => break,
             Ok(Err(err)) => {
                 forwarder.attempt_failed(call, reservation, &err);
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -58,6 +58,8 @@
     pub attempts: Family<Outcome, Counter>,
     /// Number of retries by reason.
     pub retries: Family<Outcome, Counter>,
+    /// Number of responses that were cut since a part of them exceeded its limit, by part.
+    pub endless: Family<Outcome, Counter>,
     /// Number of calls to the store and the receiver of duties, by outcome.
     pub calls: Family<Outcome, Counter>,
     /// Number of changes of this host's state, by kind.
@@ -140,6 +142,8 @@
         registry.register("requests", "Requests by outcome", self.requests.clone());
         registry.register("attempts", "Attempts by outcome", self.attempts.clone());
         registry.register("repeats", "Repeats by reason", self.retries.clone());
+        let endless = self.endless.clone();
+        registry.register("endless", "Responses cut for their length by part", endless);
         registry.register("calls", "Calls to remote services", self.calls.clone());
         let store = &self.store;
         registry.register("store_calls", "Calls to the store", store.calls.clone());
--- a/crates/edge/src/peer.rs
+++ b/crates/edge/src/peer.rs
@@ -24,6 +24,8 @@
 /// again. It is short, since that host serves its whole zone as soon as it can.
 const UNAVAILABLE_BACKOFF: Duration = Duration::from_millis(500);
 
+/// Bytes of the response of another host: all rows of the largest table several times.
+const MAX_BODY_BYTES: usize = 16 << 20;
 /// Status of the response of a host that can't reach the store.
 pub const OUTAGE_STATUS: StatusCode = StatusCode::GATEWAY_TIMEOUT;
 /// Number of readers that a host calls before it turns to the store itself.
@@ -147,6 +149,10 @@
     let mut body = BytesMut::new();
     while let Some(bytes) = exchange.next().await? {
         body.extend_from_slice(&bytes);
+        if body.len() > MAX_BODY_BYTES {
+            let (part, limit) = ("peer_body", MAX_BODY_BYTES);
+            return Err(client::Error::Endless { part, limit }.into());
+        }
     }
     if head.status != StatusCode::OK {
         return Err(Error::Refused(head.status));
--- a/crates/edge/tests/support/server.rs
+++ b/crates/edge/tests/support/server.rs
@@ -15,6 +15,9 @@
 pub enum Step {
     /// Writes these bytes, with `{id}` replaced by the request's id.
     Write(&'static str),
+    /// Writes these bytes again and again, with this pause after each or many at once without one,
+    /// until the other side closes the connection.
+    Flood(&'static str, Duration),
     /// Waits; ends the script if the other side closes the connection meanwhile.
     Wait(Duration),
     /// Closes the connection.
@@ -91,6 +94,17 @@
                         return;
                     }
                 }
+                Step::Flood(text, pause) => {
+                    let text = match pause.is_zero() {
+                        true => text.repeat(64),
+                        false => text.to_owned(),
+                    };
+                    while stream.write_all(text.as_bytes()).await.is_ok() {
+                        tokio::time::sleep(pause).await;
+                    }
+                    requests.borrow_mut()[index].closed = Some(start.elapsed());
+                    return;
+                }
                 Step::Wait(time) => {
                     let mut byte = [0; 1];
                     if let Ok(Ok(0) | Err(_)) = timeout(time, stream.peek(&mut byte)).await {
