--- a/crates/edge/src/meter.rs
+++ b/crates/edge/src/meter.rs
@@ -129,7 +129,7 @@
     let sizes = changes
         .rows
         .iter()
-        .map(|change| change.key.len() + change.value.as_ref().map_or(0, |value| value.len()));
+        .map(|change| change.key.len() + change.value.as_ref().map_or(0, bytes::Bytes::len));
     sizes.sum()
 }
 
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -226,7 +226,7 @@
 
 /// Returns a digest of keys in ascending order.
 pub fn digest<'a>(keys: impl Iterator<Item = &'a str>) -> u64 {
-    keys.fold(0, |digest, key| estimate::hash_pair(digest, key))
+    keys.fold(0, estimate::hash_pair)
 }
 
 /// Tables as this host knows them, whether it reads them from the store or from another host.
