Live hosts are handed on as soon as they change

Cause: a host asked its reader for the live hosts every 1.2 s and got what the reader had read up to 1.2 s before; the reader knows after 3.5 s and its own 1.2 s. Change: the question waits at the reader for a change.

--- a/crates/edge/src/duty/usage.rs
+++ b/crates/edge/src/duty/usage.rs
@@ -123,11 +123,16 @@
     };
     let bound = edge.settings.borrow().bounds.report;
     let last = end_millis(edge, window) + millis(bound.saturating_sub(REPORT_RESERVE));
-    let missing = ledger.missing(end, HOST_TIMEOUT).count();
-    if missing > 0 && now >= last {
-        tracing::warn!(event = "usage_incomplete", window, missing);
+    let missing: Vec<&str> = ledger.missing(end, HOST_TIMEOUT).collect();
+    if !missing.is_empty() && now >= last {
+        tracing::warn!(
+            event = "usage_incomplete",
+            window,
+            missing = missing.len(),
+            runs = missing.join(","),
+        );
     }
-    missing == 0 || now >= last
+    missing.is_empty() || now >= last
 }
 
 fn millis(time: Duration) -> i64 {
--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -29,6 +29,8 @@
 /// Maximum age of a configuration that is accepted from another host, longer than the long poll: its
 /// age is no evidence of any kind.
 const MAX_CONFIG_AGE: Duration = Duration::from_secs(30);
+/// Longest interval between two reads from another host, each of which waits for a change.
+const MAX_RELAY_INTERVAL: Duration = Duration::from_millis(300);
 /// Longest long poll at another host, so that a silent one is noticed.
 const MAX_RELAY_WAIT: Duration = Duration::from_secs(2);
 /// Interval between two checks for a reader when the process has just started.
@@ -138,6 +140,8 @@
     is_lost: bool,
     /// Whether the next read is from the store, whatever other hosts offer.
     is_direct: bool,
+    /// Whether the last read was from another host.
+    is_relayed: bool,
     /// Consecutive reads from another host after which the rows differed from that host's.
     divergences: u32,
     /// Whether the first read waits until a reader is known.
@@ -166,6 +170,7 @@
                 let is_recovering = self.edge.outage.is_recovering(Instant::now());
                 let interval = match is_recovering || self.edge.is_starting() {
                     true => self.interval / 2,
+                    false if self.is_relayed => self.interval.min(MAX_RELAY_INTERVAL),
                     false => self.interval,
                 };
                 sleep(interval.saturating_sub(started.elapsed())).await;
@@ -219,6 +224,7 @@
             match relayed {
                 Ok(relayed) => {
                     self.apply_relayed(relayed);
+                    self.is_relayed = true;
                     return Ok(());
                 }
                 Err(err) if err.is_outage() && self.suspect_outage() => {
@@ -227,6 +233,7 @@
                 Err(_) => {}
             }
         }
+        self.is_relayed = false;
         let outcome = self.read_store(is_probe).await;
         if outcome.is_err() {
             self.edge.outage.record_failure(Instant::now());
@@ -290,7 +297,9 @@
     /// Returns changes from the zone's reader; fails if the store is to be read instead.
     async fn read_relayed(&mut self) -> Result<Relayed, peer::Error> {
         let relay = self.relay.as_ref().ok_or(peer::Error::NoReader)?;
-        let wait = self.wait.min(MAX_RELAY_WAIT);
+        // A table that changes all the time is polled at the store, but only what other hosts need of
+        // it is handed on, so it can be waited for.
+        let wait = self.wait.max(self.interval).min(MAX_RELAY_WAIT);
         let mut call = relay.changes(self.after, wait).boxed_local();
         let changes = loop {
             let due = self.sink.due(&self.edge);
@@ -824,6 +833,7 @@
         after: None,
         is_lost: false,
         is_direct: false,
+        is_relayed: false,
         divergences: 0,
         waits_for_reader: table != hosts::TABLE && relay.is_some(),
         relay,
--- a/crates/edge/tests/relay.rs
+++ b/crates/edge/tests/relay.rs
@@ -4,8 +4,9 @@
 
 use std::time::Duration;
 
+use agate_edge::settings::Settings;
 use futures_util::future::join_all;
-use support::{Harness, KEY, Server, Step, read_response, request, status};
+use support::{Connection, Harness, KEY, Server, Step, read_response, request, settings, status};
 use tokio::io::AsyncWriteExt as _;
 use tokio::net::TcpStream;
 use tokio::time::{Instant, sleep};
@@ -167,3 +168,37 @@
     assert_eq!((server.count(), other.count()), (0, 2));
     closing.abort();
 }
+
+/// Guards against a dead host that callers are sent to: what a reader hands on came up to 1.2 s late,
+/// and the dead host was the reader.
+#[actix_rt::test]
+async fn a_dead_reader_is_named_for_less_than_six_seconds() {
+    let server = Server::start(vec![vec![Step::Write(OK_RESPONSE)]]).await;
+    let one = Harness::start(&[&server]).await;
+    let mut others = Vec::new();
+    for (host, zone) in [("two", "a"), ("three", "b"), ("four", "b")] {
+        let settings = Settings {
+            host: host.to_owned(),
+            zone: zone.to_owned(),
+            ..settings().await
+        };
+        let connection = Connection::new(one.store.clone());
+        others.push(Harness::with_connection(connection, settings, None).await);
+    }
+    sleep(Duration::from_millis(4_500)).await;
+    // The first by name of the zone `a` reads for it.
+    one.program.kill();
+    let killed = Instant::now();
+    sleep(Duration::from_millis(5_500)).await;
+    for harness in &others {
+        let hosts = harness.program.edge().hosts.borrow();
+        let live = hosts.live(Instant::now());
+        assert!(
+            live.iter().all(|row| row.host != "one"),
+            "{} names it after {:?}",
+            harness.settings.host,
+            killed.elapsed()
+        );
+        assert_eq!(live.len(), 3);
+    }
+}
