Follow: a file for each table

The file had grown to 842 lines with four sinks; the follower and its border stay, each table has its own file. No change of behaviour: edge and platform tests pass.

--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -1,34 +1,29 @@
 //! Follows tables of the store: the configuration, the endpoints, the rows of hosts and the ledger.
 
-use std::collections::HashSet;
+mod config;
+mod endpoints;
+mod hosts;
+mod ledger;
+
 use std::rc::Rc;
 use std::time::Duration;
 
-use agate_model::id::{EndpointId, Epoch};
 use agate_store::Error;
 use agate_store::interface::{Change, Changes};
-use bytes::Bytes;
 use futures_util::future::LocalBoxFuture;
 use futures_util::{FutureExt as _, TryFutureExt as _};
 use tokio::time::{Instant, sleep, sleep_until};
 
+pub use self::config::config;
+pub use self::endpoints::endpoints;
+pub use self::hosts::hosts;
+pub use self::ledger::ledger;
 use crate::clock;
 use crate::edge::Edge;
-use crate::hosts::{self, Row};
-use crate::ledger;
 use crate::metrics::count;
 use crate::relay::{Client, Relayed, Source};
-use crate::removal::{Decision, Removals};
 use crate::{outage, peer};
 
-/// Duration of a long poll for a change of the configuration. Heartbeats provide the evidence that
-/// there is none; this bounds the time for which a silent connection can hide a change.
-const CONFIG_WAIT: Duration = Duration::from_secs(25);
-/// Name under which hosts hand the configuration on.
-const CONFIG_RELAY_TABLE: &str = "config";
-/// Maximum age of a configuration that is accepted from another host, longer than the long poll: its
-/// age is no evidence of any kind.
-const MAX_CONFIG_AGE: Duration = Duration::from_secs(30);
 /// Longest interval between two reads from another host, each of which waits for a change.
 const MAX_RELAY_INTERVAL: Duration = Duration::from_millis(300);
 /// Longest long poll at another host, so that a silent one is noticed.
@@ -40,33 +35,9 @@
 const MAX_DIVERGENCES: u32 = 2;
 /// Delay before the store is asked for a change that another host is about to hand on.
 const OUTDATED_DELAY: Duration = Duration::from_millis(200);
-/// Duration of a long poll for a change of the list of endpoints.
-const ENDPOINT_WAIT: Duration = Duration::from_millis(600);
-/// Maximum age of a list of endpoints that is accepted from another host. It is longer than the
-/// long poll and the interval of the reader; together with the interval of this host it is below
-/// the time after which a leaving endpoint must get no new work.
-const MAX_ENDPOINT_AGE: Duration = Duration::from_millis(1300);
-/// Interval between two reads of the host rows. They change all the time, so a long poll would
-/// return at once.
-const HOST_INTERVAL: Duration = Duration::from_millis(1200);
-/// Maximum age of host rows that are accepted from another host.
-const MAX_HOST_AGE: Duration = Duration::from_millis(1600);
-/// Minimum interval between two reads of the configuration, so that many changes in a short time
-/// are read in batches.
-const CONFIG_INTERVAL: Duration = Duration::from_millis(100);
-/// Minimum interval between two reads of the list of endpoints.
-const ENDPOINT_INTERVAL: Duration = Duration::from_millis(500);
-/// Interval between two reads of the ledger by the lease holder.
-const LEDGER_INTERVAL: Duration = Duration::from_millis(900);
-/// Interval at which a host without the lease checks whether it holds it.
-const LEASE_CHECK_INTERVAL: Duration = Duration::from_millis(200);
 /// Added to the long poll's duration for the longest time between two checks of due work.
 const MAX_DUE_DELAY: Duration = Duration::from_millis(250);
 
-/// Subtracted from the time after which an endpoint that has left must get no new work, for the
-/// transit of a request that is just being sent.
-const HOLD_MARGIN: Duration = Duration::from_millis(300);
-
 /// Whether a sink has all rows after changes that another host published.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Outcome {
@@ -405,328 +376,6 @@
     }
 }
 
-/// Puts new versions of the configuration in force.
-struct ConfigSink {
-    /// Key of the configuration's row.
-    key: &'static str,
-}
-
-impl ConfigSink {
-    fn apply(&self, edge: &Edge, change: &Change) {
-        if change.key != self.key {
-            return;
-        }
-        let Some(value) = &change.value else { return };
-        match edge.remote.decoder.config(value) {
-            Ok(config) => edge.configure(config, change.revision),
-            Err(fault) => tracing::error!(
-                event = "config_malformed",
-                row = change.key,
-                revision = change.revision,
-                fault = %fault,
-            ),
-        }
-    }
-}
-
-impl ConfigSink {
-    /// Puts a version in force that another host published.
-    fn apply_relayed(edge: &Edge, change: &Change) -> Outcome {
-        let Some(value) = &change.value else {
-            return Outcome::Complete;
-        };
-        match serde_json::from_slice(value) {
-            Ok(config) => {
-                edge.configure(config, change.revision);
-                Outcome::Complete
-            }
-            Err(err) => {
-                // The other host may run another build.
-                tracing::warn!(
-                    event = "config_malformed",
-                    row = change.key,
-                    revision = change.revision,
-                    error = %err,
-                );
-                Outcome::Diverged
-            }
-        }
-    }
-}
-
-impl Sink for ConfigSink {
-    /// Publishes the configuration in force, in which keys are replaced by their digests.
-    fn publish(&self, edge: &Edge, changes: Changes, is_snapshot: bool) -> Changes {
-        let config = edge.config().zip(edge.config_revision.get());
-        let row = config.and_then(|(config, revision)| {
-            let is_new = is_snapshot || changes.rows.iter().any(|row| row.revision == revision);
-            let value = serde_json::to_vec(&*config)
-                .inspect_err(|err| tracing::error!(event = "config_not_published", error = %err));
-            is_new.then_some(Change {
-                key: self.key.to_owned(),
-                value: Some(Bytes::from(value.ok()?)),
-                revision,
-            })
-        });
-        Changes {
-            rows: row.into_iter().collect(),
-            ..changes
-        }
-    }
-
-    fn relayed(&mut self, edge: &Edge, relayed: Relayed) -> Outcome {
-        let rows = relayed.changes.rows.iter();
-        let outcomes = rows.map(|change| Self::apply_relayed(edge, change));
-        outcomes
-            .filter(|outcome| *outcome == Outcome::Diverged)
-            .last()
-            .unwrap_or(Outcome::Complete)
-    }
-
-    fn snapshot(&mut self, edge: &Edge, changes: Changes, _is_behind: bool) {
-        for change in changes.rows {
-            self.apply(edge, &change);
-        }
-    }
-
-    fn change(&mut self, edge: &Edge, change: Change) {
-        self.apply(edge, &change);
-    }
-
-    fn outdated<'a>(&self, edge: &'a Edge) -> LocalBoxFuture<'a, ()> {
-        Box::pin(edge.config_outdated.notified())
-    }
-
-    fn confirmed(&mut self, edge: &Edge, at: Duration, _clock: u64) {
-        if edge.config().is_some() {
-            edge.confirm(at);
-        }
-    }
-}
-
-/// Applies changes to the list of endpoints.
-struct EndpointSink {
-    /// Removed rows whose endpoints are still kept.
-    lapses: Removals,
-}
-
-impl EndpointSink {
-    fn apply(&mut self, edge: &Edge, change: &Change) {
-        let Some(value) = &change.value else {
-            return self.remove(edge, &change.key);
-        };
-        match edge.remote.decoder.endpoint(&change.key, value) {
-            Ok(endpoint) => {
-                self.lapses.restore(&change.key);
-                let change = edge.roster.borrow_mut().insert(endpoint);
-                if let Some(change) = change {
-                    edge.apply(&change);
-                }
-            }
-            Err(fault) => {
-                tracing::warn!(event = "endpoint_malformed", row = change.key, fault = %fault);
-                drop_endpoint(edge, &change.key);
-            }
-        }
-    }
-
-    /// Removes an endpoint, or holds it for a while if its row may have been lost by an outage.
-    fn remove(&mut self, edge: &Edge, id: &EndpointId) {
-        match self.lapses.remove(Instant::now(), id) {
-            Decision::Apply => drop_endpoint(edge, id),
-            Decision::Hold => tracing::info!(event = "endpoint_lapsed", endpoint = id),
-        }
-    }
-}
-
-/// Removes an endpoint from the list at once.
-fn drop_endpoint(edge: &Edge, id: &str) {
-    let change = edge.roster.borrow_mut().remove(id);
-    if let Some(change) = change {
-        edge.apply(&change);
-    }
-}
-
-impl Sink for EndpointSink {
-    fn start_batch(&mut self) {
-        self.lapses.start_response();
-    }
-
-    fn snapshot(&mut self, edge: &Edge, changes: Changes, is_behind: bool) {
-        let listed: HashSet<&String> = changes.rows.iter().map(|change| &change.key).collect();
-        let known: Vec<String> = edge.roster.borrow().ids().cloned().collect();
-        for id in known.iter().filter(|id| !is_behind && !listed.contains(id)) {
-            self.remove(edge, id);
-        }
-        for change in &changes.rows {
-            self.apply(edge, change);
-        }
-    }
-
-    fn change(&mut self, edge: &Edge, change: Change) {
-        self.apply(edge, &change);
-    }
-
-    fn confirmed(&mut self, edge: &Edge, _at: Duration, _clock: u64) {
-        if !edge.has_roster.replace(true) {
-            tracing::info!(
-                event = "endpoints_known",
-                count = edge.roster.borrow().ids().count()
-            );
-        }
-    }
-
-    /// A leaving endpoint must get no new work after a while, whose larger part the age of changes
-    /// from another host may take.
-    fn max_delay(&self, edge: &Edge) -> Option<Duration> {
-        let drain = edge.settings.borrow().bounds.drain;
-        Some(drain.saturating_sub(MAX_ENDPOINT_AGE + ENDPOINT_INTERVAL + HOLD_MARGIN))
-    }
-
-    fn lost(&mut self) {
-        self.lapses.store_unavailable();
-    }
-
-    fn due(&mut self, edge: &Edge) -> Option<Instant> {
-        for id in self.lapses.take_expired(Instant::now()) {
-            drop_endpoint(edge, &id);
-        }
-        self.lapses.next_expiry()
-    }
-}
-
-/// Applies changes to the rows of hosts and to the lease, which is a row of the same table.
-#[derive(Default)]
-struct HostSink {
-    /// Epoch of the last lease of this host; `None` before the first.
-    epoch: Option<Epoch>,
-}
-
-impl HostSink {
-    fn apply(edge: &Edge, change: &Change) {
-        if change.key == hosts::LEASE_KEY {
-            edge.lease.observe_row(change);
-            return;
-        }
-        let mut hosts = edge.hosts.borrow_mut();
-        let Some(value) = &change.value else {
-            hosts.remove(&change.key);
-            return;
-        };
-        match serde_json::from_slice::<Row>(value) {
-            Ok(row) => hosts.insert(row),
-            Err(err) => tracing::warn!(event = "host_malformed", row = change.key, error = %err),
-        }
-    }
-}
-
-impl Sink for HostSink {
-    /// The holder of the lease removes the rows of ended incarnations, which are not handed on.
-    fn needs_snapshot(&mut self, edge: &Edge) -> bool {
-        let Some(permit) = edge.lease.permit() else {
-            return false;
-        };
-        self.epoch.replace(permit.epoch()) != Some(permit.epoch())
-    }
-
-    /// Publishes the live hosts. Rows change with each heartbeat, but other hosts need them only
-    /// when something else than their time has changed.
-    fn publish(&self, edge: &Edge, changes: Changes, is_snapshot: bool) -> Changes {
-        let known = edge.mirrors.rows(hosts::RELAY_TABLE);
-        let (known, revision) = known.filter(|_| !is_snapshot).unwrap_or_default();
-        let hosts = edge.hosts.borrow();
-        let rows = match is_snapshot || changes.revision > revision {
-            true => hosts.differences(Instant::now(), &known),
-            // Other hosts have read everything up to this revision, so they would miss the rows.
-            false => Vec::new(),
-        };
-        let rows = rows.into_iter().map(|(key, value)| Change {
-            key,
-            value,
-            revision: changes.revision,
-        });
-        Changes {
-            rows: rows.collect(),
-            ..changes
-        }
-    }
-
-    fn relayed(&mut self, edge: &Edge, relayed: Relayed) -> Outcome {
-        let mut hosts = edge.hosts.borrow_mut();
-        if relayed.is_snapshot {
-            hosts.clear();
-        }
-        for change in &relayed.changes.rows {
-            match &change.value {
-                None => hosts.remove(&change.key),
-                Some(value) => match serde_json::from_slice::<Row>(value) {
-                    Ok(row) => hosts.replace(row),
-                    Err(err) => {
-                        tracing::warn!(event = "host_malformed", row = change.key, error = %err);
-                    }
-                },
-            }
-        }
-        let now = Instant::now();
-        hosts.renew(now, relayed.changes.clock);
-        match relayed
-            .digest
-            .is_none_or(|digest| digest == hosts.digest(now))
-        {
-            true => Outcome::Complete,
-            false => Outcome::Diverged,
-        }
-    }
-
-    fn snapshot(&mut self, edge: &Edge, changes: Changes, _is_behind: bool) {
-        for change in &changes.rows {
-            Self::apply(edge, change);
-        }
-    }
-
-    fn change(&mut self, edge: &Edge, change: Change) {
-        Self::apply(edge, &change);
-    }
-
-    fn confirmed(&mut self, edge: &Edge, _at: Duration, clock: u64) {
-        edge.hosts.borrow_mut().observe(Instant::now(), clock);
-        edge.lease.mark_read();
-    }
-}
-
-/// Applies changes to the ledger.
-struct LedgerSink;
-
-impl LedgerSink {
-    fn apply(edge: &Edge, change: &Change) {
-        let mut ledger = edge.ledger.borrow_mut();
-        let Some(value) = &change.value else {
-            ledger.remove(&change.key);
-            return;
-        };
-        match serde_json::from_slice(value) {
-            Ok(row) => ledger.insert(row),
-            Err(err) => tracing::warn!(event = "ledger_malformed", row = change.key, error = %err),
-        }
-    }
-}
-
-impl Sink for LedgerSink {
-    fn snapshot(&mut self, edge: &Edge, changes: Changes, _is_behind: bool) {
-        for change in &changes.rows {
-            Self::apply(edge, change);
-        }
-    }
-
-    fn change(&mut self, edge: &Edge, change: Change) {
-        Self::apply(edge, &change);
-    }
-
-    fn confirmed(&mut self, edge: &Edge, _at: Duration, clock: u64) {
-        edge.ledger.borrow_mut().observe(clock);
-    }
-}
-
 /// Runs the due work of a sink whenever it is due. Never returns.
 async fn run_due<S: Sink>(edge: &Edge, sink: &mut S) {
     while let Some(due) = sink.due(edge) {
@@ -735,82 +384,6 @@
     std::future::pending::<()>().await;
 }
 
-/// Follows the configuration until the task is dropped.
-pub async fn config(edge: Rc<Edge>) {
-    let (table, key) = edge.remote.decoder.config_row();
-    let sink = ConfigSink { key };
-    let relay = Some((CONFIG_RELAY_TABLE, MAX_CONFIG_AGE));
-    follower(edge, table, CONFIG_WAIT, CONFIG_INTERVAL, relay, sink)
-        .run()
-        .await;
-}
-
-/// Follows the list of endpoints until the task is dropped.
-pub async fn endpoints(edge: Rc<Edge>) {
-    let table = edge.remote.decoder.endpoint_table();
-    let hold = edge
-        .settings
-        .borrow()
-        .bounds
-        .drain
-        .saturating_sub(HOLD_MARGIN);
-    let sink = EndpointSink {
-        lapses: Removals::new(hold),
-    };
-    follower(
-        edge,
-        table,
-        ENDPOINT_WAIT,
-        ENDPOINT_INTERVAL,
-        Some((table, MAX_ENDPOINT_AGE)),
-        sink,
-    )
-    .run()
-    .await;
-}
-
-/// Follows the rows of hosts until the task is dropped.
-pub async fn hosts(edge: Rc<Edge>) {
-    let relay = Some((hosts::RELAY_TABLE, MAX_HOST_AGE));
-    follower(
-        edge,
-        hosts::TABLE,
-        Duration::ZERO,
-        HOST_INTERVAL,
-        relay,
-        HostSink::default(),
-    )
-    .run()
-    .await;
-}
-
-/// Follows the ledger while this host holds the lease, until the task is dropped. The ledger is
-/// cleared when the lease is lost.
-pub async fn ledger(edge: Rc<Edge>) {
-    let mut active = None;
-    loop {
-        if edge.lease.permit().is_none() {
-            if active.take().is_some() {
-                edge.ledger.take();
-            }
-            sleep(LEASE_CHECK_INTERVAL).await;
-            continue;
-        }
-        let follower = active.get_or_insert_with(|| {
-            let wait = Duration::ZERO;
-            follower(
-                edge.clone(),
-                ledger::TABLE,
-                wait,
-                LEDGER_INTERVAL,
-                None,
-                LedgerSink,
-            )
-        });
-        follower.poll().await;
-    }
-}
-
 /// Creates the follower of a table. With `relay`, the name under which hosts hand the table on and
 /// the greatest age that is accepted, changes are read from the zone's reader if this host takes part
 /// in the relay.
@@ -835,7 +408,7 @@
         is_direct: false,
         is_relayed: false,
         divergences: 0,
-        waits_for_reader: table != hosts::TABLE && relay.is_some(),
+        waits_for_reader: table != crate::hosts::TABLE && relay.is_some(),
         relay,
         sink,
     }
--- /dev/null
+++ b/crates/edge/src/follow/hosts.rs
@@ -0,0 +1,133 @@
+//! Keeps the rows of hosts, and the lease, which is a row of the same table.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use agate_model::id::Epoch;
+use agate_store::interface::{Change, Changes};
+use tokio::time::Instant;
+
+use super::{Outcome, Sink, follower};
+use crate::edge::Edge;
+use crate::hosts::{self, Row};
+use crate::relay::Relayed;
+
+/// Interval between two reads of the host rows. They change all the time, so a long poll would
+/// return at once.
+const HOST_INTERVAL: Duration = Duration::from_millis(1200);
+/// Maximum age of host rows that are accepted from another host.
+const MAX_HOST_AGE: Duration = Duration::from_millis(1600);
+
+/// Follows the rows of hosts until the task is dropped.
+pub async fn hosts(edge: Rc<Edge>) {
+    let relay = Some((hosts::RELAY_TABLE, MAX_HOST_AGE));
+    follower(
+        edge,
+        hosts::TABLE,
+        Duration::ZERO,
+        HOST_INTERVAL,
+        relay,
+        HostSink::default(),
+    )
+    .run()
+    .await;
+}
+
+/// Applies changes to the rows of hosts and to the lease, which is a row of the same table.
+#[derive(Default)]
+struct HostSink {
+    /// Epoch of the last lease of this host; `None` before the first.
+    epoch: Option<Epoch>,
+}
+
+impl HostSink {
+    fn apply(edge: &Edge, change: &Change) {
+        if change.key == hosts::LEASE_KEY {
+            edge.lease.observe_row(change);
+            return;
+        }
+        let mut hosts = edge.hosts.borrow_mut();
+        let Some(value) = &change.value else {
+            hosts.remove(&change.key);
+            return;
+        };
+        match serde_json::from_slice::<Row>(value) {
+            Ok(row) => hosts.insert(row),
+            Err(err) => tracing::warn!(event = "host_malformed", row = change.key, error = %err),
+        }
+    }
+}
+
+impl Sink for HostSink {
+    /// The holder of the lease removes the rows of ended incarnations, which are not handed on.
+    fn needs_snapshot(&mut self, edge: &Edge) -> bool {
+        let Some(permit) = edge.lease.permit() else {
+            return false;
+        };
+        self.epoch.replace(permit.epoch()) != Some(permit.epoch())
+    }
+
+    /// Publishes the live hosts. Rows change with each heartbeat, but other hosts need them only
+    /// when something else than their time has changed.
+    fn publish(&self, edge: &Edge, changes: Changes, is_snapshot: bool) -> Changes {
+        let known = edge.mirrors.rows(hosts::RELAY_TABLE);
+        let (known, revision) = known.filter(|_| !is_snapshot).unwrap_or_default();
+        let hosts = edge.hosts.borrow();
+        let rows = match is_snapshot || changes.revision > revision {
+            true => hosts.differences(Instant::now(), &known),
+            // Other hosts have read everything up to this revision, so they would miss the rows.
+            false => Vec::new(),
+        };
+        let rows = rows.into_iter().map(|(key, value)| Change {
+            key,
+            value,
+            revision: changes.revision,
+        });
+        Changes {
+            rows: rows.collect(),
+            ..changes
+        }
+    }
+
+    fn relayed(&mut self, edge: &Edge, relayed: Relayed) -> Outcome {
+        let mut hosts = edge.hosts.borrow_mut();
+        if relayed.is_snapshot {
+            hosts.clear();
+        }
+        for change in &relayed.changes.rows {
+            match &change.value {
+                None => hosts.remove(&change.key),
+                Some(value) => match serde_json::from_slice::<Row>(value) {
+                    Ok(row) => hosts.replace(row),
+                    Err(err) => {
+                        tracing::warn!(event = "host_malformed", row = change.key, error = %err);
+                    }
+                },
+            }
+        }
+        let now = Instant::now();
+        hosts.renew(now, relayed.changes.clock);
+        match relayed
+            .digest
+            .is_none_or(|digest| digest == hosts.digest(now))
+        {
+            true => Outcome::Complete,
+            false => Outcome::Diverged,
+        }
+    }
+
+    fn snapshot(&mut self, edge: &Edge, changes: Changes, _is_behind: bool) {
+        for change in &changes.rows {
+            Self::apply(edge, change);
+        }
+    }
+
+    fn change(&mut self, edge: &Edge, change: Change) {
+        Self::apply(edge, &change);
+    }
+
+    fn confirmed(&mut self, edge: &Edge, _at: Duration, clock: u64) {
+        edge.hosts.borrow_mut().observe(Instant::now(), clock);
+        edge.lease.mark_read();
+    }
+}
