--- a/crates/edge/src/peer.rs
+++ b/crates/edge/src/peer.rs
@@ -24,6 +24,8 @@
 /// again. It is short, since that host serves its whole zone as soon as it can.
 const UNAVAILABLE_BACKOFF: Duration = Duration::from_millis(500);
 
+/// Time after a back-off within which other hosts are preferred to the one that failed.
+const FAILURE_MEMORY: Duration = Duration::from_secs(1);
 /// Bytes of the response of another host: all rows of the largest table several times.
 const MAX_BODY_BYTES: usize = 16 << 20;
 /// Status of the response of a host that can't reach the store.
@@ -78,18 +80,23 @@
 pub struct Client {
     /// Idle connection and the address to which it was opened.
     stream: Cell<Option<(SocketAddr, TcpStream)>>,
-    /// Until when hosts that failed are not called.
+    /// Hosts that failed, with the time until which they are not called.
     backoffs: RefCell<HashMap<SocketAddr, Instant>>,
 }
 
 impl Client {
-    /// Returns the first of the hosts that did not fail recently.
+    /// Returns the first of the hosts that did not fail recently; if all did, the one that may be
+    /// called again for the longest time. So each is called before one that failed is called again.
     pub fn first_available(&self, hosts: &[SocketAddr]) -> Option<SocketAddr> {
         let now = Instant::now();
         let mut backoffs = self.backoffs.borrow_mut();
-        backoffs.retain(|_, until| *until > now);
-        let found = hosts.iter().find(|address| !backoffs.contains_key(address));
-        found.copied()
+        backoffs.retain(|_, until| *until + FAILURE_MEMORY > now);
+        let untried = hosts.iter().find(|host| !backoffs.contains_key(host));
+        let retried = || {
+            let over = hosts.iter().filter(|host| backoffs[host] <= now);
+            over.min_by_key(|host| backoffs[host])
+        };
+        untried.or_else(retried).copied()
     }
 
     /// Excludes a host from calls for a while, since it failed or its responses are of no use.
