Three readers are asked, and only a true outage holds removals

Change: three readers are asked at once, one that failed only after all others within 3 s; a host holds removals if its own read of the store failed, or if its reader marks the changes as the first after an outage; not because readers said that they lost it.

--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -84,7 +84,8 @@
     fn max_delay(&self, _edge: &Edge) -> Option<Duration> {
         None
     }
-    /// Records that a read from the store failed.
+    /// Records that a read from the store failed, or that the next changes are another host's first
+    /// ones after that.
     fn lost(&mut self) {}
     /// Waits until another source reports that the table has changed.
     fn outdated<'a>(&self, _edge: &'a Edge) -> LocalBoxFuture<'a, ()> {
@@ -109,6 +110,8 @@
     after: Option<u64>,
     /// Whether the last read failed.
     is_lost: bool,
+    /// Whether a read of the store has failed since the last one that succeeded.
+    has_failed: bool,
     /// Whether the next read is from the store, whatever other hosts offer.
     is_direct: bool,
     /// Whether the last read was from another host.
@@ -151,7 +154,6 @@
                     tracing::warn!(event = "store_lost", table = self.table, error = %err);
                 }
                 count(&self.edge.metrics.calls, "feed_failed");
-                self.sink.lost();
                 self.wait_for_probe().await;
             }
         }
@@ -207,6 +209,8 @@
         self.is_relayed = false;
         let outcome = self.read_store(is_probe).await;
         if outcome.is_err() {
+            self.has_failed = true;
+            self.sink.lost();
             self.edge.outage.record_failure(Instant::now());
         }
         outcome
@@ -236,6 +240,9 @@
         let mirrors = &self.edge.mirrors;
         let (changes, is_snapshot) = (&relayed.changes, relayed.is_snapshot);
         mirrors.record(relay.table, changes, is_snapshot, Source::Host);
+        if relayed.is_after_outage {
+            self.sink.lost();
+        }
         self.sink.start_batch();
         match self.sink.relayed(&self.edge, relayed) {
             Outcome::Complete => {
@@ -318,6 +325,7 @@
             }
         };
         drop(call);
+        let has_failed = std::mem::take(&mut self.has_failed);
         count(&self.edge.metrics.calls, "feed");
         self.edge.outage.end(Instant::now());
         let Some(changes) = changes else {
@@ -370,7 +378,11 @@
         if let (Some(relay), Some(changes)) = (&self.relay, handed_on) {
             let changes = self.sink.publish(&self.edge, changes, is_snapshot);
             let mirrors = &self.edge.mirrors;
-            mirrors.record(relay.table, &changes, is_snapshot, Source::Store);
+            let source = match has_failed {
+                true => Source::StoreAfterOutage,
+                false => Source::Store,
+            };
+            mirrors.record(relay.table, &changes, is_snapshot, source);
         }
         Ok(())
     }
@@ -405,6 +417,7 @@
         interval,
         after: None,
         is_lost: false,
+        has_failed: false,
         is_direct: false,
         is_relayed: false,
         divergences: 0,
--- a/crates/edge/src/peer.rs
+++ b/crates/edge/src/peer.rs
@@ -25,13 +25,13 @@
 const UNAVAILABLE_BACKOFF: Duration = Duration::from_millis(500);
 
 /// Time after a back-off within which other hosts are preferred to the one that failed.
-const FAILURE_MEMORY: Duration = Duration::from_secs(1);
+const FAILURE_MEMORY: Duration = Duration::from_secs(3);
 /// Bytes of the response of another host: all rows of the largest table several times.
 const MAX_BODY_BYTES: usize = 16 << 20;
 /// Status of the response of a host that can't reach the store.
 pub const OUTAGE_STATUS: StatusCode = StatusCode::GATEWAY_TIMEOUT;
 /// Number of readers that a host calls before it turns to the store itself.
-pub const MAX_READERS: usize = 2;
+pub const MAX_READERS: usize = 3;
 
 /// Why a call to another host failed.
 #[derive(Debug, thiserror::Error)]
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -77,6 +77,9 @@
     /// Whether the rows are all rows of the table.
     #[serde(default)]
     is_snapshot: bool,
+    /// Whether the changes are the first ones after an outage of the store.
+    #[serde(default)]
+    is_after_outage: bool,
     /// Revision up to which the changes are complete.
     revision: u64,
     /// The store's clock at its last response, in milliseconds.
@@ -98,6 +101,8 @@
     pub changes: Changes,
     /// Whether they are all rows of the table.
     pub is_snapshot: bool,
+    /// Whether they are the first ones after an outage of the store.
+    pub is_after_outage: bool,
     /// Digest of the keys of all rows at the other host; `None` if it sent none.
     pub digest: Option<u64>,
 }
@@ -129,6 +134,8 @@
 pub enum Source {
     /// The store.
     Store,
+    /// The store, for the first time after a read had failed.
+    StoreAfterOutage,
     /// Another host.
     Host,
 }
@@ -143,6 +150,8 @@
     /// Whether the last response was the store's. Others are not handed on: two hosts that read from
     /// each other would both keep what is outdated.
     is_direct: bool,
+    /// Revision of the first response after the last outage; `None` if there was none.
+    outage: Option<u64>,
     /// Recent changes, oldest first.
     changes: VecDeque<Change>,
     /// Revision after which the changes are complete; older ones may be missing.
@@ -161,6 +170,7 @@
             rows: BTreeMap::new(),
             is_complete: false,
             is_direct: false,
+            outage: None,
             changes: VecDeque::new(),
             oldest_revision: revision,
             revision: 0,
@@ -170,7 +180,10 @@
     }
 
     fn record(&mut self, changes: &Changes, is_snapshot: bool, source: Source) {
-        self.is_direct = source == Source::Store;
+        self.is_direct = source != Source::Host;
+        if source == Source::StoreAfterOutage {
+            self.outage = Some(changes.revision);
+        }
         if is_snapshot {
             self.rows.clear();
             self.changes.clear();
@@ -210,9 +223,11 @@
                 newer.map(Row::from).collect()
             }
         };
+        let is_after_outage = self.outage.is_some_and(|first| after < first);
         Some(Page {
             rows,
             is_snapshot,
+            is_after_outage,
             revision: self.revision.max(after),
             clock: self.clock,
             age_ms: u64::try_from(self.at.elapsed().as_millis()).unwrap_or(u64::MAX),
@@ -460,6 +475,7 @@
                 clock: page.clock,
             },
             is_snapshot: page.is_snapshot,
+            is_after_outage: page.is_after_outage,
             digest: page.digest,
         })
     }
--- a/crates/edge/tests/relay.rs
+++ b/crates/edge/tests/relay.rs
@@ -202,3 +202,58 @@
         assert_eq!(live.len(), 3);
     }
 }
+
+/// Guards against hosts that drop live endpoints after an outage: the entries of these lapse while
+/// the store is away and are back soon after it, but only the reader knew of the outage.
+#[actix_rt::test]
+async fn endpoints_that_lapse_during_an_outage_are_kept_by_all_hosts() {
+    let (server, harnesses) = start_zone().await;
+    let store = &harnesses[0].store;
+    store.is_down.set(true);
+    sleep(Duration::from_millis(2_500)).await;
+    store.put("endpoints", "e0", None);
+    store.is_down.set(false);
+    let until = Instant::now() + Duration::from_millis(1_500);
+    while Instant::now() < until {
+        for harness in &harnesses {
+            let listed = harness.program.edge().roster.borrow().ids().count();
+            assert_eq!(listed, 1, "{}", harness.settings.host);
+        }
+        sleep(Duration::from_millis(50)).await;
+    }
+    let address = server.address.to_string();
+    store.put("endpoints", "e0", Some(&address));
+    sleep(Duration::from_millis(2_000)).await;
+    for harness in &harnesses {
+        let response = harness.call(&request("read", "r", "")).await;
+        assert_eq!(status(&response), "200");
+    }
+}
+
+/// Guards against a removal that is held although the store was never away: a host whose reader was
+/// turned away sent work to an endpoint that had left.
+#[actix_rt::test]
+async fn a_removal_counts_at_once_when_only_the_reader_was_turned_away() {
+    let server = Server::start(vec![vec![Step::Write(OK_RESPONSE)]]).await;
+    let store = Harness::store(&[&server]);
+    let mut hosts = Vec::new();
+    for (host, zone) in [("a1", "a"), ("a2", "a"), ("b1", "b"), ("c1", "c")] {
+        let settings = Settings {
+            host: host.to_owned(),
+            zone: zone.to_owned(),
+            ..settings().await
+        };
+        let connection = Connection::new(store.clone());
+        let harness = Harness::with_connection(connection.clone(), settings, None).await;
+        hosts.push((harness, connection));
+    }
+    sleep(Duration::from_millis(4_500)).await;
+    // Two of three readers are turned away; `a2` reaches the store and the third.
+    hosts[0].1.is_cut.set(true);
+    hosts[2].1.is_cut.set(true);
+    sleep(Duration::from_millis(2_000)).await;
+    store.put("endpoints", "e0", None);
+    sleep(Duration::from_millis(1_500)).await;
+    let listed = hosts[1].0.program.edge().roster.borrow().ids().count();
+    assert_eq!(listed, 0);
+}
