Log of a lost attempt: parts of the prompt, and whether an answer had begun

Cause: a line attempt_failed had no prompt, so three hypotheses of the incident (content, repeats, load) could not be told apart. Change: the fields is_answering (a complete event or a part of the body had arrived) and parts (ids of the prompt, in order). No logic is changed.

--- a/crates/edge/src/event.rs
+++ b/crates/edge/src/event.rs
@@ -63,9 +63,16 @@
     length: usize,
     /// Last bytes received, in which a boundary may begin.
     tail: Vec<u8>,
+    /// Whether an event was complete.
+    has_event: bool,
 }
 
 impl Gauge {
+    /// Returns whether a complete event was received.
+    pub fn has_event(&self) -> bool {
+        self.has_event
+    }
+
     /// Adds received bytes. Fails if the partial event is too long.
     pub fn push(&mut self, bytes: &[u8]) -> Result<(), Overlong> {
         let before = self.tail.len();
@@ -73,7 +80,10 @@
         self.tail.extend_from_slice(&bytes[..seam]);
         let in_seam = last_boundary(&self.tail).map(|end| end.saturating_sub(before));
         match last_boundary(bytes).or(in_seam) {
-            Some(end) => self.length = bytes.len().saturating_sub(end),
+            Some(end) => {
+                self.length = bytes.len().saturating_sub(end);
+                self.has_event = true;
+            }
             None => self.length += bytes.len(),
         }
         if bytes.len() >= BOUNDARY_BYTES {
--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -183,7 +183,7 @@
                 self.edge.pool.borrow_mut().count_opened();
                 match client::connect(endpoint.address, CONNECT_TIMEOUT.min(remaining)).await {
                     Ok(stream) => stream,
-                    Err(err) => return self.attempt_failed(call, reservation, &err),
+                    Err(err) => return self.attempt_failed(call, reservation, &err, false),
                 }
             }
         };
@@ -217,7 +217,7 @@
         let exchange = Exchange::start(stream, outgoing, &is_own);
         match timeout_at(call.deadline, exchange).await {
             Err(_) => Attempt::TimedOut,
-            Ok(Err(err)) => self.attempt_failed(call, reservation, &err),
+            Ok(Err(err)) => self.attempt_failed(call, reservation, &err, false),
             Ok(Ok((exchange, head))) => {
                 let reply = dialect.response(&head);
                 if reply.not_run || head.status == StatusCode::MISDIRECTED_REQUEST {
@@ -239,13 +239,22 @@
         }
     }
 
-    /// Logs a failed exchange and returns what it means for the request.
-    fn attempt_failed(&self, call: &Call, reservation: &Reservation<'_>, error: &Error) -> Attempt {
+    /// Logs a failed exchange and returns what it means for the request. `is_answering` tells whether
+    /// a complete event or a part of the body had arrived.
+    fn attempt_failed(
+        &self,
+        call: &Call,
+        reservation: &Reservation<'_>,
+        error: &Error,
+        is_answering: bool,
+    ) -> Attempt {
         tracing::info!(
             event = "attempt_failed",
             request = call.info.id,
             endpoint = reservation.assignment().endpoint.id,
             error = %error,
+            is_answering,
+            parts = call.part_list(),
         );
         if let Error::Endless { part, .. } = error {
             count(&self.edge.metrics.endless, part);
--- a/crates/edge/src/forward/admit.rs
+++ b/crates/edge/src/forward/admit.rs
@@ -42,6 +42,14 @@
     pub(super) subset: Option<Subset>,
 }
 
+impl Call {
+    /// Returns the parts of the prompt in order, as hexadecimal ids separated by commas, for the log.
+    pub(super) fn part_list(&self) -> String {
+        let ids = self.info.prompt.iter().map(|part| format!("{:x}", part.id));
+        ids.collect::<Vec<_>>().join(",")
+    }
+}
+
 impl Forwarder {
     /// Resolves route, account, service and estimated work of a request, or refuses it.
     pub(super) fn admit(&self, incoming: Incoming, record: &mut Record) -> Result<Call, Refusal> {
--- a/crates/edge/src/forward/delivery.rs
+++ b/crates/edge/src/forward/delivery.rs
@@ -102,12 +102,13 @@
             self.splitter.discard_partial();
         }
         let mut gauge = Gauge::default();
+        let mut has_event = false;
         loop {
             let next = timeout_at(call.deadline, exchange.next()).await;
             let bytes = match next {
                 Err(_) => return Transfer::TimedOut,
                 Ok(Err(err)) => {
-                    forwarder.attempt_failed(call, reservation, &err);
+                    forwarder.attempt_failed(call, reservation, &err, has_event);
                     return Transfer::EndpointFailed;
                 }
                 Ok(Ok(bytes)) => bytes,
@@ -119,10 +120,15 @@
             };
             let Ok(events) = events else {
                 let (part, limit) = ("event", event::MAX_EVENT_BYTES);
-                forwarder.attempt_failed(call, reservation, &Error::Endless { part, limit });
+                let err = Error::Endless { part, limit };
+                forwarder.attempt_failed(call, reservation, &err, has_event);
                 self.splitter.discard_partial();
                 return Transfer::EndpointFailed;
             };
+            has_event |= match self.is_resumable {
+                true => !events.is_empty(),
+                false => gauge.has_event(),
+            };
             if events.is_empty() {
                 continue;
             }
@@ -210,14 +216,14 @@
             Err(_) => return Transfer::TimedOut,
             Ok(Ok(Some(bytes))) => {
                 if let Err(err) = buffered.add(bytes.len()) {
-                    forwarder.attempt_failed(call, reservation, &err);
+                    forwarder.attempt_failed(call, reservation, &err, !body.is_empty());
                     return Transfer::EndpointFailed;
                 }
                 body.extend_from_slice(&bytes);
             }
             Ok(Ok(None)) => break,
             Ok(Err(err)) => {
-                forwarder.attempt_failed(call, reservation, &err);
+                forwarder.attempt_failed(call, reservation, &err, !body.is_empty());
                 return Transfer::EndpointFailed;
             }
         }
