Test that shows the incident: a part that crashes endpoints goes to one after the other

What callers see: each endpoint that a request with the part reaches ends, and with it the sound requests at it.

--- a/crates/edge/tests/support/mod.rs
+++ b/crates/edge/tests/support/mod.rs
@@ -3,6 +3,7 @@
 
 #![allow(dead_code, unreachable_pub, reason = "each test file uses a part")]
 
+pub mod fragile;
 pub mod link;
 mod server;
 mod store;
@@ -16,8 +17,9 @@
 use actix_http::{RequestHead, ResponseHead};
 use agate_edge::config::{Account, Config, Engine, Kind, Limits, Route, Service};
 use agate_edge::edge::Remote;
+use agate_edge::estimate;
 use agate_edge::interface::{
-    Context, Decoder, Dialect, Duties, Fault, Lookup, RequestInfo, ResponseInfo,
+    Context, Decoder, Dialect, Duties, Fault, Lookup, Part, RequestInfo, ResponseInfo,
 };
 use agate_edge::roster::Endpoint;
 use agate_edge::run::Program;
@@ -44,6 +46,16 @@
     headers.get(name).and_then(|value| value.to_str().ok())
 }
 
+/// Decodes the names of the parts of a prompt, separated by commas.
+fn parts(names: &str) -> Vec<Part> {
+    let names = names.split(',');
+    let part = |name| Part {
+        id: estimate::hash(name),
+        tokens: 100,
+    };
+    names.map(part).collect()
+}
+
 impl Dialect for TestPlatform {
     fn request(&self, head: &RequestHead) -> Result<RequestInfo, Fault> {
         let id = header(&head.headers, "x-id").ok_or_else(|| Fault::new("x-id", "is missing"))?;
@@ -54,6 +66,7 @@
                 .and_then(|millis| millis.parse().ok())
                 .map(Duration::from_millis),
             last_event: header(&head.headers, "last-event-id").map(str::to_owned),
+            prompt: header(&head.headers, "x-parts").map_or_else(Vec::new, parts),
             ..RequestInfo::default()
         })
     }
