--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -5,6 +5,7 @@
 mod delivery;
 mod progress;
 
+use std::io::ErrorKind;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -20,6 +21,7 @@
 use crate::client::{self, Error, Exchange, Outgoing};
 use crate::config::Limits;
 use crate::edge::Edge;
+use crate::guard;
 use crate::interface::Context;
 use crate::metrics::{self, count};
 use crate::record::Record;
@@ -183,7 +185,7 @@
                 self.edge.pool.borrow_mut().count_opened();
                 match client::connect(endpoint.address, CONNECT_TIMEOUT.min(remaining)).await {
                     Ok(stream) => stream,
-                    Err(err) => return self.attempt_failed(call, reservation, &err),
+                    Err(err) => return self.attempt_failed(call, reservation, &err, false),
                 }
             }
         };
@@ -217,7 +219,7 @@
         let exchange = Exchange::start(stream, outgoing, &is_own);
         match timeout_at(call.deadline, exchange).await {
             Err(_) => Attempt::TimedOut,
-            Ok(Err(err)) => self.attempt_failed(call, reservation, &err),
+            Ok(Err(err)) => self.attempt_failed(call, reservation, &err, false),
             Ok(Ok((exchange, head))) => {
                 let reply = dialect.response(&head);
                 if reply.not_run || head.status == StatusCode::MISDIRECTED_REQUEST {
@@ -239,17 +241,32 @@
         }
     }
 
-    /// Logs a failed exchange and returns what it means for the request.
-    fn attempt_failed(&self, call: &Call, reservation: &Reservation<'_>, error: &Error) -> Attempt {
+    /// Logs a failed exchange and returns what it means for the request. `is_answering` tells whether
+    /// the endpoint had answered for long enough that the request can't have crashed it.
+    fn attempt_failed(
+        &self,
+        call: &Call,
+        reservation: &Reservation<'_>,
+        error: &Error,
+        is_answering: bool,
+    ) -> Attempt {
         tracing::info!(
             event = "attempt_failed",
             request = call.info.id,
             endpoint = reservation.assignment().endpoint.id,
             error = %error,
+            is_answering,
+            parts = guard::hex_list(call.parts.iter()),
         );
         if let Error::Endless { part, .. } = error {
             count(&self.edge.metrics.endless, part);
         }
+        let is_closed =
+            matches!(error, Error::Interrupted(err) if err.kind() != ErrorKind::TimedOut);
+        if is_closed && !is_answering {
+            let endpoint = &reservation.assignment().endpoint;
+            self.edge.record_loss(&call.info.id, endpoint, &call.parts);
+        }
         match error {
             Error::Unsent(_) => Attempt::Unsent,
             Error::Interrupted(_) | Error::Malformed(_) | Error::Endless { .. } => Attempt::Lost,
