A stream that ends inside an event is not passed on as complete

What callers saw: where a stream that may not be resumed came without a length and without chunks, and its endpoint crashed in the middle of an event, the host ended the caller's stream as if it were whole. Cause: the end of the connection counts as the end of such a body; only resumable streams were checked for a partial event. Change: each stream is checked; one that ends inside an event is cut. Measured: the test a_stream_without_length_is_complete_only_after_an_event failed before in its first two cases and passes.

--- a/crates/edge/src/event.rs
+++ b/crates/edge/src/event.rs
@@ -73,6 +73,11 @@
         self.has_event
     }
 
+    /// Returns whether bytes of an incomplete event were received last.
+    pub fn is_partial(&self) -> bool {
+        self.length > 0
+    }
+
     /// Adds received bytes. Fails if the partial event is too long.
     pub fn push(&mut self, bytes: &[u8]) -> Result<(), Overlong> {
         let before = self.tail.len();
--- a/crates/edge/src/forward/delivery.rs
+++ b/crates/edge/src/forward/delivery.rs
@@ -150,7 +150,8 @@
                 return Transfer::CallerClosed;
             }
         }
-        if self.splitter.is_partial() {
+        // The end of a connection may be the end of a body, but not of an event.
+        if self.splitter.is_partial() || gauge.is_partial() {
             return Transfer::EndpointFailed;
         }
         if onset.has_begun() {
