A refusal without the request's id on a kept connection promises nothing

What callers saw: "not run, try again" for a request that an endpoint was running, or a second run of it at another endpoint, when a faulty endpoint wrote an earlier refusal once more on a kept connection. Cause: an unsigned error without a request id was taken as the response to the request just sent. Refusals with another id were skipped already.

--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -178,6 +178,7 @@
             false => ONCE_MAX_IDLE,
         };
         let idle = self.edge.pool.borrow_mut().take(endpoint, max_idle);
+        let is_reused = idle.is_some();
         let stream = match idle {
             Some(stream) => stream,
             None => {
@@ -222,6 +223,11 @@
             Ok(Err(err)) => self.attempt_failed(call, reservation, &err, false),
             Ok(Ok((exchange, head))) => {
                 let reply = dialect.response(&head);
+                // It may be a response to an earlier request, which says nothing of this one.
+                if is_reused && reply.request.is_none() {
+                    let error = Error::Malformed("no request id on a kept connection".to_owned());
+                    return self.attempt_failed(call, reservation, &error, false);
+                }
                 if reply.not_run || head.status == StatusCode::MISDIRECTED_REQUEST {
                     exchange.close(&mut self.edge.pool.borrow_mut(), endpoint);
                     return Attempt::Declined;
