A stream is not continued by a response of another content type

What callers saw: after a break, the text of an error in the middle of their stream, or a stream that ended as complete with it, if the next endpoint sent the error with status 200 as plain text. Errors with another status were kept out already: four cases of the test passed before. Cause: whether a response continues a stream was decided by its status alone. Change: its content type must be that of the response which began the stream. Measured: the test an_error_after_a_broken_stream_does_not_reach_its_caller failed before in the case not_a_stream and passes in all six.

--- a/crates/edge/src/forward/delivery.rs
+++ b/crates/edge/src/forward/delivery.rs
@@ -1,5 +1,6 @@
 //! Delivers the responses of endpoints to one caller.
 
+use actix_http::header::{CONTENT_TYPE, HeaderValue};
 use actix_http::{ResponseHead, StatusCode};
 use bytes::{Bytes, BytesMut};
 use tokio::time::timeout_at;
@@ -38,6 +39,8 @@
     is_resumable: bool,
     splitter: Splitter,
     caller_last_event: Option<String>,
+    /// Content type of the stream; `None` before it has begun or if it has none.
+    content_type: Option<HeaderValue>,
 }
 
 impl Delivery {
@@ -47,6 +50,7 @@
             is_resumable: call.route.kind == Kind::Stream { resumable: true },
             splitter: Splitter::default(),
             caller_last_event: call.info.last_event.clone(),
+            content_type: None,
         }
     }
 
@@ -102,6 +106,12 @@
         if self.splitter.is_partial() {
             self.splitter.discard_partial();
         }
+        let content_type = head.headers.get(CONTENT_TYPE);
+        if writer.is_started() && content_type != self.content_type.as_ref() {
+            // A text about an error continues no stream, whatever its status.
+            return Transfer::EndpointFailed;
+        }
+        self.content_type = content_type.cloned();
         let mut gauge = Gauge::default();
         let mut onset = Onset::default();
         let mut is_recorded = false;
--- a/crates/edge/tests/broken.rs
+++ b/crates/edge/tests/broken.rs
@@ -5,9 +5,13 @@
 use std::time::Duration;
 
 use rstest::rstest;
-use support::{Harness, Server, Step, is_complete, request, status};
+use support::{Harness, Server, Step, is_complete, read_response, request, status};
+use tokio::io::AsyncWriteExt as _;
+use tokio::time::sleep;
 
 const OK: &str = "HTTP/1.1 200 OK\r\nx-id: {id}\r\nx-signed: 1\r\ncontent-length: 4\r\n\r\nfine";
+const STREAM: &str =
+    "HTTP/1.1 200 OK\r\nx-id: {id}\r\nx-signed: 1\r\ntransfer-encoding: chunked\r\n\r\n";
 
 // Guards against: a stream that ends with its connection, in the middle of an event, looks complete.
 #[rstest]
@@ -58,3 +62,42 @@
     assert!(matches!(status(&second), "200" | "502"), "{second}");
     assert_eq!(server.count(), 2, "the request ran once more");
 }
+
+// Guards against: the text of an error in the middle of a stream, or a stream that ends as complete with it.
+#[rstest]
+#[case::failure("HTTP/1.1 500 No\r\nx-id: {id}\r\nx-signed: 1\r\ncontent-length: 5\r\n\r\nwrong")]
+#[case::refusal("HTTP/1.1 503 No\r\nx-id: {id}\r\nx-not-run: 1\r\ncontent-length: 5\r\n\r\nwrong")]
+#[case::not_found("HTTP/1.1 404 No\r\nx-id: {id}\r\nx-signed: 1\r\ncontent-length: 5\r\n\r\nwrong")]
+#[case::partial("HTTP/1.1 206 Hm\r\nx-id: {id}\r\nx-signed: 1\r\ncontent-length: 5\r\n\r\nwrong")]
+#[case::not_a_stream(
+    "HTTP/1.1 200 OK\r\nx-id: {id}\r\nx-signed: 1\r\ncontent-type: text/plain\r\n\
+     content-length: 7\r\n\r\nwrong\n\n"
+)]
+#[case::nothing("")]
+#[actix_rt::test]
+async fn an_error_after_a_broken_stream_does_not_reach_its_caller(#[case] error: &'static str) {
+    let broken = vec![
+        Step::Write(STREAM),
+        Step::Write("12\r\nid: 1\ndata\n\nid: 2\n\r\n"),
+        // The host learns of the other endpoint in this time.
+        Step::Wait(Duration::from_millis(800)),
+        Step::Close,
+    ];
+    let first = Server::start(vec![broken]).await;
+    let bench = Harness::start(&[&first]).await;
+    let second = Server::start(vec![vec![Step::Write(error), Step::Close]]).await;
+    let mut caller = bench.connect().await;
+    let text = request("draft", "r1", "body");
+    caller.write_all(text.as_bytes()).await.expect("written");
+    while first.count() == 0 {
+        sleep(Duration::from_millis(5)).await;
+    }
+    let address = second.address.to_string();
+    bench.store.put("endpoints", "e1", Some(&address));
+    let response = read_response(&mut caller).await;
+    assert!(second.count() > 0, "the stream was not resumed");
+    assert!(!is_complete(&response), "{response}");
+    assert!(!response.contains("wrong"), "{response}");
+    assert_eq!(response.matches("HTTP/1.1").count(), 1, "{response}");
+    assert_eq!(response.matches("id: 1\n").count(), 1, "{response}");
+}
