Endpoints that are leaving, or ask for a pause, get no request until then

What callers saw: requests were sent to an endpoint that had said in its answers that it was leaving, and to one that had asked for a pause with Retry-After. Cause: neither header was read anywhere. Change: crate notice (no input or output) keeps both by incarnation, beside the list: a mark outlasts a row that vanishes and comes again, a new incarnation begins without one. The choice leaves such endpoints out, also when no other is left; the answer then is a 503 at once with the time until the first one returns. A pause is no failure of the endpoint. A request that is withheld after its endpoint was chosen no longer ejects that endpoint, as a change of the configuration at that moment did before. Malformed values are counted, and logged once per endpoint and second. A date counts only against the date of its own response.

--- a/crates/edge/src/balancer.rs
+++ b/crates/edge/src/balancer.rs
@@ -11,12 +11,13 @@
 use std::time::Duration;
 
 use agate_model::id::{EndpointId, ZoneId};
+use agate_notice::Notices;
 use slotmap::{SlotMap, new_key_type};
 use tokio::time::Instant;
 
 use crate::config::ServiceId;
 use crate::estimate::hash_pair;
-use crate::roster::{Change, Endpoint};
+use crate::roster::{Change, Endpoint, Incarnation};
 use crate::subset::Subset;
 
 new_key_type! {
@@ -81,6 +82,8 @@
     Unreached,
     /// The endpoint declined the request as not run.
     Full,
+    /// The endpoint asked for a pause, or the request was withheld: neither says anything of its health.
+    Excused,
     /// The caller disconnected, or the deadline passed during the response.
     Abandoned,
 }
@@ -89,6 +92,7 @@
 #[derive(Debug)]
 struct Entry {
     endpoint: Rc<Endpoint>,
+    incarnation: Rc<Incarnation>,
     /// Whether the endpoint is still listed; an entry that is not is kept until its last request
     /// ends.
     is_listed: bool,
@@ -103,6 +107,10 @@
     /// Ejections since the last success after one.
     ejections: u32,
     ejected_until: Option<Instant>,
+    /// Whether the endpoint has said that it is leaving, as in the notices.
+    is_leaving: bool,
+    /// When the pause ends that the endpoint has asked for, as in the notices.
+    paused_until: Option<Instant>,
 }
 
 /// Least number of open endpoints in the host's zone, as a fraction of an equal share per zone, at
@@ -119,6 +127,7 @@
 #[derive(Debug)]
 pub struct Assignment {
     key: Key,
+    incarnation: Rc<Incarnation>,
     work: f64,
     /// Endpoint that the request was assigned to.
     pub endpoint: Rc<Endpoint>,
@@ -131,6 +140,8 @@
     entries: SlotMap<Key, Entry>,
     by_id: HashMap<EndpointId, Key>,
     by_service: HashMap<ServiceId, Vec<Key>>,
+    /// What endpoints asked for, also those that are not listed any more.
+    notices: Notices<Rc<Incarnation>>,
 }
 
 impl Balancer {
@@ -153,8 +164,14 @@
 
     fn join(&mut self, endpoint: &Rc<Endpoint>) {
         self.leave(&endpoint.id);
+        let incarnation = Rc::new(Incarnation::from(&**endpoint));
+        let now = Instant::now().into_std();
+        let paused_until = self.notices.paused_until(now, &incarnation);
         let key = self.entries.insert(Entry {
             endpoint: endpoint.clone(),
+            is_leaving: self.notices.is_leaving(&incarnation),
+            paused_until: paused_until.map(Instant::from_std),
+            incarnation,
             is_listed: true,
             running: 0,
             work: 0.0,
@@ -221,6 +238,7 @@
         entry.work += criteria.cost;
         Some(Assignment {
             key,
+            incarnation: entry.incarnation.clone(),
             work: criteria.cost,
             endpoint: entry.endpoint.clone(),
         })
@@ -273,30 +291,88 @@
         open.to_vec()
     }
 
-    /// Returns the endpoints of a service that are not draining.
+    /// Returns the endpoints of a service that are not draining and did not say that they are leaving.
     fn ready(&self, service: &str) -> impl Iterator<Item = Key> {
         let keys = self.by_service.get(service).map_or(&[][..], Vec::as_slice);
         let all = keys.iter().copied();
-        all.filter(|key| !self.entries[*key].endpoint.draining)
+        all.filter(|key| {
+            let entry = &self.entries[*key];
+            !entry.endpoint.draining && !entry.is_leaving
+        })
     }
 
-    /// Returns the endpoints that are neither draining nor ejected. If all are ejected, the
-    /// ejections are ignored.
+    /// Returns the ready endpoints that did not ask for a pause.
+    fn open(&self, now: Instant, service: &str) -> impl Iterator<Item = Key> {
+        self.ready(service).filter(move |key| {
+            let until = self.entries[*key].paused_until;
+            until.is_none_or(|until| until <= now)
+        })
+    }
+
+    /// Returns the open endpoints that are not ejected. If all are ejected, the ejections are ignored.
     fn usable(&self, now: Instant, service: &str) -> Vec<Key> {
         let admitted: Vec<Key> = self
-            .ready(service)
+            .open(now, service)
             .filter(|key| {
                 let until = self.entries[*key].ejected_until;
                 until.is_none_or(|until| until <= now)
             })
             .collect();
         if admitted.is_empty() {
-            self.ready(service).collect()
+            self.open(now, service).collect()
         } else {
             admitted
         }
     }
 
+    /// Records that an endpoint is leaving; returns whether that is news.
+    pub fn mark_leaving(&mut self, now: Instant, assignment: &Assignment) -> bool {
+        let is_news = self.notices.leave(now.into_std(), &assignment.incarnation);
+        if let Some(entry) = self.listed(assignment) {
+            entry.is_leaving = true;
+        }
+        is_news
+    }
+
+    /// Returns the entry of an assignment's incarnation if it is listed now.
+    fn listed(&mut self, assignment: &Assignment) -> Option<&mut Entry> {
+        let key = self.by_id.get(&assignment.endpoint.id)?;
+        let entry = self.entries.get_mut(*key)?;
+        (entry.incarnation == assignment.incarnation).then_some(entry)
+    }
+
+    /// Records that an endpoint wants nothing for a while. Returns the end of the pause if it becomes
+    /// longer.
+    pub fn pause(
+        &mut self,
+        now: Instant,
+        assignment: &Assignment,
+        wait: Duration,
+    ) -> Option<Instant> {
+        let incarnation = &assignment.incarnation;
+        let until = self.notices.pause(now.into_std(), incarnation, wait);
+        let until = until.map(Instant::from_std);
+        if let Some(entry) = self.listed(assignment) {
+            entry.paused_until = entry.paused_until.max(until);
+        }
+        until
+    }
+
+    /// Returns whether the endpoint of an assignment may still get the request.
+    pub fn is_open(&self, now: Instant, assignment: &Assignment) -> bool {
+        self.notices
+            .is_open(now.into_std(), &assignment.incarnation)
+    }
+
+    /// Returns when the first pause ends if all endpoints of a service are paused, otherwise `None`.
+    pub fn opening(&self, now: Instant, service: &str) -> Option<Instant> {
+        if self.open(now, service).next().is_some() {
+            return None;
+        }
+        let ready = self.ready(service);
+        ready.filter_map(|key| self.entries[key].paused_until).min()
+    }
+
     /// Returns the endpoint with the fewest requests in flight, then the least work; a random one
     /// of several.
     fn least_loaded(&self, open: &[Key]) -> Option<Key> {
@@ -356,7 +432,7 @@
                 }
                 false
             }
-            Outcome::Abandoned => false,
+            Outcome::Abandoned | Outcome::Excused => false,
             Outcome::Failed | Outcome::Unreached | Outcome::Full => {
                 entry.failures += 1;
                 entry.failure_rate += (1.0 - entry.failure_rate) * FAILURE_RATE_WEIGHT;
--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -21,6 +21,7 @@
 use crate::evidence::Evidence;
 use crate::guard::Guard;
 use crate::handover::Inbox;
+use crate::heed::Faulty;
 use crate::hosts::{Hosts, Row};
 use crate::interface::{Decoder, Dialect, Duties};
 use crate::ledger::{Ledger, Offer};
@@ -82,6 +83,8 @@
     pub metrics: Metrics,
     /// Evidence on prompts that crash endpoints.
     pub guard: Guard,
+    /// When malformed headers of endpoints were last logged.
+    pub faulty: RefCell<Faulty>,
     /// Registered endpoints as last read from the store.
     pub roster: RefCell<Roster>,
     /// Whether the list of endpoints was read since the process started.
@@ -143,6 +146,7 @@
             remote,
             metrics,
             guard: Guard::default(),
+            faulty: RefCell::default(),
             roster: RefCell::default(),
             has_roster: Cell::new(false),
             board: RefCell::new(Balancer::new(Tuning::default())),
--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -5,6 +5,7 @@
 mod delivery;
 mod progress;
 
+use std::cell::Cell;
 use std::io::ErrorKind;
 use std::rc::Rc;
 use std::time::Duration;
@@ -44,6 +45,8 @@
 const NO_ENDPOINT_RETRY_AFTER: Duration = Duration::from_millis(800);
 /// Shortest `Retry-After` of a refusal because the service is busy.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(250);
+/// Longest `Retry-After` of callers whose endpoints are paused, as a multiple of the pause.
+const RETURN_SPREAD: f64 = 1.2;
 /// A request with less time than this before its deadline is refused instead of sent.
 const MIN_TIME_LEFT: Duration = Duration::from_millis(20);
 /// Requests that a host may have in flight at one endpoint, as a multiple of an equal share of
@@ -98,6 +101,9 @@
         let waiter = queue.push(call.tier);
         record.waited = true;
         loop {
+            if let Some(refusal) = self.refuse_paused(call, until) {
+                return Err(refusal);
+            }
             if timeout_at(until, waiter.woken()).await.is_err() {
                 let balancer = self.edge.board.borrow();
                 let refusal = match balancer.ready_count(&call.service) {
@@ -112,6 +118,15 @@
         }
     }
 
+    /// Returns a refusal if all endpoints of the service have asked for a pause beyond `until`. Callers
+    /// are spread over a part of the wait, so that they do not return at the same moment.
+    fn refuse_paused(&self, call: &Call, until: Instant) -> Option<Refusal> {
+        let now = Instant::now();
+        let opening = self.edge.board.borrow().opening(now, &call.service)?;
+        let wait = (opening - now).mul_f64(rand::random_range(1.0..RETURN_SPREAD));
+        (opening > until).then(|| Refusal::retry_after(Reason::Full, wait))
+    }
+
     /// Returns the `Retry-After` for a busy service: an estimate of the time until its queue is
     /// worked off.
     fn queue_retry_after(&self, call: &Call) -> Duration {
@@ -192,6 +207,13 @@
         };
         // The configuration may have changed while the connection was opened.
         if self.recheck(call).is_err() {
+            reservation.is_excused.set(true);
+            return Attempt::Unsent;
+        }
+        // The endpoint may have asked for a pause meanwhile.
+        let assignment = reservation.assignment();
+        if !self.edge.board.borrow().is_open(Instant::now(), assignment) {
+            reservation.is_excused.set(true);
             return Attempt::Unsent;
         }
         let dialect = &self.edge.remote.dialect;
@@ -223,6 +245,9 @@
             Ok(Err(err)) => self.attempt_failed(call, reservation, &err, false),
             Ok(Ok((exchange, head))) => {
                 let reply = dialect.response(&head);
+                let edge = &self.edge;
+                let is_paused = edge.heed(&call.info.id, assignment, head.status, &reply);
+                reservation.is_excused.set(is_paused);
                 // It may be a response to an earlier request, which says nothing of this one.
                 if is_reused && reply.request.is_none() {
                     let error = Error::Malformed("no request id on a kept connection".to_owned());
@@ -434,6 +459,9 @@
     call: &'a Call,
     assignment: Assignment,
     outcome: Outcome,
+    /// Whether the outcome says nothing of the endpoint's health: it has asked for a pause, or the
+    /// request was withheld.
+    is_excused: Cell<bool>,
 }
 
 impl<'a> Reservation<'a> {
@@ -443,6 +471,7 @@
             call,
             assignment,
             outcome: Outcome::Abandoned,
+            is_excused: Cell::new(false),
         }
     }
 
@@ -452,7 +481,12 @@
 
     /// Releases the slot with this outcome.
     fn close(mut self, outcome: Outcome) {
-        self.outcome = outcome;
+        self.outcome = match outcome {
+            Outcome::Full | Outcome::Failed | Outcome::Unreached if self.is_excused.get() => {
+                Outcome::Excused
+            }
+            outcome => outcome,
+        };
     }
 }
 
@@ -464,6 +498,7 @@
             Outcome::Failed => "failed",
             Outcome::Unreached => "unreached",
             Outcome::Full => "full",
+            Outcome::Excused => "excused",
             Outcome::Abandoned => "abandoned",
         };
         count(&edge.metrics.attempts, outcome);
--- a/crates/edge/src/interface.rs
+++ b/crates/edge/src/interface.rs
@@ -88,6 +88,12 @@
     pub not_run: bool,
     /// Whether the endpoint has signed the response as its own.
     pub signed: bool,
+    /// Whether the endpoint says that it is leaving.
+    pub leaving: bool,
+    /// How long the endpoint asks to be left alone; `None` if it does not ask.
+    pub retry_after: Option<Duration>,
+    /// Headers of these kinds that are malformed, and so count as absent.
+    pub faults: Vec<Fault>,
 }
 
 /// Lookup of host addresses by a caller.
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod handover;
 pub mod headers;
 pub mod heartbeat;
+pub mod heed;
 pub mod hosts;
 pub mod interface;
 pub mod ledger;
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -88,6 +88,8 @@
     pub changes: Family<Outcome, Counter>,
     /// Version of the configuration in force; 0 before the first.
     pub config_version: Gauge,
+    /// Number of notices of endpoints by kind: `leaving`, `paused`, `resumed`, `malformed`.
+    pub notices: Family<Outcome, Counter>,
     /// Number of sets of prompt parts whose requests are refused.
     pub blocked_prompts: Gauge,
     /// Number of requests in flight.
@@ -182,6 +184,8 @@
         registry.register("changes", "Changes of belief by kind", self.changes.clone());
         let version = self.config_version.clone();
         registry.register("config_version", "Configuration in force", version);
+        let notices = self.notices.clone();
+        registry.register("notices", "Notices of endpoints by kind", notices);
         let blocked = self.blocked_prompts.clone();
         registry.register("blocked_prompts", "Sets of prompt parts refused", blocked);
         registry.register("running", "Requests being handled", self.in_flight.clone());
--- a/crates/edge/src/roster.rs
+++ b/crates/edge/src/roster.rs
@@ -30,6 +30,24 @@
     pub reclaimable: bool,
 }
 
+/// Identity of one incarnation of an endpoint.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Incarnation {
+    id: EndpointId,
+    born: Option<u64>,
+    address: SocketAddr,
+}
+
+impl From<&Endpoint> for Incarnation {
+    fn from(endpoint: &Endpoint) -> Self {
+        Self {
+            id: endpoint.id.clone(),
+            born: endpoint.born,
+            address: endpoint.address,
+        }
+    }
+}
+
 impl Endpoint {
     /// Returns whether both are the same incarnation of the same endpoint.
     pub fn is_same_incarnation(&self, other: &Self) -> bool {
--- a/crates/edge/tests/support/mod.rs
+++ b/crates/edge/tests/support/mod.rs
@@ -30,6 +30,7 @@
 use agate_edge::run::Program;
 use agate_edge::settings::{self, Bounds, Listen, Settings};
 use agate_model::id::EndpointId;
+use agate_notice::retry_after;
 use bytes::Bytes;
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::net::{TcpListener, TcpStream};
@@ -97,6 +98,10 @@
             request: header(&head.headers, "x-id").map(str::to_owned),
             not_run: head.headers.contains_key("x-not-run"),
             signed: head.headers.contains_key("x-signed"),
+            leaving: head.headers.contains_key("x-leaving"),
+            retry_after: header(&head.headers, "retry-after")
+                .and_then(|value| retry_after::parse(value, None).ok()),
+            faults: Vec::new(),
         }
     }
 
