agate-gate leaves an endpoint alone for as long as it asks with Retry-After

What callers saw: requests went on to an engine that had refused one with 503 and Retry-After, and the refusal counted as a failure of the engine. Cause: the header was not read. Change: the same notices as in the entry host; a paused endpoint takes no new work in the choice, as one that drains, and the refusal is no failure.

--- a/crates/gate/src/choice.rs
+++ b/crates/gate/src/choice.rs
@@ -7,6 +7,7 @@
 
 use agate_model::endpoint::Endpoint;
 use agate_model::id::{EndpointId, PoolId, Tier, ZoneId};
+use agate_notice::Notices;
 use agate_pick::{Criteria, Picker, Report, selection};
 use agate_queue::Room;
 use agate_wire::engine::Load;
@@ -56,6 +57,12 @@
     /// Records the load that an engine reports.
     fn report(&self, endpoint: &EndpointId, load: &Load);
 
+    /// Sends no request to an endpoint for as long as it asks for in a refusal.
+    fn pause(self: Rc<Self>, endpoint: &EndpointId, wait: Duration);
+
+    /// Returns whether an endpoint has asked for a pause that is not over.
+    fn is_paused(&self, endpoint: &EndpointId) -> bool;
+
     /// Returns the number of attempts from this host in flight on the endpoint.
     fn in_flight(&self, endpoint: &EndpointId) -> u32;
 }
@@ -79,6 +86,11 @@
     }
 
     fn end(&mut self, outcome: Outcome) {
+        // A refusal with the wish for a pause is no failure.
+        let outcome = match outcome {
+            Outcome::Failed if self.choice.is_paused(&self.endpoint.id) => Outcome::Abandoned,
+            outcome => outcome,
+        };
         if let Some(flight) = self.flight.take() {
             self.choice.finish(flight, outcome);
         }
@@ -97,6 +109,7 @@
     picker: RefCell<Picker>,
     endpoints: RefCell<HashMap<EndpointId, Rc<Endpoint>>>,
     draining: RefCell<HashSet<EndpointId>>,
+    notices: RefCell<Notices<EndpointId>>,
 }
 
 impl Balancer {
@@ -107,9 +120,15 @@
             picker: RefCell::default(),
             endpoints: RefCell::default(),
             draining: RefCell::default(),
+            notices: RefCell::default(),
         }
     }
 
+    /// Returns whether an endpoint gets no new work.
+    fn is_closed(&self, endpoint: &EndpointId) -> bool {
+        self.draining.borrow().contains(endpoint) || self.is_paused(endpoint)
+    }
+
     fn remove_unused(&self) {
         let mut picker = self.picker.borrow_mut();
         let used = |id: &EndpointId| picker.key(id).is_some_and(|key| picker.in_flight(key) > 0);
@@ -187,10 +206,9 @@
         for id in self.endpoints.borrow().keys() {
             picker.set_leaving(id, true);
         }
-        let draining = self.draining.borrow();
         for endpoint in view.pools().flat_map(|(_, endpoints)| endpoints) {
             picker.upsert(now, endpoint);
-            picker.set_leaving(&endpoint.id, draining.contains(&endpoint.id));
+            picker.set_leaving(&endpoint.id, self.is_closed(&endpoint.id));
         }
         drop(picker);
         // Endpoints that were removed stay known while attempts are in flight on them.
@@ -206,14 +224,13 @@
     }
 
     fn report(&self, endpoint: &EndpointId, load: &Load) {
-        let mut draining = self.draining.borrow_mut();
         let changed = match load.draining {
-            true => draining.insert(endpoint.clone()),
-            false => draining.remove(endpoint),
+            true => self.draining.borrow_mut().insert(endpoint.clone()),
+            false => self.draining.borrow_mut().remove(endpoint),
         };
         let mut picker = self.picker.borrow_mut();
         if changed {
-            picker.set_leaving(endpoint, load.draining);
+            picker.set_leaving(endpoint, self.is_closed(endpoint));
         }
         let report = Report {
             running: load.running,
@@ -223,6 +240,28 @@
         picker.report(now(), endpoint, &report);
     }
 
+    fn pause(self: Rc<Self>, endpoint: &EndpointId, wait: Duration) {
+        let Some(end) = self.notices.borrow_mut().pause(now(), endpoint, wait) else {
+            return;
+        };
+        tracing::info!(event = "endpoint_paused", endpoint = %endpoint, wait = ?wait);
+        self.picker.borrow_mut().set_leaving(endpoint, true);
+        let endpoint = endpoint.clone();
+        actix_rt::spawn(async move {
+            tokio::time::sleep_until(end.into()).await;
+            tracing::info!(event = "endpoint_resumed", endpoint = %endpoint);
+            let is_known = self.endpoints.borrow().contains_key(&endpoint);
+            let is_closed = self.is_closed(&endpoint);
+            self.picker
+                .borrow_mut()
+                .set_leaving(&endpoint, is_closed || !is_known);
+        });
+    }
+
+    fn is_paused(&self, endpoint: &EndpointId) -> bool {
+        !self.notices.borrow().is_open(now(), endpoint)
+    }
+
     fn in_flight(&self, endpoint: &EndpointId) -> u32 {
         let picker = self.picker.borrow();
         picker.key(endpoint).map_or(0, |key| picker.in_flight(key))
--- a/crates/gate/src/forward/attempt.rs
+++ b/crates/gate/src/forward/attempt.rs
@@ -9,6 +9,7 @@
 use agate_model::endpoint::Endpoint;
 use agate_model::id::EndpointId;
 use agate_model::refusal::Reason;
+use agate_notice::retry_after;
 use agate_retry::decision::{History, Outcome};
 use awc::ClientResponse;
 use tokio::time::Instant;
@@ -238,6 +239,9 @@
         match self.gate.client.send(outgoing, permit).await {
             Ok((response, sent)) => {
                 self.sends += 1;
+                if let Some(wait) = pause(&response) {
+                    self.gate.choice.clone().pause(&flight.endpoint().id, wait);
+                }
                 let exchange = Exchange {
                     response,
                     flight,
@@ -285,6 +289,20 @@
     }
 }
 
+/// Returns how long an endpoint asks to be left alone; `None` if it does not ask.
+fn pause(response: &ClientResponse) -> Option<Duration> {
+    if response.status() != StatusCode::SERVICE_UNAVAILABLE {
+        return None;
+    }
+    let text = |name| {
+        let value = response.headers().get(name)?;
+        value.to_str().ok()
+    };
+    let wait = retry_after::parse(text(header::RETRY_AFTER)?, text(header::DATE));
+    let wait = wait.inspect_err(|err| tracing::debug!(event = "notice_malformed", error = %err));
+    wait.ok().filter(|wait| !wait.is_zero())
+}
+
 fn retry_reason(cause: Cause) -> Retry {
     match cause {
         Cause::Unreachable => Retry::Unreachable,
