Soak: endpoints that say that they leave or ask for a pause, and checks of both

Change: two kinds of faults, ledgers of arrivals and notices, the checks Leaving and Pause, and a broken variant for each.

--- a/crates/edge/src/heed.rs
+++ b/crates/edge/src/heed.rs
@@ -12,6 +12,7 @@
 use crate::edge::Edge;
 use crate::interface::ResponseInfo;
 use crate::metrics::count;
+use crate::sabotage::{self, Variant};
 
 /// Longest time by which a host adds to a pause, so that hosts do not return at the same moment.
 const MAX_SPREAD: Duration = Duration::from_millis(500);
@@ -36,7 +37,8 @@
     ) -> bool {
         self.report_faults(request, &assignment.endpoint.id, info);
         let now = Instant::now();
-        if info.leaving && self.board.borrow_mut().mark_leaving(now, assignment) {
+        let is_leaving = info.leaving && !sabotage::is(Variant::IgnoreLeaving);
+        if is_leaving && self.board.borrow_mut().mark_leaving(now, assignment) {
             count(&self.metrics.notices, "leaving");
             tracing::info!(
                 event = "endpoint_leaving",
@@ -46,6 +48,7 @@
             self.wake_queues();
         }
         let wait = info.retry_after.filter(|wait| !wait.is_zero());
+        let wait = wait.filter(|_| !sabotage::is(Variant::IgnorePauses));
         let Some(wait) = wait.filter(|_| status == StatusCode::SERVICE_UNAVAILABLE) else {
             return false;
         };
--- a/crates/edge/src/sabotage.rs
+++ b/crates/edge/src/sabotage.rs
@@ -20,6 +20,10 @@
     TwoFigures,
     /// Retries are not limited by the budget.
     GreedyRepeats,
+    /// Requests go on to endpoints that say that they are leaving.
+    IgnoreLeaving,
+    /// Requests go on to endpoints that ask for a pause.
+    IgnorePauses,
 }
 
 /// Returns whether a variant is active.
--- a/crates/soak/src/check.rs
+++ b/crates/soak/src/check.rs
@@ -3,13 +3,16 @@
 use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 
-use crate::ledger::{Asked, Change, End, Ledger, Ran, Retry};
+use crate::ledger::{Arrival, Ask, Asked, Change, End, Ledger, Notice, Ran, Retry};
 
 /// Bounds that the checks allow, as the settings of the hosts give them.
 #[derive(Clone, Copy, Debug)]
 pub struct Bounds {
     /// Longest time from the withdrawal of a key until no request with it is executed.
     pub withdraw: Duration,
+    /// Time after a host passed on the response of a leaving endpoint in which it may still be sent
+    /// requests.
+    pub drain: Duration,
     /// Longest time from a configuration change until it is in force at undisturbed hosts.
     pub apply: Duration,
     /// Time that must have passed since a disturbance for a host to count as undisturbed.
@@ -57,6 +60,10 @@
     PlannedStop,
     /// The number of retries stays within the retry budget.
     RetryBudget,
+    /// A host that has passed on the response of a leaving endpoint sends it no further request.
+    Leaving,
+    /// A host sends no request to an endpoint that has asked it for a pause.
+    Pause,
     /// All requests are served again soon after the last fault.
     Recovery,
     /// No process exits unasked, and memory and descriptors of idle hosts stay within bounds.
@@ -73,7 +80,7 @@
 }
 
 /// All promises with their checks, in the order in which they are checked.
-pub const CHECKS: [(Promise, Check); 15] = [
+pub const CHECKS: [(Promise, Check); 17] = [
     (Promise::AtMostOnce, at_most_once),
     (Promise::NotRun, not_run),
     (Promise::WholeAnswer, whole_answer),
@@ -87,6 +94,8 @@
     (Promise::OneFigure, one_figure),
     (Promise::PlannedStop, planned_stop),
     (Promise::RetryBudget, retry_budget),
+    (Promise::Leaving, leaving),
+    (Promise::Pause, pause),
     (Promise::Recovery, recovery),
     (Promise::Rest, rest),
 ];
@@ -440,3 +449,83 @@
     }
     violations
 }
+
+/// Time after a refusal with a pause in which requests that were under way may still arrive.
+const PAUSE_TRANSIT: Duration = Duration::from_millis(500);
+/// Requests that may arrive in the rest of a pause.
+const PAUSE_ARRIVALS: usize = 2;
+
+/// Returns the requests that reached the endpoint of a notice later, from the process that received it,
+/// with the requests as their callers sent them. Nothing for a notice that may not have been received.
+fn later_arrivals<'a>(
+    ledger: &'a Ledger,
+    requests: &HashMap<&str, &'a Asked>,
+    notice: &'a Notice,
+) -> Vec<(&'a Arrival, &'a Asked)> {
+    let Some(receiver) = requests.get(notice.id.as_str()) else {
+        return Vec::new();
+    };
+    let is_disturbed = |from: Duration, until: Duration| {
+        let mut disturbances = ledger.disturbances.iter();
+        disturbances.any(|disturbance| {
+            disturbance.host == Some(receiver.host)
+                && disturbance.from < until
+                && from < disturbance.until
+        })
+    };
+    let mut endpoints = ledger.endpoint_disturbances.iter();
+    let is_lost = endpoints.any(|(from, until)| (*from..*until).contains(&notice.at));
+    let is_received = matches!(receiver.end, End::Whole { .. });
+    if is_lost || !is_received {
+        return Vec::new();
+    }
+    let later = ledger.arrivals.iter().filter_map(|arrival| {
+        let request = *requests.get(arrival.id.as_str())?;
+        let is_same_process = request.host == receiver.host && request.boot == receiver.boot;
+        let is_later = arrival.endpoint == notice.endpoint && arrival.at > notice.at;
+        (is_same_process && is_later && !is_disturbed(notice.at, arrival.at))
+            .then_some((arrival, request))
+    });
+    later.collect()
+}
+
+fn leaving(ledger: &Ledger, bounds: &Bounds) -> Vec<String> {
+    let requests = requests_by_id(ledger);
+    let notices = ledger.notices.iter();
+    let texts = notices
+        .filter(|notice| notice.ask == Ask::Leave)
+        .flat_map(|notice| {
+            // The response counts from the moment at which its caller has it.
+            let passed_on = requests
+                .get(notice.id.as_str())
+                .map(|request| request.ended);
+            let arrivals = later_arrivals(ledger, &requests, notice).into_iter();
+            let late = arrivals.filter(move |(_, request)| {
+                passed_on.is_some_and(|passed_on| request.sent > passed_on + bounds.drain)
+            });
+            late.map(move |(arrival, request)| {
+                format!("{arrival:?}, sent at {:?}, after {notice:?}", request.sent)
+            })
+        });
+    texts.collect()
+}
+
+fn pause(ledger: &Ledger, _: &Bounds) -> Vec<String> {
+    let requests = requests_by_id(ledger);
+    let mut texts = Vec::new();
+    for notice in &ledger.notices {
+        let Ask::Pause(wait) = notice.ask else {
+            continue;
+        };
+        let span = notice.at + PAUSE_TRANSIT..notice.at + wait;
+        let mut arrivals = later_arrivals(ledger, &requests, notice);
+        arrivals.retain(|(arrival, _)| span.contains(&arrival.at));
+        if arrivals.len() > PAUSE_ARRIVALS {
+            texts.push(format!(
+                "{} requests after {notice:?}: {arrivals:?}",
+                arrivals.len()
+            ));
+        }
+    }
+    texts
+}
--- a/crates/soak/src/ledger.rs
+++ b/crates/soak/src/ledger.rs
@@ -78,6 +78,39 @@
     pub at: Duration,
 }
 
+/// A request that reached an endpoint, whether it was executed or refused.
+#[derive(Clone, Debug)]
+pub struct Arrival {
+    /// Id of the request.
+    pub id: String,
+    /// Id of the endpoint.
+    pub endpoint: String,
+    /// Time at which it arrived.
+    pub at: Duration,
+}
+
+/// What an endpoint asks for in a response.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ask {
+    /// It is leaving and wants no further request.
+    Leave,
+    /// It wants no request for this time.
+    Pause(Duration),
+}
+
+/// A response in which an endpoint asked for something.
+#[derive(Clone, Debug)]
+pub struct Notice {
+    /// Id of the request that the response belongs to.
+    pub id: String,
+    /// Id of the endpoint.
+    pub endpoint: String,
+    /// Time at which the response was sent.
+    pub at: Duration,
+    /// What the endpoint asked for.
+    pub ask: Ask,
+}
+
 /// A configuration that the store has acknowledged.
 #[derive(Clone, Debug)]
 pub struct Change {
@@ -131,6 +164,10 @@
     pub requests: Vec<Asked>,
     /// Executions of requests at endpoints.
     pub executions: Vec<Ran>,
+    /// Requests that reached endpoints.
+    pub arrivals: Vec<Arrival>,
+    /// Responses in which endpoints asked for something.
+    pub notices: Vec<Notice>,
     /// Acknowledged configurations, including the initial one.
     pub changes: Vec<Change>,
     /// Calls of lease holders to the receiver.
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -58,6 +58,10 @@
     EndpointCrash,
     /// An endpoint announces that it drains, and stops later.
     EndpointLeave,
+    /// An endpoint says in its responses that it is leaving, and announces it later.
+    EndpointNotice,
+    /// One endpoint, or all of them, refuses some requests and asks for a pause.
+    EndpointBusy,
     /// One endpoint, or all of them, sends no response.
     EndpointDark,
     /// One endpoint, or all of them, fails some requests with status 500.
@@ -82,7 +86,7 @@
 
 impl Kind {
     /// All kinds, in the order of their declaration.
-    pub const ALL: [Kind; 29] = [
+    pub const ALL: [Kind; 31] = [
         Kind::HostKill,
         Kind::AllKill,
         Kind::HostStop,
@@ -102,6 +106,8 @@
         Kind::CallersReset,
         Kind::EndpointCrash,
         Kind::EndpointLeave,
+        Kind::EndpointNotice,
+        Kind::EndpointBusy,
         Kind::EndpointDark,
         Kind::EndpointGrey,
         Kind::EndpointCuts,
--- a/crates/soak/tests/check.rs
+++ b/crates/soak/tests/check.rs
@@ -4,11 +4,14 @@
 use std::time::Duration;
 
 use agate_soak::check::{Bounds, CHECKS, Promise, findings};
-use agate_soak::ledger::{Asked, Call, Change, Disturbance, End, Ledger, Ran, Retry, Use};
+use agate_soak::ledger::{
+    Arrival, Ask, Asked, Call, Change, Disturbance, End, Ledger, Notice, Ran, Retry, Use,
+};
 use rstest::rstest;
 
 const BOUNDS: Bounds = Bounds {
     withdraw: Duration::from_secs(4),
+    drain: Duration::from_secs(2),
     apply: Duration::from_secs(2),
     settle: Duration::from_secs(3),
     lease: Duration::from_secs(3),
@@ -55,6 +58,23 @@
     }
 }
 
+fn arrival(id: &str, at: f64) -> Arrival {
+    Arrival {
+        id: id.to_owned(),
+        endpoint: "e".to_owned(),
+        at: seconds(at),
+    }
+}
+
+fn notice(id: &str, at: f64, ask: Ask) -> Notice {
+    Notice {
+        id: id.to_owned(),
+        endpoint: "e".to_owned(),
+        at: seconds(at),
+        ask,
+    }
+}
+
 fn change(at: f64, keys: &[&str], routes: &[&str]) -> Change {
     let account = |key: &&str| ((*key).to_owned(), "night".to_owned());
     Change {
@@ -164,6 +184,21 @@
                     .push(execution("r1", 1.06 + f64::from(n) / 100.0));
             }
         }
+        Promise::Leaving => {
+            ledger.notices.push(notice("r1", 1.05, Ask::Leave));
+            ledger.requests.push(request("r3", 3.2, whole(200, true)));
+            ledger.arrivals.push(arrival("r3", 3.25));
+        }
+        Promise::Pause => {
+            ledger
+                .notices
+                .push(notice("r1", 1.05, Ask::Pause(seconds(2.0))));
+            for (n, at) in [(3, 1.6), (4, 2.0), (5, 3.0)] {
+                let id = format!("r{n}");
+                ledger.requests.push(request(&id, at, whole(200, true)));
+                ledger.arrivals.push(arrival(&id, at));
+            }
+        }
         Promise::Recovery => ledger.probes[0] = (9, 10),
         Promise::Rest => ledger.usage[0].descriptors = 400,
     }
@@ -172,7 +207,7 @@
 
 #[rstest]
 fn each_check_alone_reports_the_violation_of_its_promise(
-    #[values(0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14)] n: usize,
+    #[values(0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16)] n: usize,
 ) {
     let (promise, _) = CHECKS[n];
     let found = findings(&broken_ledger(promise), &BOUNDS);
@@ -186,6 +221,30 @@
     );
 }
 
+/// Requests that were under way, those after the pause, and those of a process that was started since.
+#[test]
+fn requests_that_a_notice_does_not_forbid_are_no_findings() {
+    let mut ledger = sound_ledger();
+    ledger
+        .notices
+        .push(notice("r1", 1.05, Ask::Pause(seconds(2.0))));
+    ledger.notices.push(notice("r1", 1.05, Ask::Leave));
+    for (n, at, boot) in [
+        (3, 1.2, 1),
+        (4, 1.5, 1),
+        (5, 2.0, 1),
+        (6, 2.5, 1),
+        (7, 5.0, 2),
+    ] {
+        let id = format!("r{n}");
+        let mut sent = request(&id, at, whole(200, true));
+        sent.boot = boot;
+        ledger.requests.push(sent);
+        ledger.arrivals.push(arrival(&id, at));
+    }
+    assert_eq!(findings(&ledger, &BOUNDS), []);
+}
+
 /// A host that a fault cuts off from the store may serve an older configuration, so this is not
 /// a finding.
 #[test]
