A block that was decided on a part of the evidence is replaced by all of it

What callers could see: a sound part that was in the same crashes as a bad one refused with it for the hold, if the host that lost the bad requests heard of the block before it told of them. Cause: a loss that a block explains was not published any more, so the hosts that had decided without it never got it.

--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -160,11 +160,14 @@
                     tracing::info!(event = "store_regained", table = self.table);
                 }
                 let is_recovering = self.edge.outage.is_recovering(Instant::now());
-                let interval = match is_recovering || self.edge.is_starting() {
-                    _ if self.sink.is_urgent(&self.edge) => self.interval / URGENT_DIVISOR,
-                    true => self.interval / 2,
-                    false if self.is_relayed => self.interval.min(MAX_RELAY_INTERVAL),
-                    false => self.interval,
+                let divisor = match is_recovering || self.edge.is_starting() {
+                    _ if self.sink.is_urgent(&self.edge) => URGENT_DIVISOR,
+                    true => 2,
+                    false => 1,
+                };
+                let interval = match divisor {
+                    1 if self.is_relayed => self.interval.min(MAX_RELAY_INTERVAL),
+                    divisor => self.interval / divisor,
                 };
                 sleep(interval.saturating_sub(started.elapsed())).await;
             }
--- a/crates/edge/src/heartbeat.rs
+++ b/crates/edge/src/heartbeat.rs
@@ -106,10 +106,10 @@
             edge.learn(recent.sums());
         }
         let write_age = publisher.last_write.map(|at| at.elapsed());
-        let write_interval = match edge.outage.is_recovering(Instant::now()) {
-            _ if wake == Wake::Urgent => URGENT_INTERVAL,
-            true => WRITE_INTERVAL / 2,
-            false => WRITE_INTERVAL,
+        let write_interval = match wake {
+            Wake::Urgent => URGENT_INTERVAL,
+            _ if edge.outage.is_recovering(Instant::now()) => WRITE_INTERVAL / 2,
+            _ => WRITE_INTERVAL,
         };
         let (is_due, interval) = match receipt {
             Ok(_) if is_reader => (
--- a/crates/poison/src/detector.rs
+++ b/crates/poison/src/detector.rs
@@ -274,7 +274,7 @@
         verdicts
     }
 
-    /// Returns whether the crashes in a block's evidence are known, and others parts explain all of
+    /// Returns whether the crashes in a block's evidence are known, and other parts explain all of
     /// them: it was decided before all hosts had told what they lost.
     fn is_superseded(&self, block: &Block) -> bool {
         if self.causes.iter().any(|cause| cause.parts == block.parts) {
@@ -372,26 +372,19 @@
     #[must_use]
     pub fn report(&self, now: Time) -> Report {
         let oldest = now.saturating_sub(self.tuning.memory);
-        let explained: Vec<Crash> = self.crashes();
-        let explained: Vec<&Crash> = explained
-            .iter()
-            .filter(|crash| self.blocks.iter().any(|block| crash.has(&block.parts)))
-            .collect();
-        let is_explained = |loss: &Loss| explained.iter().any(|crash| crash.includes(loss));
+        let mut explained = self.crashes();
+        explained.retain(|crash| self.blocks.iter().any(|block| crash.has(&block.parts)));
+        let is_news = |loss: &Loss| {
+            let is_settled = loss.at + self.tuning.settle_time <= now;
+            !is_settled || !explained.iter().any(|crash| crash.includes(loss))
+        };
         let recent = self.own.iter().filter(|loss| loss.at >= oldest);
-        let losses = recent
-            .filter(|loss| !is_explained(loss))
-            .filter_map(|loss| {
-                let parts = loss.parts.iter().copied();
-                let parts: Vec<PartId> = parts
-                    .filter(|part| !self.is_cleared(*part, loss.at))
-                    .collect();
-                let loss = Loss {
-                    parts,
-                    ..loss.clone()
-                };
-                (!loss.parts.is_empty()).then(|| report::Loss::from(&loss))
-            });
+        let losses = recent.filter(|loss| is_news(loss)).filter_map(|loss| {
+            let mut loss = loss.clone();
+            let at = loss.at;
+            loss.parts.retain(|part| !self.is_cleared(*part, at));
+            (!loss.parts.is_empty()).then(|| report::Loss::from(&loss))
+        });
         Report {
             losses: losses.collect(),
             blocks: self.blocks.iter().map(report::Block::from).collect(),
--- a/crates/poison/tests/detector.rs
+++ b/crates/poison/tests/detector.rs
@@ -186,6 +186,33 @@
     assert_eq!(hosts[0].blocked(now, &[COMMON, 20]), None);
 }
 
+// Guards against: a decision on a part of the evidence stands, since the rest is not published any more.
+#[test]
+fn a_block_of_a_sound_part_is_replaced_once_all_losses_are_known() {
+    let mut early = Detector::default();
+    let mut rest = Detector::default();
+    for n in 0..3 {
+        let (millis, endpoint) = (n * 500, n as u16);
+        early.lose(at(millis), loss(millis, endpoint, &[RARE, 10 + n]));
+        rest.lose(at(millis), loss(millis, endpoint, &[RARE, BAD, 20 + n]));
+    }
+    let now = at(1500);
+    early.learn(now, []);
+    assert!(
+        early.blocked(now, &[RARE, 30]).is_some(),
+        "no block at first"
+    );
+    // The other host adopts the block, and still tells what it lost.
+    rest.learn(now, [sent(&early, now)]);
+    let later = at(2500);
+    early.learn(later, [sent(&rest, later)]);
+    rest.learn(later, [sent(&early, later)]);
+    for host in [&early, &rest] {
+        assert_eq!(host.blocked(later, &[RARE, 30]), None);
+        assert!(host.blocked(later, &[RARE, BAD, 30]).is_some());
+    }
+}
+
 // Guards against: a host that restarts sends what all others refuse.
 #[test]
 fn a_host_that_starts_learns_what_is_refused() {
