--- a/review/harness/cases.rs
+++ b/review/harness/cases.rs
@@ -24,6 +24,7 @@
         "unsigned" => unsigned(trouble),
         "extra" => extra(trouble),
         "repeat" => repeat(trouble),
+        "reader" => reader(trouble),
         "poison" => poison(trouble),
         other => {
             eprintln!("no case {other}");
@@ -325,6 +326,106 @@
     (site, verdict)
 }
 
+/// The reader of a zone loses the store without a sign, just before the operator moves a route to another
+/// service.
+fn reader(trouble: bool) -> (Arc<Site>, Verdict) {
+    let (nodes, zones) = (8, 1);
+    let services = || {
+        [
+            Service {
+                name: "old-app",
+                engine_slots: 0,
+            },
+            Service {
+                name: "new-app",
+                engine_slots: 0,
+            },
+        ]
+    };
+    let route = |service| {
+        [Route {
+            service,
+            ..plain_route("lookup", "safe")
+        }]
+    };
+    let mut site = Site::start(nodes, zones, &services(), &route("old-app"));
+    for service in ["old-app", "new-app"] {
+        site.add_server(service, 6, &["plain"]);
+        site.add_server(service, 6, &["plain"]);
+    }
+    let site = Arc::new(site);
+    if !site.wait_ready() {
+        return (site, Verdict::NotRun("the nodes are not ready".to_owned()));
+    }
+    let until = Instant::now() + Duration::from_secs(84);
+    let sent = Arc::new(Mutex::new(Vec::new()));
+    let clients = (zones..nodes).map(|node| {
+        let (site, sent) = (site.clone(), sent.clone());
+        thread::spawn(move || {
+            let mut channel = Channel::new(site.nodes[node].front);
+            let mut number = 0;
+            while Instant::now() < until {
+                let id = format!("{node:x}{number:015x}");
+                let head = request("GET", "lookup", &id, 4000, "", 0);
+                sent.lock().expect("no panic").push((id.clone(), now_ms()));
+                ask(&site, node, &mut channel, &id, &head, b"");
+                number += 1;
+                thread::sleep(Duration::from_millis(30));
+            }
+        })
+    });
+    let clients: Vec<_> = clients.collect();
+    let mut acks = Vec::new();
+    thread::sleep(Duration::from_millis(250));
+    for change in 0..2 {
+        if trouble {
+            site.record
+                .add("the link between front-1 and the store is cut");
+            site.nodes[0].store.set_cut(true);
+        }
+        thread::sleep(Duration::from_millis(50));
+        let service = ["new-app", "old-app"][change % 2];
+        site.configure(10 + change as u32, &services(), &route(service));
+        acks.push((now_ms(), service));
+        thread::sleep(Duration::from_millis(5450));
+        site.nodes[0].store.set_cut(false);
+        thread::sleep(Duration::from_secs(36));
+    }
+    for client in clients {
+        let _ = client.join();
+    }
+    let sent: HashMap<String, u128> = sent.lock().expect("no panic").iter().cloned().collect();
+    let events = site.events.lock().expect("no panic").clone();
+    let mut late = Vec::new();
+    for (index, (ack, service)) in acks.iter().enumerate() {
+        let end = acks.get(index + 1).map_or(u128::MAX, |(ack, _)| *ack);
+        let is_old = |server: &str| {
+            let is_old_app = server.starts_with("i-0-") || server.starts_with("i-1-");
+            is_old_app != (*service == "old-app")
+        };
+        let runs = events
+            .iter()
+            .filter(|event| event.kind == "runs" && is_old(&event.server));
+        let delays = runs.filter_map(|event| {
+            let at = *sent.get(&event.request)?;
+            (at > *ack && at < end).then(|| at - ack)
+        });
+        let delays: Vec<u128> = delays.collect();
+        let last = delays.iter().max().copied().unwrap_or(0);
+        late.push((last, delays.iter().filter(|delay| **delay > 2000).count()));
+    }
+    let count: usize = late.iter().map(|(_, count)| count).sum();
+    let last: Vec<String> = late.iter().map(|(last, _)| last.to_string()).collect();
+    let text = format!(
+        "{count} requests sent later than 2 s after the ack were run by the old service; last ones after ms: {}",
+        last.join(", ")
+    );
+    match count {
+        0 => (site, Verdict::Held(text)),
+        _ => (site, Verdict::Broken(text)),
+    }
+}
+
 const ENGINE: Service = Service {
     name: "smith-llm",
     engine_slots: 64,
--- a/review/harness/site.rs
+++ b/review/harness/site.rs
@@ -2,10 +2,11 @@
 //! processes of their own, and the record of what was sent, answered and run.
 
 use std::fs;
-use std::io::{BufRead, BufReader, Write};
-use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{Ipv4Addr, Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
@@ -112,10 +113,70 @@
     pub name: String,
     pub front: SocketAddr,
     pub ready: SocketAddr,
+    /// Network between the node and the store.
+    pub store: Link,
     settings: PathBuf,
     child: Mutex<Option<Child>>,
 }
 
+/// Network between a node and the store, which can be cut: what is sent meanwhile is held up.
+pub struct Link {
+    pub address: SocketAddr,
+    is_cut: Arc<AtomicBool>,
+}
+
+impl Link {
+    fn start(to: SocketAddr) -> Self {
+        let address = free_address();
+        let listener = TcpListener::bind(address).expect("a free port");
+        let is_cut = Arc::new(AtomicBool::new(false));
+        let flag = is_cut.clone();
+        thread::spawn(move || {
+            for near in listener.incoming() {
+                let Ok(near) = near else { continue };
+                let flag = flag.clone();
+                thread::spawn(move || {
+                    wait_healed(&flag);
+                    let Ok(far) = TcpStream::connect(to) else {
+                        return;
+                    };
+                    let _ = (near.set_nodelay(true), far.set_nodelay(true));
+                    let (Ok(near_out), Ok(far_out)) = (near.try_clone(), far.try_clone()) else {
+                        return;
+                    };
+                    let back = flag.clone();
+                    thread::spawn(move || pass_on(far, near_out, &back));
+                    pass_on(near, far_out, &flag);
+                });
+            }
+        });
+        Self { address, is_cut }
+    }
+
+    /// Cuts or heals the link.
+    pub fn set_cut(&self, is_cut: bool) {
+        self.is_cut.store(is_cut, Ordering::SeqCst);
+    }
+}
+
+fn wait_healed(is_cut: &AtomicBool) {
+    while is_cut.load(Ordering::SeqCst) {
+        thread::sleep(Duration::from_millis(2));
+    }
+}
+
+fn pass_on(mut from: TcpStream, mut to: TcpStream, is_cut: &AtomicBool) {
+    let mut bytes = [0; 16384];
+    while let Ok(count @ 1..) = from.read(&mut bytes) {
+        wait_healed(is_cut);
+        if to.write_all(&bytes[..count]).is_err() {
+            break;
+        }
+    }
+    wait_healed(is_cut);
+    let _ = to.shutdown(Shutdown::Write);
+}
+
 pub struct Site {
     pub record: Arc<Record>,
     pub store: Arc<Store>,
@@ -201,13 +262,14 @@
 
     fn start_node(&self, number: usize, store: SocketAddr, duties: SocketAddr) -> Node {
         let name = format!("front-{}", number + 1);
+        let link = Link::start(store);
         let (front, ready, directory) = (free_address(), free_address(), free_address());
         let settings = self.folder.join(format!("{name}.yaml"));
         // The rendered form of deploy/edge.yaml, with the bounds of the site file.
         let text = format!(
             "host: \"{name}\"\nzone: \"zone-{zone}\"\nip: \"{}\"\nweight: 0.25\nlisten:\n  \
              front: \"{front}\"\n  ready: \"{ready}\"\n  directory: \"{directory}\"\n  relay: \"{}\"\n  \
-             metrics: \"{}\"\nremote:\n  store: \"{store}\"\n  duties: \"{duties}\"\nbounds:\n  \
+             metrics: \"{}\"\nremote:\n  store: \"{link}\"\n  duties: \"{duties}\"\nbounds:\n  \
              apply: 2000ms\n  withdraw: 5000ms\n  drain: 2000ms\n  grace: 8s\n  addresses: 5s\n  \
              lease: 3000ms\n  window: 5s\n  report: 10s\n  repeat_ratio: 0.2\n  repeat_extra: 58\n  \
              repeat_window: 10s\nlog: info\n",
@@ -215,12 +277,14 @@
             free_address(),
             free_address(),
             zone = number % self.zones,
+            link = link.address,
         );
         fs::write(&settings, text).expect("settings written");
         let node = Node {
             name,
             front,
             ready,
+            store: link,
             settings,
             child: Mutex::new(None),
         };
