Review: the operator of case 2 writes until it has its acknowledgement

The store's stand-in does the write and keeps its answer back for 4.2 s; the operator sends the same write again after 4 s.

--- a/review/harness/cases.rs
+++ b/review/harness/cases.rs
@@ -273,8 +273,8 @@
     (site, verdict)
 }
 
-/// The operator's write of a version is done, its answer is lost, and the operator writes the same version
-/// again. Without the disruption it gets its answer and writes once.
+/// The operator's write of a version is done, its answer is lost, and the operator, which has no
+/// acknowledgement, sends the same write again. Without the disruption it gets its answer at once.
 fn repeat(trouble: bool) -> (Arc<Site>, Verdict) {
     let first = || Route {
         is_public: true,
@@ -289,12 +289,16 @@
         return (site, Verdict::NotRun("the nodes are not ready".to_owned()));
     }
     let routes = [first(), plain_route("quote", "safe")];
-    site.configure(7, &[PLAIN], &routes);
     if trouble {
-        site.record.add("the operator gets no answer");
-        thread::sleep(Duration::from_secs(2));
-        site.configure(7, &[PLAIN], &routes);
+        let store = site.store.clone();
+        store.set_losing(true);
+        // The store answers again before the operator's second try.
+        thread::spawn(move || {
+            thread::sleep(Duration::from_millis(4_200));
+            store.set_losing(false);
+        });
     }
+    site.configure(7, &[PLAIN], &routes);
     // Steady state: long after the last write.
     thread::sleep(Duration::from_secs(10));
     let mut served = [0, 0];
--- a/review/harness/platform.rs
+++ b/review/harness/platform.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 use std::net::{SocketAddr, TcpListener};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -32,6 +33,8 @@
     state: Mutex<State>,
     changed: Condvar,
     started: Instant,
+    /// Whether the answer to the next write of the operator's table is lost.
+    loses_answer: AtomicBool,
 }
 
 fn row(key: &Key, row: &Row) -> String {
@@ -58,13 +61,19 @@
             }),
             changed: Condvar::new(),
             started: Instant::now(),
+            loses_answer: AtomicBool::new(false),
         });
         let listener = TcpListener::bind(free_address()).expect("a free port");
         let address = listener.local_addr().expect("an address");
         let served = store.clone();
         http::serve(listener, move |head, body| {
             thread::sleep(LATENCY);
-            served.call(head, body)
+            let answer = served.call(head, body);
+            let is_operator = head.path() == "/rows-tx" && head.header("user-agent") == "operator";
+            while is_operator && served.loses_answer.load(Ordering::SeqCst) {
+                thread::sleep(LATENCY);
+            }
+            answer
         });
         (store, address)
     }
@@ -81,6 +90,11 @@
         )
     }
 
+    /// Makes the store keep back its answers to the operator, whose writes it does, or answer again.
+    pub fn set_losing(&self, is_losing: bool) {
+        self.loses_answer.store(is_losing, Ordering::SeqCst);
+    }
+
     /// Writes or removes a row, as the operator or a server does.
     pub fn put(&self, table: &str, key: &str, value: Option<&str>) {
         let mut state = self.state.lock().expect("no panic");
--- a/review/harness/site.rs
+++ b/review/harness/site.rs
@@ -17,6 +17,8 @@
 
 /// Interval at which servers write their rows, as the platform's settings say.
 const HEARTBEAT: Duration = Duration::from_millis(1200);
+/// Time after which the operator writes again; `AckMs` of the site.
+const OPERATOR_TIMEOUT: Duration = Duration::from_millis(4000);
 /// Host name of all routes.
 pub const HOST: &str = "floor.example";
 /// Key of the only tenant.
@@ -180,6 +182,7 @@
 pub struct Site {
     pub record: Arc<Record>,
     pub store: Arc<Store>,
+    store_address: SocketAddr,
     pub nodes: Vec<Node>,
     pub servers: Vec<Arc<Server>>,
     pub events: Arc<Mutex<Vec<Event>>>,
@@ -238,6 +241,7 @@
                 lines: Mutex::default(),
             }),
             store,
+            store_address,
             nodes: Vec::new(),
             servers: Vec::new(),
             events: Arc::default(),
@@ -251,13 +255,29 @@
         site
     }
 
-    /// Writes a configuration, as the operator does.
+    /// Writes a configuration as the operator does: until the store has acknowledged it.
     pub fn configure(&self, version: u32, services: &[Service], routes: &[Route]) {
-        self.record.add(format!(
-            "operator writes version {version} of the configuration"
-        ));
-        self.store
-            .put("op", "config", Some(&config(version, services, routes)));
+        let value = json::base64(config(version, services, routes).as_bytes());
+        let body = format!(
+            "{{\"Expected\":[],\"Writes\":[{{\"Table\":\"op\",\"part\":\"\",\"Key\":\"config\",\
+             \"Value\":\"{value}\"}}],\"Remove\":[]}}"
+        );
+        let head = format!(
+            "POST /rows-tx HTTP/1.1\r\nHost: store\r\nUser-Agent: operator\r\nContent-Length: {}\r\n\r\n",
+            body.len()
+        );
+        loop {
+            self.record.add(format!(
+                "operator writes version {version} of the configuration"
+            ));
+            let mut channel = Channel::new(self.store_address);
+            let answer = channel.send(&head, body.as_bytes(), OPERATOR_TIMEOUT);
+            self.record
+                .add(format!("operator gets from the store: {}", answer.line()));
+            if answer.status == 200 {
+                return;
+            }
+        }
     }
 
     fn start_node(&self, number: usize, store: SocketAddr, duties: SocketAddr) -> Node {
