--- a/review/harness/platform.rs
+++ b/review/harness/platform.rs
@@ -33,7 +33,7 @@
     state: Mutex<State>,
     changed: Condvar,
     started: Instant,
-    /// Whether the answer to the next write of the operator's table is lost.
+    /// Whether the answer to the next write of the operator is lost.
     loses_answer: AtomicBool,
 }
 
@@ -70,8 +70,11 @@
             thread::sleep(LATENCY);
             let answer = served.call(head, body);
             let is_operator = head.path() == "/rows-tx" && head.header("user-agent") == "operator";
-            while is_operator && served.loses_answer.load(Ordering::SeqCst) {
-                thread::sleep(LATENCY);
+            if is_operator && served.loses_answer.swap(false, Ordering::SeqCst) {
+                // The write is done, and its channel delivers nothing further.
+                loop {
+                    thread::park();
+                }
             }
             answer
         });
@@ -90,9 +93,9 @@
         )
     }
 
-    /// Makes the store keep back its answers to the operator, whose writes it does, or answer again.
-    pub fn set_losing(&self, is_losing: bool) {
-        self.loses_answer.store(is_losing, Ordering::SeqCst);
+    /// Makes the store lose its answer to the next write of the operator, which it does.
+    pub fn lose_answer(&self) {
+        self.loses_answer.store(true, Ordering::SeqCst);
     }
 
     /// Writes or removes a row, as the operator or a server does.
