--- a/review/harness/site.rs
+++ b/review/harness/site.rs
@@ -104,6 +104,8 @@
 struct ServerState {
     id: String,
     starts: u32,
+    /// Unix time in milliseconds at which the process was started.
+    born: u128,
     child: Option<Child>,
     sequence: u64,
     /// When the process ended; its row is removed three check-in intervals later.
@@ -337,6 +339,7 @@
             state: Mutex::new(ServerState {
                 id: String::new(),
                 starts: 0,
+                born: 0,
                 child: None,
                 sequence: 0,
                 ended: None,
@@ -365,6 +368,7 @@
         state.starts += 1;
         state.id = format!("i-{}-{}", server.number, state.starts);
         state.ended = None;
+        state.born = now_ms();
         let program = std::env::current_exe().expect("the path of this program");
         let mut command = Command::new(program);
         command
@@ -516,12 +520,13 @@
         state.sequence += 1;
         format!(
             "{{\"Service\":{},\"Address\":\"{}\",\"Zone\":\"zone-{}\",\"Version\":\"v1\",\"Slots\":{},\
-             \"State\":\"ready\",\"ColdRemainingMs\":0,\"Sequence\":{}}}",
+             \"State\":\"ready\",\"ColdRemainingMs\":0,\"Sequence\":{},\"born\":{}}}",
             json::quote(&self.service),
             self.address,
             self.number % zones,
             self.slots,
-            state.sequence
+            state.sequence,
+            state.born
         )
     }
 }
