--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-rustc --edition 2024 -O review/harness/main.rs -o target/review/harness
+rustc --edition 2024 -O review/harness.rs -o target/review/harness
