Edge: a reset that a write has reported is not the end of a body

Cause: the kernel reports an error of a socket once, to whichever call comes first. While a request is being sent the write comes first; it took ECONNRESET, which was dropped, since a response that came before can still be read. The reads after it return what had come and then 0, which ends a body without a length.

Class: the error of one call belongs to the connection. The exchange now keeps the error of the write. The end of the connection is then no end of a body, and what is reported is the error itself: a timeout that a write took was taken for a crash before.

Bodies with a length or chunks were never affected; a response that was complete before the reset is still delivered.

Other readers of sockets: a check of an idle connection drops it on any error. The connections of callers end at the first error of either side. agate-gate and the clients of the store send all of a request before they read, and fail if that fails.

--- a/crates/edge/src/client.rs
+++ b/crates/edge/src/client.rs
@@ -204,6 +204,9 @@
     method: Method,
     /// Whether a byte of the request was written.
     is_written: bool,
+    /// Why the rest of the request could not be written. The kernel reports a reset only once, so the
+    /// reads that follow look like a regular end of the connection.
+    write_error: Option<io::Error>,
     /// Whether the connection may carry another request after this response.
     is_reusable: bool,
     /// Idle timeout of the connection after this exchange.
@@ -225,6 +228,7 @@
             framing: Framing::Ended,
             method: outgoing.method.clone(),
             is_written: false,
+            write_error: None,
             is_reusable: true,
             idle_timeout: DEFAULT_IDLE_TIMEOUT,
         };
@@ -324,9 +328,10 @@
                         match written {
                             Ok(_) => self.is_written = true,
                             Err(err) if !self.is_written => return Err(Error::Unsent(err)),
-                            Err(_) => {
+                            Err(err) => {
                                 // A response received before the failure can still be read.
                                 self.is_reusable = false;
+                                self.write_error = Some(err);
                                 bytes.clear();
                             }
                         }
@@ -339,7 +344,7 @@
                 },
             };
             match read {
-                Ok(0) => return Err(Error::Interrupted(io::ErrorKind::UnexpectedEof.into())),
+                Ok(0) => return Err(early_end(&mut self.write_error)),
                 Ok(_) => {}
                 Err(err) => return Err(Error::Interrupted(err)),
             }
@@ -410,17 +415,23 @@
                 return Err(Error::Endless { part, limit });
             }
             match self.stream.read_buf(&mut self.read_buffer).await {
-                Ok(0) if matches!(self.framing, Framing::Connection) => {
+                Ok(0) if self.ends_with_connection() => {
                     self.framing = Framing::Ended;
                     return Ok(None);
                 }
-                Ok(0) => return Err(Error::Interrupted(io::ErrorKind::UnexpectedEof.into())),
+                Ok(0) => return Err(early_end(&mut self.write_error)),
                 Ok(count) => framing_bytes += count,
                 Err(err) => return Err(Error::Interrupted(err)),
             }
         }
     }
 
+    /// Returns whether the end of the connection is the end of the body. After a failed write it may
+    /// as well be a reset.
+    fn ends_with_connection(&self) -> bool {
+        matches!(self.framing, Framing::Connection) && self.write_error.is_none()
+    }
+
     fn end_body(&mut self) {
         if let Framing::Declared(codec) = std::mem::replace(&mut self.framing, Framing::Ended) {
             self.codec = Some(codec.into_message_codec());
@@ -442,6 +453,12 @@
     }
 }
 
+/// Returns the error for a connection that ended early: that of a write before, if one failed.
+fn early_end(write_error: &mut Option<io::Error>) -> Error {
+    let unexpected = || io::ErrorKind::UnexpectedEof.into();
+    Error::Interrupted(write_error.take().unwrap_or_else(unexpected))
+}
+
 /// Returns the idle timeout in the `Keep-Alive` header.
 fn announced_timeout(headers: &HeaderMap) -> Option<Duration> {
     let text = headers.get("keep-alive")?.to_str().ok()?;
--- /dev/null
+++ b/crates/edge/tests/crash.rs
@@ -0,0 +1,78 @@
+//! Endpoints that end in the middle of a response, in a way that may look like its regular end.
+
+mod support;
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use actix_http::Method;
+use actix_http::header::HeaderMap;
+use agate_edge::client::{self, Error, Exchange, Outgoing};
+use bytes::Bytes;
+use rstest::rstest;
+use support::{Harness, Server, Step, request, status};
+
+/// Longer than the buffers of a connection, so that the end comes while it is being sent.
+const LONG_BODY: usize = 4_000_000;
+
+/// Sends a request with a long body; returns the body of the response if it is complete.
+async fn send_long(address: SocketAddr) -> Result<Vec<u8>, Error> {
+    let stream = client::connect(address, Duration::from_secs(1)).await?;
+    let outgoing = Outgoing {
+        method: Method::POST,
+        target: "/x".to_owned(),
+        headers: HeaderMap::new(),
+        body: Bytes::from(vec![b'x'; LONG_BODY]),
+    };
+    let (mut exchange, _) = Exchange::start(stream, outgoing, &|_| true).await?;
+    let mut body = Vec::new();
+    while let Some(bytes) = exchange.next().await? {
+        body.extend_from_slice(&bytes);
+    }
+    Ok(body)
+}
+
+// Guards against: a reset that a write has reported is taken for the end of a response (review/1).
+#[rstest]
+#[case::before_the_head("")]
+#[case::inside_the_head("HTTP/1.1 200 OK\r\nx-signed")]
+#[case::after_the_head("HTTP/1.1 200 OK\r\n\r\n")]
+#[case::inside_the_body("HTTP/1.1 200 OK\r\n\r\npart of it")]
+#[case::at_an_event_border("HTTP/1.1 200 OK\r\n\r\nid: 1\ndata\n\n")]
+#[case::inside_a_length("HTTP/1.1 200 OK\r\ncontent-length: 20\r\n\r\npart of it")]
+#[case::inside_a_chunk("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n8\r\npart")]
+#[case::between_chunks("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4\r\npart\r\n")]
+#[actix_rt::test]
+async fn a_reset_while_the_request_is_being_sent_is_no_end_of_the_response(
+    #[case] answer: &'static str,
+) {
+    let server = Server::start_early(vec![vec![Step::Write(answer), Step::Reset]]).await;
+    let result = send_long(server.address).await;
+    assert!(matches!(result, Err(Error::Interrupted(_))), "{result:?}");
+}
+
+// Guards against: a response that was complete before the reset is lost with it.
+#[rstest]
+#[case::length("HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nwhole")]
+#[case::chunks("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n")]
+#[actix_rt::test]
+async fn a_response_that_was_complete_before_a_reset_is_delivered(#[case] answer: &'static str) {
+    let server = Server::start_early(vec![vec![Step::Write(answer), Step::Reset]]).await;
+    let body = send_long(server.address).await.expect("complete");
+    assert_eq!(body, b"whole");
+}
+
+// Guards against: a caller gets a part of a body as a complete success, since its endpoint crashed before it
+// had read the request (review/1).
+#[rstest]
+#[case::unframed("HTTP/1.1 200 OK\r\nx-id: {id}\r\nx-signed: 1\r\n\r\npart of it")]
+#[case::inside_the_head("HTTP/1.1 200 OK\r\nx-id: {id}\r\nx-signed: 1\r\ncontent-le")]
+#[actix_rt::test]
+async fn a_crash_while_the_request_is_being_sent_is_no_success(#[case] answer: &'static str) {
+    let script = vec![Step::Write(answer), Step::Reset];
+    let server = Server::start_early(vec![script]).await;
+    let bench = Harness::start(&[&server]).await;
+    let body = "x".repeat(LONG_BODY);
+    let response = bench.call(&request("book", "r1", &body)).await;
+    assert_eq!(status(&response), "502", "{response}");
+}
--- a/crates/edge/tests/support/server.rs
+++ b/crates/edge/tests/support/server.rs
@@ -7,9 +7,14 @@
 use std::time::Duration;
 
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::{TcpSocket, TcpStream};
 use tokio::time::{Instant, timeout};
 
+/// Receive buffer of an endpoint that answers before it has read the body.
+const EARLY_BUFFER_BYTES: u32 = 4096;
+/// Connections not yet accepted that the kernel queues.
+const BACKLOG: u32 = 1024;
+
 /// One step of the script for a request.
 #[derive(Clone, Debug)]
 pub enum Step {
@@ -22,6 +27,8 @@
     Wait(Duration),
     /// Closes the connection.
     Close,
+    /// Resets the connection, as the kernel does for a process that ends with unread bytes.
+    Reset,
 }
 
 /// One request that the endpoint received.
@@ -45,14 +52,32 @@
 impl Server {
     /// Starts the endpoint on a free port.
     pub async fn start(scripts: Vec<Vec<Step>>) -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        Self::start_with(scripts, false).await
+    }
+
+    /// Starts an endpoint that runs the script for a request once it has read the head. Its kernel takes
+    /// little of the body before that.
+    pub async fn start_early(scripts: Vec<Vec<Step>>) -> Self {
+        Self::start_with(scripts, true).await
+    }
+
+    async fn start_with(scripts: Vec<Vec<Step>>, is_early: bool) -> Self {
+        let socket = TcpSocket::new_v4().expect("a socket");
+        if is_early {
+            let set = socket.set_recv_buffer_size(EARLY_BUFFER_BYTES);
+            set.expect("the option is known");
+        }
+        let any = SocketAddr::from(([127, 0, 0, 1], 0));
+        socket.bind(any).expect("a free port");
+        let listener = socket.listen(BACKLOG).expect("a bound socket");
         let address = listener.local_addr().expect("an address");
         let requests: Rc<RefCell<Vec<Received>>> = Rc::default();
         let scripts = Rc::new(RefCell::new(VecDeque::from(scripts)));
         let recorded = requests.clone();
         actix_rt::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
-                actix_rt::spawn(connection(stream, scripts.clone(), recorded.clone()));
+                let scripts = scripts.clone();
+                actix_rt::spawn(connection(stream, scripts, recorded.clone(), is_early));
             }
         });
         Self { address, requests }
@@ -67,9 +92,14 @@
 /// Scripts of the coming requests; the last one stays.
 type Scripts = Rc<RefCell<VecDeque<Vec<Step>>>>;
 
-async fn connection(mut stream: TcpStream, scripts: Scripts, requests: Rc<RefCell<Vec<Received>>>) {
+async fn connection(
+    mut stream: TcpStream,
+    scripts: Scripts,
+    requests: Rc<RefCell<Vec<Received>>>,
+    is_early: bool,
+) {
     let mut read_buffer = Vec::new();
-    while let Some(text) = request(&mut stream, &mut read_buffer).await {
+    while let Some(text) = request(&mut stream, &mut read_buffer, is_early).await {
         let id = text
             .lines()
             .find_map(|line| line.strip_prefix("x-id: "))
@@ -113,13 +143,22 @@
                     }
                 }
                 Step::Close => return,
+                Step::Reset => {
+                    stream.set_zero_linger().expect("the option is known");
+                    return;
+                }
             }
         }
     }
 }
 
-/// Reads one request that has a content length or no body; None once the connection is closed.
-async fn request(stream: &mut TcpStream, read_buffer: &mut Vec<u8>) -> Option<String> {
+/// Reads one request that has a content length or no body, or its head if `is_early`; None once the
+/// connection is closed.
+async fn request(
+    stream: &mut TcpStream,
+    read_buffer: &mut Vec<u8>,
+    is_early: bool,
+) -> Option<String> {
     loop {
         let text = String::from_utf8_lossy(read_buffer).into_owned();
         if let Some(end) = text.find("\r\n\r\n") {
@@ -128,7 +167,7 @@
                 .lines()
                 .find_map(|line| line.strip_prefix("content-length: "));
             let length: usize = length.and_then(|text| text.parse().ok()).unwrap_or(0);
-            let total = end + 4 + length;
+            let total = end + 4 + if is_early { 0 } else { length };
             if read_buffer.len() >= total {
                 read_buffer.drain(..total);
                 return Some(head + &text[end..total]);
