Edge: a crash that ends a response without a length is evidence

Cause: the end of the connection inside an event was found to be no end of the stream, but the caller alone was told: no failed attempt was recorded, so the endpoint was never checked and the evidence of `poison` never heard of the crash.

Class: a crash that looks like an ordinary end. With neither a length nor chunks there are four places for it, and three were open: - inside an event: nothing was recorded (the case); - before the first byte: the response was passed on as an empty success, a stream or not; - at the border of an event, or anywhere in a body that is no stream: it can't be told from the end. It counted as an answer to the parts of the prompt at once, which cleared the part that had crashed the endpoint.

Now the first two are failures of the endpoint and recorded as such. The third is delivered, as before, but counts as an answer only once the endpoint has survived it, and as a loss if it refuses connections.

Evidence: six new forms of the test with crashing endpoints fail before (unframed before, inside and after an event, inside one that may be resumed, without a stream, without a body) and four tests of empty responses; all pass after it, and the form with chunks passes before and after.

--- a/crates/edge/src/client.rs
+++ b/crates/edge/src/client.rs
@@ -207,6 +207,8 @@
     /// Why the rest of the request could not be written. The kernel reports a reset only once, so the
     /// reads that follow look like a regular end of the connection.
     write_error: Option<io::Error>,
+    /// Whether nothing but the end of the connection marks the end of the body.
+    is_unframed: bool,
     /// Whether the connection may carry another request after this response.
     is_reusable: bool,
     /// Idle timeout of the connection after this exchange.
@@ -229,6 +231,7 @@
             method: outgoing.method.clone(),
             is_written: false,
             write_error: None,
+            is_unframed: false,
             is_reusable: true,
             idle_timeout: DEFAULT_IDLE_TIMEOUT,
         };
@@ -377,6 +380,7 @@
                 Framing::Ended
             }
             MessageType::None => {
+                self.is_unframed = true;
                 self.is_reusable = false;
                 Framing::Connection
             }
@@ -432,6 +436,12 @@
         matches!(self.framing, Framing::Connection) && self.write_error.is_none()
     }
 
+    /// Returns whether the body has neither a length nor chunks, so that a crash of the endpoint can't
+    /// be told from its end.
+    pub fn is_unframed(&self) -> bool {
+        self.is_unframed
+    }
+
     fn end_body(&mut self) {
         if let Framing::Declared(codec) = std::mem::replace(&mut self.framing, Framing::Ended) {
             self.codec = Some(codec.into_message_codec());
@@ -453,10 +463,18 @@
     }
 }
 
+impl Error {
+    /// Returns the error for a connection that was closed before the response was complete.
+    pub fn closed() -> Self {
+        Self::Interrupted(io::ErrorKind::UnexpectedEof.into())
+    }
+}
+
 /// Returns the error for a connection that ended early: that of a write before, if one failed.
 fn early_end(write_error: &mut Option<io::Error>) -> Error {
-    let unexpected = || io::ErrorKind::UnexpectedEof.into();
-    Error::Interrupted(write_error.take().unwrap_or_else(unexpected))
+    write_error
+        .take()
+        .map_or_else(Error::closed, Error::Interrupted)
 }
 
 /// Returns the idle timeout in the `Keep-Alive` header.
--- a/crates/edge/src/forward/delivery.rs
+++ b/crates/edge/src/forward/delivery.rs
@@ -160,12 +160,19 @@
                 return Transfer::CallerClosed;
             }
         }
-        // The end of a connection may be the end of a body, but not of an event.
-        if self.splitter.is_partial() || gauge.is_partial() {
+        // The end of a connection may be the end of a body, but not of an event, nor of a stream that
+        // has none.
+        let is_partial = self.splitter.is_partial() || gauge.is_partial();
+        if is_partial || exchange.is_unframed() && !onset.has_begun() {
+            let err = match exchange.is_unframed() {
+                true => Error::closed(),
+                false => Error::Malformed("the stream ends inside an event".to_owned()),
+            };
+            forwarder.attempt_failed(call, reservation, &err, onset.is_settled());
             return Transfer::EndpointFailed;
         }
         if onset.has_begun() {
-            forwarder.edge.record_answer(call.shared_parts());
+            record_end(forwarder, call, reservation, &exchange, onset);
         }
         exchange.close(
             &mut forwarder.edge.pool.borrow_mut(),
@@ -187,6 +194,24 @@
     }
 }
 
+/// Records that an endpoint has answered a request. The end of a response without a length may be that of
+/// the endpoint, so it counts once the endpoint has survived it.
+fn record_end(
+    forwarder: &Forwarder,
+    call: &Call,
+    reservation: &Reservation<'_>,
+    exchange: &Exchange,
+    onset: Onset,
+) {
+    let edge = &forwarder.edge;
+    if !exchange.is_unframed() || onset.is_settled() {
+        edge.record_answer(call.shared_parts());
+        return;
+    }
+    let endpoint = &reservation.assignment().endpoint;
+    edge.record_unframed_end(&call.info.id, endpoint, &call.parts, call.shared_parts());
+}
+
 /// Bytes of one buffered response; dropping it releases them.
 struct Buffered<'a> {
     edge: &'a Edge,
@@ -253,7 +278,12 @@
         }
     }
     if head.status.is_success() {
-        forwarder.edge.record_answer(call.shared_parts());
+        if exchange.is_unframed() && body.is_empty() {
+            // The endpoint may have crashed after the head.
+            forwarder.attempt_failed(call, reservation, &Error::closed(), false);
+            return Transfer::EndpointFailed;
+        }
+        record_end(forwarder, call, reservation, &exchange, onset);
     }
     exchange.close(
         &mut forwarder.edge.pool.borrow_mut(),
--- a/crates/edge/src/guard.rs
+++ b/crates/edge/src/guard.rs
@@ -52,6 +52,8 @@
 struct Candidate {
     request: RequestId,
     loss: Loss,
+    /// Parts that the endpoint has answered unless it has crashed.
+    answered: Vec<PartId>,
 }
 
 /// Evidence on parts of prompts, and what is refused by it.
@@ -130,6 +132,19 @@
         request: &RequestId,
         endpoint: &Endpoint,
         parts: &[PartId],
+    ) {
+        self.record_unframed_end(request, endpoint, parts, &[]);
+    }
+
+    /// Records that a response ended with its connection soon after it began. Counts as a loss of a
+    /// request with these `parts` if the endpoint turns out to have crashed, and as a response to
+    /// `answered` otherwise.
+    pub fn record_unframed_end(
+        self: &Rc<Self>,
+        request: &RequestId,
+        endpoint: &Endpoint,
+        parts: &[PartId],
+        answered: &[PartId],
     ) {
         let Some(at) = self.shared_time().filter(|_| !parts.is_empty()) else {
             return;
@@ -141,6 +156,7 @@
                 endpoint: endpoint.address,
                 parts: parts.to_vec(),
             },
+            answered: answered.to_vec(),
         };
         let mut checks = self.guard.checks.borrow_mut();
         if let Some(candidates) = checks.get_mut(&endpoint.id) {
@@ -231,6 +247,9 @@
             endpoint = endpoint.id,
             lost = candidates.len()
         );
+        for candidate in candidates {
+            edge.record_answer(&candidate.answered);
+        }
         return;
     }
     count(&edge.metrics.changes, "endpoint_crashed");
--- a/crates/edge/tests/crash.rs
+++ b/crates/edge/tests/crash.rs
@@ -10,7 +10,7 @@
 use agate_edge::client::{self, Error, Exchange, Outgoing};
 use bytes::Bytes;
 use rstest::rstest;
-use support::{Harness, Server, Step, request, status};
+use support::{Harness, Server, Step, is_complete, request, status};
 
 /// Longer than the buffers of a connection, so that the end comes while it is being sent.
 const LONG_BODY: usize = 4_000_000;
@@ -76,3 +76,20 @@
     let response = bench.call(&request("book", "r1", &body)).await;
     assert_eq!(status(&response), "502", "{response}");
 }
+
+// Guards against: an endpoint that crashes after the head of a response without a length makes an empty
+// success.
+#[rstest]
+#[case::stream("talk")]
+#[case::resumable_stream("draft")]
+#[case::idempotent("read")]
+#[case::once("book")]
+#[actix_rt::test]
+async fn an_unframed_response_without_a_byte_is_no_success(#[case] route: &'static str) {
+    const HEAD: &str = "HTTP/1.1 200 OK\r\nx-id: {id}\r\nx-signed: 1\r\n\r\n";
+    let server = Server::start(vec![vec![Step::Write(HEAD), Step::Close]]).await;
+    let bench = Harness::start(&[&server]).await;
+    let response = bench.call(&request(route, "r1", "body")).await;
+    assert!(is_complete(&response), "{response}");
+    assert_eq!(status(&response), "502", "{response}");
+}
--- a/crates/edge/tests/poison.rs
+++ b/crates/edge/tests/poison.rs
@@ -5,7 +5,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use support::fragile::Fleet;
+use rstest::rstest;
+use support::fragile::{Fleet, Form};
 use support::{Harness, status};
 use tokio::time::{Instant, sleep};
 
@@ -14,15 +15,15 @@
 /// Interval between two requests at a host.
 const INTERVAL: Duration = Duration::from_millis(60);
 
-/// Returns a request for a stream whose prompt has these parts.
-fn prompt(id: &str, parts: &str) -> String {
-    let request = support::request("talk", id, "body");
+/// Returns a request whose prompt has these parts.
+fn prompt(route: &str, id: &str, parts: &str) -> String {
+    let request = support::request(route, id, "body");
     request.replacen("\r\n", &format!("\r\nx-parts: {parts}\r\n"), 1)
 }
 
 /// Sends prompts to the hosts in turn for `time`, every third with the part `bad`. Returns the statuses
 /// of the sound ones, with the times at which they were sent.
-async fn play(hosts: &[Rc<Harness>], time: Duration) -> Vec<(Instant, String)> {
+async fn play(hosts: &[Rc<Harness>], route: &str, time: Duration) -> Vec<(Instant, String)> {
     let start = Instant::now();
     let mut tasks = Vec::new();
     let mut n = 0;
@@ -33,7 +34,7 @@
             true => format!("first,other,bad,own{n}"),
             false => format!("first,other,own{n}"),
         };
-        let request = prompt(&format!("r{n}"), &parts);
+        let request = prompt(route, &format!("r{n}"), &parts);
         let sent = Instant::now();
         let call = async move { (is_bad, sent, status(&host.call(&request).await).to_owned()) };
         tasks.push(actix_rt::spawn(call));
@@ -50,11 +51,23 @@
     sound
 }
 
-// Guards against: a part of a prompt that crashes endpoints is sent to one after the other, on all hosts.
+// Guards against: a part of a prompt that crashes endpoints is sent to one after the other, on all hosts,
+// also if the end of the connection looks like that of a response without a length.
+#[rstest]
+#[case::chunked_before_the_first_event("talk", Form::CHUNKED)]
+#[case::unframed_before_the_first_event("talk", Form::unframed(""))]
+#[case::unframed_inside_an_event("talk", Form::unframed("id: 1\nda"))]
+#[case::unframed_at_an_event_border("talk", Form::unframed("id: 1\ndata\n\n"))]
+#[case::unframed_inside_a_resumable_event("draft", Form::unframed("id: 1\nda"))]
+#[case::unframed_without_a_stream("read", Form::unframed("id"))]
+#[case::unframed_without_a_body("read", Form::unframed(""))]
 #[actix_rt::test]
-async fn a_part_that_crashes_endpoints_is_sent_to_no_further_one() {
+async fn a_part_that_crashes_endpoints_is_sent_to_no_further_one(
+    #[case] route: &'static str,
+    #[case] form: Form,
+) {
     let store = Harness::store(&[]);
-    let fleet = Fleet::start(store.clone(), 6, "bad").await;
+    let fleet = Fleet::start(store.clone(), 6, "bad", form).await;
     let mut hosts = Vec::new();
     for name in ["one", "two", "three"] {
         hosts.push(Rc::new(
@@ -62,7 +75,7 @@
         ));
     }
     let start = Instant::now();
-    let sound = play(&hosts, Duration::from_secs(8)).await;
+    let sound = play(&hosts, route, Duration::from_secs(8)).await;
     let crashes = fleet.crashes.borrow();
     let late = crashes.get(4).map_or(0, |fifth| {
         let arrivals = fleet.arrivals.borrow();
--- a/crates/edge/tests/support/fragile.rs
+++ b/crates/edge/tests/support/fragile.rs
@@ -17,9 +17,39 @@
 /// Time after which a crashed endpoint is back, at another address and under another id.
 const RESTART_TIME: Duration = Duration::from_millis(800);
 
+/// How endpoints answer.
+#[derive(Clone, Copy, Debug)]
+pub struct Form {
+    /// Headers that frame the body.
+    pub framing: &'static str,
+    /// Bytes after the head until the crash.
+    pub partial: &'static str,
+    /// Bytes after the head if there is no crash.
+    pub whole: &'static str,
+}
+
+impl Form {
+    /// A stream in chunks, and a crash before its first byte.
+    pub const CHUNKED: Self = Self {
+        framing: "transfer-encoding: chunked\r\n",
+        partial: "",
+        whole: "c\r\nid: 1\ndata\n\n\r\n0\r\n\r\n",
+    };
+
+    /// A stream that ends with its connection, and a crash after these bytes.
+    pub const fn unframed(partial: &'static str) -> Self {
+        Self {
+            framing: "",
+            partial,
+            whole: "id: 1\ndata\n\nid: 2\ndata\n\n",
+        }
+    }
+}
+
 /// Endpoints of one service that crash and come back.
 pub struct Fleet {
     store: Rc<Store>,
+    form: Form,
     /// Header line that crashes an endpoint if a request has it in its parts.
     deadly: String,
     /// When endpoints crashed.
@@ -31,9 +61,10 @@
 
 impl Fleet {
     /// Starts endpoints and lists them in the store.
-    pub async fn start(store: Rc<Store>, count: usize, deadly: &str) -> Rc<Self> {
+    pub async fn start(store: Rc<Store>, count: usize, deadly: &str, form: Form) -> Rc<Self> {
         let fleet = Rc::new(Self {
             store,
+            form,
             deadly: deadly.to_owned(),
             crashes: RefCell::default(),
             arrivals: RefCell::default(),
@@ -101,18 +132,23 @@
             }
             sleep(READ_TIME).await;
             let head = format!(
-                "HTTP/1.1 200 OK\r\nx-id: {}\r\nx-signed: 1\r\ntransfer-encoding: chunked\r\n\r\n",
-                field("x-id: ").unwrap_or_default()
+                "HTTP/1.1 200 OK\r\nx-id: {}\r\nx-signed: 1\r\n{}\r\n",
+                field("x-id: ").unwrap_or_default(),
+                self.form.framing
             );
-            if stream.write_all(head.as_bytes()).await.is_err() {
+            let body = match is_deadly {
+                true => self.form.partial,
+                false => self.form.whole,
+            };
+            let answer = head + body;
+            if stream.write_all(answer.as_bytes()).await.is_err() {
                 return;
             }
             if is_deadly {
                 crash.notify_one();
                 std::future::pending::<()>().await;
             }
-            let body = b"c\r\nid: 1\ndata\n\n\r\n0\r\n\r\n";
-            if stream.write_all(body).await.is_err() {
+            if self.form.framing.is_empty() {
                 return;
             }
         }
