--- a/crates/edge/tests/crash.rs
+++ b/crates/edge/tests/crash.rs
@@ -93,3 +93,23 @@
     assert!(is_complete(&response), "{response}");
     assert_eq!(status(&response), "502", "{response}");
 }
+
+// Guards against: an endpoint that stops in the middle of the head of its response and closes makes a
+// complete response with an empty or short body.
+#[rstest]
+#[case::status_line("HTTP/1.1 200 O")]
+#[case::header_name("HTTP/1.1 200 OK\r\nx-id: {id}\r\nx-signed: 1\r\ncontent-le")]
+#[case::header_value("HTTP/1.1 200 OK\r\nx-id: {id}\r\nx-signed: 1\r\ncontent-length: 1")]
+#[case::last_line("HTTP/1.1 200 OK\r\nx-id: {id}\r\nx-signed: 1\r\ncontent-length: 10\r\n")]
+#[case::half_a_line_end("HTTP/1.1 200 OK\r\nx-id: {id}\r\nx-signed: 1\r\n\r")]
+#[actix_rt::test]
+async fn half_a_head_is_no_response(
+    #[case] answer: &'static str,
+    #[values("read", "book", "talk", "draft")] route: &'static str,
+    #[values(Step::Close, Step::Reset)] end: Step,
+) {
+    let server = Server::start(vec![vec![Step::Write(answer), end]]).await;
+    let bench = Harness::start(&[&server]).await;
+    let response = bench.call(&request(route, "r1", "body")).await;
+    assert_eq!(status(&response), "502", "{response}");
+}
