Edge: an unframed response to another request doesn't panic

Cause: a late response to another request is skipped by reading its body to the end, then the next head is read. If nothing but the end of the connection marks the end of that body, there is no next head and no decoder for one; the exchange expected one and panicked, and the panic ended the task of the caller's connection.

Now this is the end of the connection before a response: the attempt is lost, and is repeated or answered with 502 by the usual rules.

Evidence: the new test fails before with an empty response in all 16 forms (empty, with a body, a failure, after one with a length; on four kinds of route) and passes after it. No other call of the client expects a state that an endpoint decides on.

--- a/crates/edge/src/client.rs
+++ b/crates/edge/src/client.rs
@@ -304,10 +304,10 @@
     /// it has read a long body; then the rest is never sent.
     async fn read_head(&mut self, pending: &mut Option<BytesMut>) -> Result<ResponseHead, Error> {
         let (mut reader, mut writer) = self.stream.split();
-        let codec = self
-            .codec
-            .as_mut()
-            .expect("the exchange holds the codec until the head is read");
+        let Some(codec) = self.codec.as_mut() else {
+            // The body of a response to another request has ended with the connection.
+            return Err(early_end(&mut self.write_error));
+        };
         loop {
             let decoded = codec.decode(&mut self.read_buffer);
             if let Some(head) = decoded.map_err(|err| Error::Malformed(err.to_string()))? {
--- a/crates/edge/tests/broken.rs
+++ b/crates/edge/tests/broken.rs
@@ -101,3 +101,25 @@
     assert_eq!(response.matches("HTTP/1.1").count(), 1, "{response}");
     assert_eq!(response.matches("id: 1\n").count(), 1, "{response}");
 }
+
+// Guards against: a response to another request that ends with its connection panics the task of the caller, who
+// gets no response (review/4).
+#[rstest]
+#[case::empty("HTTP/1.1 200 OK\r\nx-id: other\r\nx-signed: 1\r\n\r\n")]
+#[case::with_a_body("HTTP/1.1 200 OK\r\nx-id: other\r\nx-signed: 1\r\n\r\nfine")]
+#[case::failure("HTTP/1.1 500 No\r\nx-id: other\r\nx-signed: 1\r\n\r\nwrong")]
+#[case::after_one_with_a_length(
+    "HTTP/1.1 200 OK\r\nx-id: other\r\nx-signed: 1\r\ncontent-length: 4\r\n\r\nfine\
+     HTTP/1.1 200 OK\r\nx-id: other\r\nx-signed: 1\r\n\r\nfine"
+)]
+#[actix_rt::test]
+async fn an_unframed_response_to_another_request_is_a_failure_of_the_endpoint(
+    #[case] foreign: &'static str,
+    #[values("read", "book", "talk", "draft")] route: &'static str,
+) {
+    let server = Server::start(vec![vec![Step::Write(foreign), Step::Close]]).await;
+    let bench = Harness::start(&[&server]).await;
+    let response = bench.call(&request(route, "r1", "body")).await;
+    assert!(is_complete(&response), "{response}");
+    assert_eq!(status(&response), "502", "{response}");
+}
