Edge: a success without the endpoint's proof is not passed on

Cause: the response was matched to its request by the id alone. The proof was looked at only for statuses that promise that nothing has run.

Now a success without proof is a malformed response: logged, counted against the endpoint, sent again where the request allows it, else 502. It still counts as usage, since the endpoint has run it.

Evidence: 16 forms of the new test (four responses on four kinds of route) and one with a second endpoint fail before the change and pass after it.

--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -258,6 +258,10 @@
                     return Attempt::Declined;
                 }
                 self.edge.count_usage(mark.account);
+                if head.status.is_success() && !reply.signed {
+                    let error = Error::Malformed("a success without signature".to_owned());
+                    return self.attempt_failed(call, reservation, &error, false);
+                }
                 if means_not_run(head.status) && !reply.signed {
                     tracing::warn!(
                         event = "promise_unsigned",
--- a/crates/edge/tests/broken.rs
+++ b/crates/edge/tests/broken.rs
@@ -123,3 +123,38 @@
     assert!(is_complete(&response), "{response}");
     assert_eq!(status(&response), "502", "{response}");
 }
+
+// Guards against: a success without the proof that an endpoint made it reaches a caller.
+#[rstest]
+#[case::length("HTTP/1.1 200 OK\r\nx-id: {id}\r\ncontent-length: 4\r\n\r\nfine")]
+#[case::chunks(
+    "HTTP/1.1 200 OK\r\nx-id: {id}\r\ntransfer-encoding: chunked\r\n\r\n\
+     c\r\nid: 1\ndata\n\n\r\n0\r\n\r\n"
+)]
+#[case::created("HTTP/1.1 201 Made\r\nx-id: {id}\r\ncontent-length: 4\r\n\r\nfine")]
+#[case::empty("HTTP/1.1 204 None\r\nx-id: {id}\r\n\r\n")]
+#[actix_rt::test]
+async fn a_success_without_proof_is_a_failure_of_the_endpoint(
+    #[case] unsigned: &'static str,
+    #[values("read", "book", "talk", "draft")] route: &'static str,
+) {
+    let server = Server::start(vec![vec![Step::Write(unsigned)]]).await;
+    let bench = Harness::start(&[&server]).await;
+    let response = bench.call(&request(route, "r1", "body")).await;
+    assert!(is_complete(&response), "{response}");
+    assert_eq!(status(&response), "502", "{response}");
+}
+
+// Guards against: a caller gets a failure though another endpoint would have answered.
+#[actix_rt::test]
+async fn an_idempotent_request_is_sent_again_after_a_success_without_proof() {
+    let unsigned = "HTTP/1.1 200 OK\r\nx-id: {id}\r\ncontent-length: 4\r\n\r\nfake";
+    let first = Server::start(vec![vec![Step::Write(unsigned)]]).await;
+    let second = Server::start(vec![vec![Step::Write(OK)]]).await;
+    let bench = Harness::start(&[&first, &second]).await;
+    for n in 0..6 {
+        let response = bench.call(&request("read", &format!("r{n}"), "")).await;
+        assert_eq!(status(&response), "200", "{response}");
+        assert!(response.ends_with("fine"), "{response}");
+    }
+}
