Edge: a version that is written again stays current

Cause: a version that is not newer than the one in force was ignored, and its revision with it. All evidence that a configuration is the newest compares revisions: the condition of a heartbeat's write, the reads of the row, and what hosts tell one another. Each of them said "there is a newer one" for good, and no read could bring it.

Now the revision is taken over, and handed on to the other hosts as a patch without a change; the version in force stays. The same holds for an older version, such as a late write: the row holds nothing newer, and no host goes back.

What the same version with other contents means is not known; the contents are ignored, as before.

--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -111,7 +111,8 @@
     pub offers: RefCell<HashMap<ServiceId, Offer>>,
     /// State of the lease on the duties.
     pub lease: Lease,
-    /// Revision that wrote the configuration in force; `None` before there is one.
+    /// Revision up to which the configuration in force is the newest one written; `None` before there is
+    /// one. It passes the revision that wrote it if the same version, or an older one, is written again.
     pub config_revision: Cell<Option<u64>>,
     /// Notified when a newer configuration than the one in force is known to exist.
     pub config_outdated: Notify,
@@ -186,7 +187,16 @@
     pub fn configure(&self, config: Config, revision: u64) {
         let known = self.config().map_or(0, |config| config.version);
         if config.version <= known {
-            tracing::info!(event = "config_ignored", version = config.version, known);
+            tracing::info!(
+                event = "config_ignored",
+                version = config.version,
+                known,
+                revision
+            );
+            // The row holds nothing newer, so evidence about this revision is evidence about the version
+            // in force.
+            let newest = self.config_revision.get().max(Some(revision));
+            self.config_revision.set(newest);
             return;
         }
         tracing::info!(
