Edge: requests that come late in a planned stop are answered

A connection that was accepted before the end of the linger time, or a head or body that came slowly, was taken at any time before the end, whatever time its route allows; and what was in flight at the end was cut without a response.

The times of a stop are in a module of their own.

A stream under way at the end is still cut; its caller can resume it.

--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -9,7 +9,7 @@
 use agate_model::id::{AccountId, Incarnation, RouteId};
 use agate_store::interface::{Feed, Tables};
 use tokio::sync::{Notify, watch};
-use tokio::time::Instant;
+use tokio::time::{Instant, sleep_until};
 
 use crate::balancer::{Balancer, Tuning};
 use crate::budget::Budget;
@@ -33,6 +33,7 @@
 use crate::roster::{Change, Roster};
 use crate::sabotage::{self, Variant};
 use crate::settings::Settings;
+use crate::stop::Stop;
 use crate::subset::{Profile, Recent, Subset, Sums};
 use crate::usage::Counters;
 
@@ -128,6 +129,7 @@
     queues: RefCell<HashMap<ServiceId, Rc<Queue>>>,
     profiles: RefCell<HashMap<ServiceId, Profile>>,
     phase: watch::Sender<Phase>,
+    stop: Cell<Option<Stop>>,
     in_flight: Cell<usize>,
     started: Instant,
 }
@@ -172,6 +174,7 @@
             queues: RefCell::default(),
             profiles: RefCell::default(),
             phase: watch::Sender::new(Phase::Serving),
+            stop: Cell::new(None),
             in_flight: Cell::new(0),
             started: Instant::now(),
         })
@@ -254,9 +257,25 @@
         *self.phase.borrow() == Phase::Leaving
     }
 
-    /// Enters the leaving phase, which never ends.
-    pub fn leave(&self) {
+    /// Enters the leaving phase, which never ends. Returns the times at which its steps are due.
+    pub fn leave(&self) -> Stop {
+        let stop = Stop::new(Instant::now(), self.settings.borrow().bounds.grace);
+        self.stop.set(Some(stop));
         self.phase.send_replace(Phase::Leaving);
+        stop
+    }
+
+    /// Returns the times of the stop; `None` while the host is not leaving.
+    pub fn stop(&self) -> Option<Stop> {
+        self.stop.get()
+    }
+
+    /// Waits until requests without a response get a final one.
+    pub async fn wait_last_response(&self) {
+        self.wait_leaving().await;
+        if let Some(stop) = self.stop() {
+            sleep_until(stop.last_response).await;
+        }
     }
 
     /// Waits until this process is told to stop.
--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -43,6 +43,8 @@
 const STALE_RETRY_AFTER: Duration = Duration::from_millis(1000);
 /// `Retry-After` of a refusal because the service has no endpoint.
 const NO_ENDPOINT_RETRY_AFTER: Duration = Duration::from_millis(800);
+/// `Retry-After` of a refusal because the host is stopping: another host can take the request at once.
+const LEAVING_RETRY_AFTER: Duration = Duration::from_millis(50);
 /// Shortest `Retry-After` of a refusal because the service is busy.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(250);
 /// Longest `Retry-After` of callers whose endpoints are paused, as a multiple of the pause.
@@ -308,6 +310,26 @@
         }
     }
 
+    /// Forwards a request. If the process is about to end, the request is given up, so that its caller
+    /// gets a final response in place of a closed connection.
+    async fn forward_until_stop(
+        &self,
+        call: &Call,
+        writer: &mut ResponseWriter<'_>,
+        record: &mut Record,
+    ) -> Result<End, Refusal> {
+        let end = tokio::select! {
+            biased;
+            end = self.forward(call, writer, record) => Some(end),
+            () = self.edge.wait_last_response() => None,
+        };
+        match end {
+            Some(end) => end,
+            None if record.has_attempts() => Err(Refusal::new(Reason::TimedOut)),
+            None => Err(Refusal::retry_after(Reason::Leaving, LEAVING_RETRY_AFTER)),
+        }
+    }
+
     /// Makes attempts until one is delivered or no further attempt is allowed.
     async fn forward(
         &self,
@@ -521,7 +543,7 @@
             let _running = self.edge.track_request();
             let mut record = Record::new(self.edge.clone(), incoming.arrival);
             let end = match self.admit(incoming, &mut record) {
-                Ok(call) => self.forward(&call, writer, &mut record).await,
+                Ok(call) => self.forward_until_stop(&call, writer, &mut record).await,
                 Err(refusal) => Err(refusal),
             };
             match end {
--- a/crates/edge/src/forward/admit.rs
+++ b/crates/edge/src/forward/admit.rs
@@ -7,7 +7,7 @@
 use agate_poison::PartId;
 use tokio::time::Instant;
 
-use super::{Forwarder, MIN_RETRY_AFTER, STALE_RETRY_AFTER};
+use super::{Forwarder, LEAVING_RETRY_AFTER, MIN_RETRY_AFTER, STALE_RETRY_AFTER};
 use crate::config::{Account, Config, Route, ServiceId};
 use crate::interface::RequestInfo;
 use crate::record::Record;
@@ -108,6 +108,11 @@
             incoming,
         };
         record.tier = call.tier;
+        if let Some(stop) = edge.stop()
+            && !stop.admits(Instant::now(), call.deadline)
+        {
+            return Err(Refusal::retry_after(Reason::Leaving, LEAVING_RETRY_AFTER));
+        }
         edge.record_request(&call.service, call.cost);
         Ok(call)
     }
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -37,5 +37,6 @@
 pub mod sabotage;
 pub mod server;
 pub mod settings;
+pub mod stop;
 pub mod subset;
 pub mod usage;
--- a/crates/edge/src/record.rs
+++ b/crates/edge/src/record.rs
@@ -72,6 +72,11 @@
         self.time_to_attempt.get_or_insert(elapsed);
         self.endpoints.push(endpoint.id.clone());
     }
+
+    /// Returns whether there was an attempt.
+    pub fn has_attempts(&self) -> bool {
+        !self.endpoints.is_empty()
+    }
 }
 
 impl Drop for Record {
--- a/crates/edge/src/refusal.rs
+++ b/crates/edge/src/refusal.rs
@@ -28,6 +28,8 @@
     TooLate,
     /// The prompt has parts that crash endpoints.
     PromptBlocked,
+    /// The host is stopping, and the request may need more time than is left.
+    Leaving,
     /// The endpoint failed, and the request may have run.
     EndpointFailed,
     /// The deadline passed after the request was sent.
@@ -36,7 +38,7 @@
 
 impl Reason {
     /// All reasons, so that their counters can start at zero.
-    pub const ALL: [Reason; 12] = [
+    pub const ALL: [Reason; 13] = [
         Reason::Malformed,
         Reason::NoConfig,
         Reason::Stale,
@@ -47,6 +49,7 @@
         Reason::Declined,
         Reason::TooLate,
         Reason::PromptBlocked,
+        Reason::Leaving,
         Reason::EndpointFailed,
         Reason::TimedOut,
     ];
@@ -64,6 +67,7 @@
             Reason::Declined => "declined",
             Reason::TooLate => "too_late",
             Reason::PromptBlocked => "prompt_blocked",
+            Reason::Leaving => "leaving",
             Reason::EndpointFailed => "endpoint_failed",
             Reason::TimedOut => "timed_out",
         }
@@ -84,7 +88,8 @@
             | Reason::Full
             | Reason::Declined
             | Reason::TooLate
-            | Reason::PromptBlocked => StatusCode::SERVICE_UNAVAILABLE,
+            | Reason::PromptBlocked
+            | Reason::Leaving => StatusCode::SERVICE_UNAVAILABLE,
         }
     }
 }
--- a/crates/edge/src/run.rs
+++ b/crates/edge/src/run.rs
@@ -19,10 +19,6 @@
 
 /// Interval between two sweeps of idle connections.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(700);
-/// Share of the grace time that is available for requests in flight to end.
-const DRAIN_SHARE: f64 = 0.92;
-/// Share of the grace time after which the process does not wait for its last heartbeat any more.
-const EXIT_SHARE: f64 = 0.96;
 /// Share of the time for which callers keep an address that the process continues to accept
 /// connections after the host has left the directory. A caller that is refused later goes elsewhere;
 /// what is accepted must have time to end.
@@ -109,14 +105,13 @@
     pub async fn close(self) -> usize {
         let edge = &self.edge;
         let started = Instant::now();
-        edge.leave();
+        let stop = edge.leave();
         let bounds = edge.settings.borrow().bounds.clone();
         tracing::info!(event = "leaving", running = edge.in_flight());
         let deadline = match sabotage::is(Variant::HastyStop) {
             true => started,
-            false => started + bounds.grace.mul_f64(DRAIN_SHARE),
+            false => stop.drain,
         };
-        let exit = started + bounds.grace.mul_f64(EXIT_SHARE);
         publish(edge, false, deadline).await;
         let linger = bounds.addresses.min(bounds.grace).mul_f64(LINGER_SHARE);
         sleep_until(deadline.min(started + linger)).await;
@@ -126,7 +121,7 @@
         while Instant::now() < deadline && edge.in_flight() > 0 {
             sleep(DRAIN_CHECK_INTERVAL).await;
         }
-        publish(edge, edge.in_flight() == 0, exit).await;
+        publish(edge, edge.in_flight() == 0, stop.exit).await;
         for task in &self.tasks {
             task.abort();
         }
