Store: a truncated object is an error, and a call that is given up is reset

Callers: whoever read an object of the store (the archive of configurations) took one that was truncated on the way for complete, with a length, with chunks and without either. A call that was given up was delivered once the network was back.

Cause: the HTTP client takes the end of a connection for the end of a body, whatever length was announced, and reads a body without a length as empty. agate-gate has connections that make this an error; the clients of the store did not use them. A close leaves unsent bytes to the kernel.

Now both use the same connections, which are in `store`, since `gate` links it already. An object whose body has neither a length nor chunks is an error. A connection that is dropped after a request was written and before a byte of the response has come is reset, also that of an order or a report. Responses in JSON were never at risk: what is truncated doesn't parse.

--- a/crates/gate/src/forward/client.rs
+++ b/crates/gate/src/forward/client.rs
@@ -8,12 +8,12 @@
 use actix_http::header::{self, HeaderMap};
 use actix_http::{Method, StatusCode, Version};
 use agate_retry::attempt::{Sent, Unconnected};
+use agate_store::http::transport;
 use awc::error::{ConnectError, SendRequestError};
 use awc::{ClientResponse, Connector};
 use bytes::Bytes;
 use futures_util::StreamExt as _;
 
-use super::transport;
 use crate::refusal::{Progress, SendPermit};
 
 /// Idle time after which a pooled connection is not reused.
--- a/crates/gate/src/forward/mod.rs
+++ b/crates/gate/src/forward/mod.rs
@@ -12,7 +12,6 @@
 pub mod reader;
 pub mod relay;
 pub mod source;
-pub mod transport;
 mod upstream;
 
 pub use completion::run as completion;
--- a/crates/store/src/http.rs
+++ b/crates/store/src/http.rs
@@ -4,6 +4,7 @@
 mod engine;
 pub mod path;
 pub mod post;
+pub mod transport;
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -22,6 +23,9 @@
 use path::encode;
 use post::Post;
 
+/// Maximum size of a response body, in bytes: an archived configuration at many times today's size.
+const MAX_BODY_BYTES: usize = 64 << 20;
+
 /// Client of the platform at one address. Calls share a pool of connections, except for orders and
 /// reports, which open a new connection each time.
 pub struct Client {
@@ -34,14 +38,8 @@
     /// Creates a client of the platform at `address`. The response to each call has to begin within
     /// `timeout`, except for orders and reports, which have deadlines of their own.
     pub fn new(address: SocketAddr, timeout: Duration) -> Self {
-        let connector = awc::Connector::new().timeout(timeout);
-        let http = awc::Client::builder()
-            .connector(connector)
-            .disable_timeout()
-            .disable_redirects()
-            .finish();
         Self {
-            http,
+            http: call::client(timeout),
             address,
             timeout,
         }
@@ -59,7 +57,7 @@
             .request(method, self.url(path))
             .no_decompress()
             .content_type("application/json");
-        call::exchange(request, body, self.timeout, |_| {}).await
+        call::exchange(request, body, self.timeout, MAX_BODY_BYTES, |_| {}).await
     }
 
     /// Returns the body of the response to a GET; `None` for status 404.
@@ -68,6 +66,11 @@
         if response.status == StatusCode::NOT_FOUND {
             return Ok(None);
         }
+        if !response.is_framed {
+            // The HTTP client reads such a body as empty.
+            let message = "the body has neither a length nor chunks";
+            return Err(Error::Unknown(message.to_owned()));
+        }
         response.success().map(Some)
     }
 }
--- a/crates/store/src/http/call.rs
+++ b/crates/store/src/http/call.rs
@@ -4,17 +4,19 @@
 use std::time::Duration;
 
 use awc::error::{ConnectError, SendRequestError};
-use awc::http::StatusCode;
+use awc::http::{StatusCode, header};
 use bytes::{Bytes, BytesMut};
 use futures_util::StreamExt as _;
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use tokio::time::{Instant, timeout_at};
 
+use super::transport;
 use crate::error::Error;
 
-/// Maximum size of a response body, in bytes.
-const RESPONSE_BYTES: usize = 64 << 20;
+/// Maximum size of the response to an order, a report or a question for load, in bytes. Each has some
+/// fields, and many of them may be read at the same time.
+const MAX_SHORT_BYTES: usize = 256 << 10;
 
 /// Longest pause between two pieces of a response's body.
 const MAX_PAUSE: Duration = Duration::from_secs(1);
@@ -30,11 +32,24 @@
 pub struct Response {
     /// Status code of any class; redirects are not followed.
     pub status: StatusCode,
-    /// Complete body, at most 64 MiB.
+    /// Complete body.
     pub body: Bytes,
+    /// Whether the body has a length or chunks.
+    pub is_framed: bool,
 }
 
 impl Response {
+    fn new<S>(response: &awc::ClientResponse<S>, body: Bytes) -> Self {
+        let headers = response.headers();
+        let is_framed = headers.contains_key(header::CONTENT_LENGTH)
+            || headers.contains_key(header::TRANSFER_ENCODING);
+        Self {
+            status: response.status(),
+            body,
+            is_framed,
+        }
+    }
+
     /// Returns the body of a 2xx response. A response with 4xx (also 429) or 503 states that the
     /// call had no effect and becomes [`Error::Refused`]; every other status leaves the effect
     /// open and becomes [`Error::Unknown`].
@@ -54,7 +69,19 @@
     }
 }
 
-/// Sends a request and reads the complete response.
+/// Creates an HTTP client whose connection attempts time out after `timeout`, without connections.
+pub fn client(timeout: Duration) -> awc::Client {
+    let connector = awc::Connector::new()
+        .connector(transport::Connector::new(timeout))
+        .timeout(timeout);
+    awc::Client::builder()
+        .connector(connector)
+        .disable_timeout()
+        .disable_redirects()
+        .finish()
+}
+
+/// Sends a request and reads the complete response, which is short.
 pub async fn send(request: awc::ClientRequest, body: Bytes) -> Result<Response, Error> {
     let mut response = request
         .send_body(body)
@@ -62,22 +89,20 @@
         .map_err(|err| classify(&err))?;
     let body = response
         .body()
-        .limit(RESPONSE_BYTES)
+        .limit(MAX_SHORT_BYTES)
         .await
         .map_err(|err| Error::Unknown(format!("reply broke off: {err}")))?;
-    Ok(Response {
-        status: response.status(),
-        body,
-    })
+    Ok(Response::new(&response, body))
 }
 
 /// Sends a request and reads the response. It has to begin within `timeout`, and its body may take longer
-/// for as long as it keeps coming. The request must have no timeout of its own. `received` is called with
-/// the size of each piece of the body.
+/// for as long as it keeps coming, up to `limit` bytes. The request must have no timeout of its own.
+/// `received` is called with the size of each piece of the body.
 pub async fn exchange(
     request: awc::ClientRequest,
     body: Bytes,
     timeout: Duration,
+    limit: usize,
     received: impl Fn(usize),
 ) -> Result<Response, Error> {
     let late = |_| Error::Unknown("no response in time".to_owned());
@@ -93,17 +118,14 @@
             break;
         };
         let piece = piece.map_err(|err| Error::Unknown(format!("reply broke off: {err}")))?;
-        if body.len() + piece.len() > RESPONSE_BYTES {
-            let message = format!("reply exceeds {RESPONSE_BYTES} bytes");
+        if body.len() + piece.len() > limit {
+            let message = format!("reply exceeds {limit} bytes");
             return Err(Error::Unknown(message));
         }
         received(piece.len());
         body.extend_from_slice(&piece);
     }
-    Ok(Response {
-        status: response.status(),
-        body: body.freeze(),
-    })
+    Ok(Response::new(&response, body.freeze()))
 }
 
 /// Classifies an error by whether the request may have been sent. Only a refused connection proves
--- a/crates/store/src/http/engine.rs
+++ b/crates/store/src/http/engine.rs
@@ -22,13 +22,10 @@
     /// Creates a client. `timeout` bounds each request for an engine's load; orders have deadlines
     /// of their own.
     pub fn new(timeout: Duration) -> Self {
-        let connector = awc::Connector::new().timeout(timeout);
-        let http = awc::Client::builder()
-            .connector(connector)
-            .timeout(timeout)
-            .disable_redirects()
-            .finish();
-        Self { http, timeout }
+        Self {
+            http: call::client(timeout),
+            timeout,
+        }
     }
 }
 
--- a/crates/store/src/http/post.rs
+++ b/crates/store/src/http/post.rs
@@ -19,6 +19,7 @@
 use tokio::time::{Instant, timeout_at};
 
 use super::call::{self, Response};
+use super::transport::StrictStream;
 use crate::error::Error;
 
 /// POST request that is sent at most once, over a connection of its own.
@@ -48,7 +49,7 @@
         let stream = connect(self.address, expiry).await?;
         let written = Rc::new(Cell::new(false));
         let client = client_over(TrackedStream {
-            stream,
+            stream: stream.into(),
             written: Rc::clone(&written),
         });
         let mut request = client
@@ -115,10 +116,10 @@
         .finish()
 }
 
-/// TCP stream that records whether a byte may have been written.
+/// Connection that records whether a byte may have been written.
 #[derive(Debug)]
 struct TrackedStream {
-    stream: TcpStream,
+    stream: StrictStream,
     /// Set once a write of at least one byte has completed or failed.
     written: Rc<Cell<bool>>,
 }
--- a/crates/gate/src/forward/transport.rs
+++ b/crates/store/src/http/transport.rs
@@ -1,25 +1,51 @@
-//! Connections on which a truncated response differs from a complete one.
+//! Connections on which a truncated response differs from a complete one, and which a request that was
+//! given up does not outlive.
 //!
 //! The HTTP client treats the end of a connection as the end of a body, whatever length was
 //! announced. Here the end of a connection is an error, so that only a body that is complete by its
 //! own framing ends without an error.
+//!
+//! A regular close leaves unsent bytes to the kernel, which delivers them after an interruption of the
+//! network. A connection that is dropped before a byte of the response has come is reset instead.
 
 use std::io;
 use std::pin::Pin;
 use std::task::{Context, Poll};
 use std::time::Duration;
 
-use actix_http::Uri;
 use actix_rt::net::{ActixStream, Ready, TcpStream};
 use actix_service::Service;
-use actix_tls::connect::tcp::TcpConnectorService;
-use actix_tls::connect::{ConnectError, ConnectInfo, Connection};
+
+use actix_tls::connect::{ConnectError, ConnectInfo, Connection, ConnectorService};
+use awc::http::Uri;
 use futures_util::future::LocalBoxFuture;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 
 /// A TCP connection on which the end of input is an error.
 #[derive(Debug)]
-pub struct StrictStream(TcpStream);
+pub struct StrictStream {
+    stream: TcpStream,
+    /// Whether bytes were written and none was read since.
+    is_unanswered: bool,
+}
+
+impl From<TcpStream> for StrictStream {
+    fn from(stream: TcpStream) -> Self {
+        Self {
+            stream,
+            is_unanswered: false,
+        }
+    }
+}
+
+impl Drop for StrictStream {
+    fn drop(&mut self) {
+        if self.is_unanswered {
+            // It fails only for a connection that is gone already.
+            let _ = self.stream.set_zero_linger();
+        }
+    }
+}
 
 impl AsyncRead for StrictStream {
     fn poll_read(
@@ -28,10 +54,14 @@
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
         let before = buffer.remaining();
-        let polled = Pin::new(&mut self.0).poll_read(cx, buffer);
-        if matches!(polled, Poll::Ready(Ok(()))) && before > 0 && buffer.remaining() == before {
+        let polled = Pin::new(&mut self.stream).poll_read(cx, buffer);
+        if !matches!(polled, Poll::Ready(Ok(()))) || before == 0 {
+            return polled;
+        }
+        if buffer.remaining() == before {
             return Poll::Ready(Err(io::ErrorKind::UnexpectedEof.into()));
         }
+        self.is_unanswered = false;
         polled
     }
 }
@@ -42,32 +72,34 @@
         cx: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.0).poll_write(cx, bytes)
+        let polled = Pin::new(&mut self.stream).poll_write(cx, bytes);
+        self.is_unanswered |= matches!(polled, Poll::Ready(Ok(1..)));
+        polled
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.0).poll_flush(cx)
+        Pin::new(&mut self.stream).poll_flush(cx)
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.0).poll_shutdown(cx)
+        Pin::new(&mut self.stream).poll_shutdown(cx)
     }
 }
 
 impl ActixStream for StrictStream {
     fn poll_read_ready(&self, cx: &mut Context<'_>) -> Poll<io::Result<Ready>> {
-        ActixStream::poll_read_ready(&self.0, cx)
+        ActixStream::poll_read_ready(&self.stream, cx)
     }
 
     fn poll_write_ready(&self, cx: &mut Context<'_>) -> Poll<io::Result<Ready>> {
-        ActixStream::poll_write_ready(&self.0, cx)
+        ActixStream::poll_write_ready(&self.stream, cx)
     }
 }
 
 /// Opens TCP connections as [`StrictStream`]s.
-#[derive(Clone, Debug)]
+#[derive(Clone)]
 pub struct Connector {
-    tcp: TcpConnectorService,
+    tcp: ConnectorService,
     timeout: Duration,
 }
 
@@ -75,7 +107,7 @@
     /// Creates a connector whose connection attempts time out after `timeout`.
     pub fn new(timeout: Duration) -> Self {
         Self {
-            tcp: TcpConnectorService::default(),
+            tcp: ConnectorService::default(),
             timeout,
         }
     }
@@ -95,7 +127,7 @@
             let connected = connecting.await.map_err(unreachable)?;
             let (stream, uri) = connected?.into_parts();
             stream.set_nodelay(true).map_err(ConnectError::Io)?;
-            Ok(Connection::new(uri, StrictStream(stream)))
+            Ok(Connection::new(uri, StrictStream::from(stream)))
         })
     }
 }
--- a/crates/store/tests/http.rs
+++ b/crates/store/tests/http.rs
@@ -10,7 +10,7 @@
 use agate_model::endpoint::{Endpoint, Fencing, Kind, Protocol};
 use agate_store::Error;
 use agate_store::http::{Client, EngineClient};
-use agate_store::interface::{Engines as _, Orders as _, Tables as _};
+use agate_store::interface::{Engines as _, Objects, Orders as _, Tables as _};
 use agate_wire::engine::{self, Fenced};
 use agate_wire::order::{Action, Order, Receipt};
 use agate_wire::table::{Check, Conflict, Transaction};
@@ -287,3 +287,100 @@
         .expect("the server thread ends without a panic");
     assert_eq!(received == 0, closes, "received {received} bytes");
 }
+
+/// Starts a server that answers each request with `start` and then `flood` again and again until the
+/// connection is closed. Returns the address and, after that, the number of bytes sent.
+async fn flood(start: &'static str, flood: &'static str) -> (SocketAddr, oneshot::Receiver<usize>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind");
+    let address = listener.local_addr().expect("address");
+    let (sender, sent) = oneshot::channel();
+    actix_rt::spawn(async move {
+        let (mut stream, _) = listener.accept().await.expect("accept");
+        let mut buf = vec![0; 4096];
+        let _ = stream.read(&mut buf).await;
+        let _ = stream.write_all(start.as_bytes()).await;
+        let piece = flood.repeat(64);
+        let mut count = 0;
+        while stream.write_all(piece.as_bytes()).await.is_ok() {
+            count += piece.len();
+        }
+        let _ = sender.send(count);
+    });
+    (address, sent)
+}
+
+// Guards against: bytes without end in a response are kept until the process is out of memory.
+#[rstest]
+#[case::head("HTTP/1.1 200 OK\r\nx-id: ", "a-long-value-", 1 << 20)]
+#[case::heads("", "HTTP/1.1 103 Early Hints\r\n\r\n", 1 << 20)]
+#[case::body("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n", "10\r\n0123456789abcdef\r\n", 96 << 20)]
+#[case::no_http("", "what is this", 1 << 20)]
+#[actix_rt::test]
+async fn an_endless_response_is_cut(
+    #[case] start: &'static str,
+    #[case] bytes: &'static str,
+    #[case] limit: usize,
+) {
+    let (address, sent) = flood(start, bytes).await;
+    let client = Client::new(address, Duration::from_secs(20));
+    let outcome = client.commit(&Transaction::default()).await;
+    assert!(matches!(outcome, Err(Error::Unknown(_))), "{outcome:?}");
+    drop(client);
+    let sent = tokio::time::timeout(Duration::from_secs(20), sent).await;
+    let sent = sent.expect("in time").expect("the connection is closed");
+    // Up to 12 MiB more are in the buffers of both sockets.
+    assert!(sent < limit + (12 << 20), "{sent} bytes were sent");
+}
+
+// Guards against: an endless answer to an order, which is short, is kept until the process is out of memory.
+#[actix_rt::test]
+async fn an_endless_answer_to_an_order_is_cut() {
+    let start = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
+    let (address, sent) = flood(start, "10\r\n0123456789abcdef\r\n").await;
+    let client = Client::new(address, TIMEOUT);
+    let outcome = client
+        .order(&order(), Duration::from_secs(20), &|| true)
+        .await;
+    assert!(matches!(outcome, Err(Error::Unknown(_))), "{outcome:?}");
+    let sent = tokio::time::timeout(Duration::from_secs(20), sent).await;
+    let sent = sent.expect("in time").expect("the connection is closed");
+    assert!(sent < 13 << 20, "{sent} bytes were sent");
+}
+
+// Guards against: an object that was truncated on the way is taken for a complete one.
+#[rstest]
+#[case::inside_the_head("HTTP/1.1 200 OK\r\ncontent-le")]
+#[case::head_without_its_end("HTTP/1.1 200 OK\r\ncontent-length: 10\r\n")]
+#[case::before_the_body("HTTP/1.1 200 OK\r\ncontent-length: 10\r\n\r\n")]
+#[case::inside_the_body("HTTP/1.1 200 OK\r\ncontent-length: 10\r\n\r\nhalf")]
+#[case::inside_a_chunk("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n8\r\nhalf")]
+#[case::between_chunks("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n4\r\nhalf\r\n")]
+#[case::unframed("HTTP/1.1 200 OK\r\n\r\nhalf")]
+#[actix_rt::test]
+async fn a_truncated_object_is_an_error(#[case] text: &str) {
+    let (address, _received) = server(Some(text.to_owned())).await;
+    let outcome = Objects::get(&Client::new(address, TIMEOUT), "o").await;
+    assert!(matches!(outcome, Err(Error::Unknown(_))), "{outcome:?}");
+}
+
+// Guards against: a call that was given up is delivered when the network is back.
+#[actix_rt::test]
+async fn a_call_that_was_given_up_resets_its_connection() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("bind");
+    let address = listener.local_addr().expect("address");
+    let client = Client::new(address, TIMEOUT);
+    let accepted = async {
+        let (mut stream, _) = listener.accept().await.expect("accept");
+        let mut buf = vec![0; 4096];
+        let length = stream.read(&mut buf).await.expect("the request");
+        assert!(length > 0);
+        stream
+    };
+    let transaction = Transaction::default();
+    let (outcome, mut stream) = tokio::join!(client.commit(&transaction), accepted);
+    assert!(matches!(outcome, Err(Error::Unknown(_))), "{outcome:?}");
+    drop(client);
+    let end = stream.read(&mut [0; 16]).await;
+    let kind = end.map_err(|err| err.kind());
+    assert_eq!(kind, Err(std::io::ErrorKind::ConnectionReset));
+}
