Edge: counts of many accounts are written in several rows

The store refused the transaction with 413, and with it all heartbeats of the zone, which are the evidence that a configuration is current.

Cause: the row has the counts of six windows, each account's name in each of them, and nothing bounded it. Class: what grows with accounts shares a transaction with what everyone needs.

Now counts beyond 44 KiB go into further rows of the incarnation, in the same transaction. A further row counts only if it has the time of the first one, since it stays in the store when fewer are needed; the lease holder removes them with the incarnation. If the store refuses a transaction as too large all the same, the rows of the hosts are written without the ledger and the refusal is logged.

Evidence: the test store has the limit now. With 900 accounts in six windows on three hosts of one zone, 0 of 16,200 requests were counted before the change and all are after it, and all hosts serve. An older build that holds the lease counts further rows as incarnations of their own. The frozen counts of one window are still one row, enough for about 2,400 accounts with names of 21 letters in one window (computed).

--- a/crates/edge/src/heartbeat.rs
+++ b/crates/edge/src/heartbeat.rs
@@ -35,10 +35,15 @@
 /// holder removes such rows; their usage has been reported long before.
 const STALE_AFTER: Duration = Duration::from_secs(60);
 /// Maximum number of incarnations whose rows are removed in one transaction.
-const MAX_REMOVED: usize = 4;
-/// Maximum number of heartbeats in one transaction. Each has two rows, and the store accepts a
-/// hundred entries.
-const MAX_BATCH: usize = 40;
+const MAX_REMOVED: usize = 3;
+/// Maximum number of further ledger rows that are removed with an incarnation. A host writes as many only
+/// with thousands of accounts.
+const MAX_REMOVED_PARTS: usize = 4;
+/// Maximum number of rows of heartbeats in one transaction. The store accepts a hundred entries, of which
+/// some remove rows or state conditions.
+const MAX_BATCH: usize = 80;
+/// Status of the store's response to a row or a transaction that is too large.
+const TOO_LARGE: u16 = 413;
 /// Maximum size of the row values of one transaction, in bytes; the store accepts 1 MB including
 /// encoding.
 const MAX_BATCH_BYTES: usize = 400 << 10;
@@ -216,14 +221,15 @@
     let mut writes = Vec::new();
     let mut count = 0;
     let mut bytes = 0;
-    for heartbeat in heartbeats.iter().take(MAX_BATCH) {
-        let rows = [
-            row(hosts::TABLE, &heartbeat.host.key(), &heartbeat.host)?,
-            row(ledger::TABLE, &heartbeat.ledger.run, &heartbeat.ledger)?,
-        ];
+    for heartbeat in heartbeats {
+        let mut rows = vec![row(hosts::TABLE, &heartbeat.host.key(), &heartbeat.host)?];
+        for part in heartbeat.ledger.clone().split() {
+            rows.push(row(ledger::TABLE, &part.run, &part)?);
+        }
         let length = |write: &Write| write.value.as_ref().map_or(0, String::len);
         bytes += rows.iter().map(length).sum::<usize>();
-        if count > 0 && bytes > MAX_BATCH_BYTES {
+        let is_full = bytes > MAX_BATCH_BYTES || writes.len() + rows.len() > MAX_BATCH;
+        if count > 0 && is_full {
             break;
         }
         writes.extend(rows);
@@ -237,13 +243,17 @@
             .into_iter()
             .take(MAX_REMOVED)
         {
-            for table in [hosts::TABLE, ledger::TABLE] {
-                writes.push(Write {
-                    table: table.to_owned(),
-                    key: key.clone(),
-                    value: None,
-                });
-            }
+            let ledger = edge.ledger.borrow();
+            let further = ledger.further_keys(&key);
+            let further = further
+                .take(MAX_REMOVED_PARTS)
+                .map(|key| (ledger::TABLE, key));
+            let rows = [(hosts::TABLE, key.as_str()), (ledger::TABLE, &key)];
+            writes.extend(further.chain(rows).map(|(table, key)| Write {
+                table: table.to_owned(),
+                key: key.to_owned(),
+                value: None,
+            }));
         }
     }
     Ok((count, writes))
@@ -273,6 +283,17 @@
             edge.config_outdated.notify_waiters();
             commit(edge, Vec::new(), writes).await
         }
+        // A ledger row that the store does not accept must not stop the heartbeats of a zone.
+        Err(Error::Refused {
+            status: TOO_LARGE,
+            message,
+        }) if writes.iter().any(|write| write.table == ledger::TABLE) => {
+            tracing::error!(event = "ledger_refused", error = message);
+            let hosts = writes
+                .into_iter()
+                .filter(|write| write.table == hosts::TABLE);
+            Box::pin(commit_batch(edge, hosts.collect())).await
+        }
         outcome => outcome,
     }
 }
--- a/crates/edge/src/ledger.rs
+++ b/crates/edge/src/ledger.rs
@@ -14,6 +14,14 @@
 /// Table of the rows. A row has the same key as the host row of its incarnation.
 pub const TABLE: &str = "ledger";
 
+/// Size of the counts in one row, in bytes. With what is beside them, and names that are longer in JSON, a
+/// row stays below the 64 KiB that the store accepts.
+const MAX_COUNT_BYTES: usize = 44 << 10;
+/// Size of a count in JSON without the name of its account, in bytes.
+const COUNT_BYTES: usize = 14;
+/// Separates the key of an incarnation from the number of one of its further rows.
+const PART_MARK: char = '+';
+
 /// Work offered to one service since the start of a process incarnation.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Offer {
@@ -42,6 +50,41 @@
     pub offers: BTreeMap<ServiceId, Offer>,
 }
 
+impl Row {
+    /// Splits a row into several that the store accepts. The first has the key of the incarnation, and all
+    /// but a part of the counts; the others have further counts. All have the same time.
+    pub fn split(mut self) -> Vec<Self> {
+        let windows = std::mem::take(&mut self.windows);
+        let key = self.run.clone();
+        let further = Self {
+            offers: BTreeMap::new(),
+            ..self.clone()
+        };
+        let mut rows = vec![self];
+        let mut bytes = 0;
+        for (window, counts) in windows {
+            for (account, count) in counts {
+                let size = account.len() + COUNT_BYTES;
+                if bytes + size > MAX_COUNT_BYTES {
+                    rows.push(Self {
+                        run: format!("{key}{PART_MARK}{}", rows.len()),
+                        ..further.clone()
+                    });
+                    bytes = 0;
+                }
+                bytes += size;
+                if let Some(row) = rows.last_mut() {
+                    row.windows
+                        .entry(window)
+                        .or_default()
+                        .insert(account, count);
+                }
+            }
+        }
+        rows
+    }
+}
+
 /// Rows of all incarnations, as read by the lease holder.
 #[derive(Debug, Default)]
 pub struct Ledger {
@@ -77,9 +120,25 @@
         self.clock.is_some()
     }
 
-    /// Returns all rows, including those of ended incarnations.
+    /// Returns the first row of each incarnation, including those that have ended.
     pub fn rows(&self) -> impl Iterator<Item = &Row> {
-        self.rows.values()
+        let rows = self.rows.values();
+        rows.filter(|row| first_key(&row.run).is_none())
+    }
+
+    /// Returns the keys of the further rows of an incarnation.
+    pub fn further_keys<'a>(&'a self, run: &'a str) -> impl Iterator<Item = &'a str> {
+        let keys = self.rows.keys().map(String::as_str);
+        keys.filter(move |key| first_key(key) == Some(run))
+    }
+
+    /// Returns whether a row has the counts that its incarnation wrote last: further rows stay when fewer
+    /// are needed.
+    fn is_in_force(&self, row: &Row) -> bool {
+        let Some(key) = first_key(&row.run) else {
+            return true;
+        };
+        self.rows.get(key).is_some_and(|first| first.at == row.at)
     }
 
     /// Returns the keys of incarnations that may still publish counts from before `end`, which is a
@@ -88,8 +147,7 @@
     pub fn missing(&self, end: u64, timeout: Duration) -> impl Iterator<Item = &str> {
         let timeout = u64::try_from(timeout.as_millis()).unwrap_or(u64::MAX);
         let oldest = self.clock.unwrap_or(0).saturating_sub(timeout);
-        let rows = self.rows.values();
-        let missing = rows.filter(move |row| {
+        let missing = self.rows().filter(move |row| {
             let is_missing = row.at >= oldest && row.at < end;
             is_missing && !row.ended && !self.is_replaced(row)
         });
@@ -98,8 +156,7 @@
 
     /// Returns whether a later incarnation of the same host has written.
     fn is_replaced(&self, row: &Row) -> bool {
-        let mut rows = self.rows.values();
-        rows.any(|other| {
+        self.rows().any(|other| {
             other.run != row.run && other.at > row.at && host_key(&other.run) == host_key(&row.run)
         })
     }
@@ -107,7 +164,8 @@
     /// Returns the counts of a window, summed over all incarnations.
     pub fn sum(&self, window: u64) -> Counts {
         let mut total = Counts::new();
-        for counts in self.rows().filter_map(|row| row.windows.get(&window)) {
+        let rows = self.rows.values().filter(|row| self.is_in_force(row));
+        for counts in rows.filter_map(|row| row.windows.get(&window)) {
             for (account, count) in counts {
                 *total.entry(account.clone()).or_default() += count;
             }
@@ -116,6 +174,13 @@
     }
 }
 
+/// Returns the key of the first row of an incarnation from that of a further one; `None` for a first row.
+fn first_key(run: &str) -> Option<&str> {
+    let host = host_key(run);
+    let (incarnation, _) = run[host.len()..].split_once(PART_MARK)?;
+    Some(&run[..host.len() + incarnation.len()])
+}
+
 /// Returns the part of an incarnation's key that identifies the host.
 fn host_key(run: &str) -> &str {
     run.rsplit_once('/').map_or(run, |(host, _)| host)
--- a/crates/edge/tests/heartbeat.rs
+++ b/crates/edge/tests/heartbeat.rs
@@ -6,6 +6,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use agate_edge::interface::Counts;
 use agate_edge::ledger;
 use agate_edge::settings::Settings;
 use support::{Connection, Harness, Server, Step, request, settings, status};
@@ -225,3 +226,68 @@
         assert_eq!(config.version, 2, "{}", harness.settings.host);
     }
 }
+
+/// Counts one request of each of many accounts in several windows; returns the number of requests.
+fn use_accounts(harness: &Harness, accounts: usize, windows: u64) -> u64 {
+    let edge = harness.program.edge();
+    let mut usage = edge.usage.borrow_mut();
+    for window in edge.window()..edge.window() + windows {
+        for n in 0..accounts {
+            usage.count(window, &format!("account-{n:013}"));
+        }
+    }
+    accounts as u64 * windows
+}
+
+// Guards against: the counts of many accounts make a row that the store refuses, and with it all heartbeats of the
+// zone, so that requests with a key are refused.
+#[actix_rt::test]
+async fn counts_of_many_accounts_do_not_stop_the_heartbeats_of_a_zone() {
+    let (_server, harnesses) = zone().await;
+    let counts = harnesses
+        .iter()
+        .map(|harness| use_accounts(harness, 900, 6))
+        .sum::<u64>();
+    sleep(Duration::from_millis(5_500)).await;
+    assert_eq!(counted(&harnesses[0]), counts);
+    for harness in &harnesses {
+        assert_eq!(live(harness), 3);
+        let response = harness.call(&request("read", "r", "")).await;
+        assert_eq!(status(&response), "200");
+    }
+}
+
+// Guards against: a further row that is no longer needed is counted once more, or keeps an incarnation waited for.
+#[test]
+fn a_further_row_counts_only_with_the_first_row_of_its_time() {
+    let counts = |count| {
+        let names = (0..3000).map(|n| (format!("account-{n:013}"), count));
+        names.collect::<Counts>()
+    };
+    let row = |at, counts| ledger::Row {
+        run: "one/ab".to_owned(),
+        at,
+        windows: BTreeMap::from([(7, counts)]),
+        ..ledger::Row::default()
+    };
+    let mut ledger = ledger::Ledger::default();
+    let rows = row(1_000, counts(2)).split();
+    assert_eq!(rows.len(), 3);
+    for row in &rows {
+        let size = serde_json::to_string(row).expect("a row").len();
+        assert!(size <= support::ROW_BYTES, "{size} bytes");
+    }
+    rows.into_iter().for_each(|row| ledger.insert(row));
+    assert_eq!(ledger.sum(7), counts(2));
+    assert_eq!(ledger.rows().count(), 1);
+    assert_eq!(ledger.further_keys("one/ab").count(), 2);
+    let few = Counts::from([("account".to_owned(), 5)]);
+    for row in row(2_000, few.clone()).split() {
+        ledger.insert(row);
+    }
+    assert_eq!(ledger.sum(7), few);
+    ledger.observe(2_500);
+    let missing = |end| ledger.missing(end, Duration::from_secs(15)).count();
+    assert_eq!(missing(1_900), 0);
+    assert_eq!(missing(2_100), 1);
+}
--- a/crates/edge/tests/support/store.rs
+++ b/crates/edge/tests/support/store.rs
@@ -7,11 +7,14 @@
 
 use agate_store::Error;
 use agate_store::interface::{Change, Changes, Feed, ResponseFuture, Tables};
-use agate_wire::table::{Commit, Conflict, Page, Row, Transaction};
+use agate_wire::table::{Commit, Conflict, Page, Row, Transaction, Write};
 use bytes::Bytes;
 use tokio::sync::Notify;
 use tokio::time::{Instant, sleep, timeout_at};
 
+/// Largest value of a row, in bytes.
+pub const ROW_BYTES: usize = 64 << 10;
+
 /// Store in memory that keeps the history of its rows.
 #[derive(Default)]
 pub struct Store {
@@ -146,6 +149,17 @@
                     return Err(Error::Conflict(Box::new(Conflict { check, found })));
                 }
             }
+            let size = |write: &Write| write.value.as_ref().map_or(0, String::len);
+            if transaction
+                .writes
+                .iter()
+                .any(|write| size(write) > ROW_BYTES)
+            {
+                return Err(Error::Refused {
+                    status: 413,
+                    message: "a row is too large".to_owned(),
+                });
+            }
             for write in &transaction.writes {
                 self.put(&write.table, &write.key, write.value.as_deref());
             }
