Edge: a request that can't use a free endpoint lets others use it

Now requests that exclude endpoints keep their place but hold up no one: others needn't wait behind them, and a free slot wakes them and the first request that could use any endpoint.

It was not shown with real processes.

--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -100,7 +100,7 @@
         let until = call
             .deadline
             .min(call.incoming.arrival + call.route.target / 2);
-        let waiter = queue.push(call.tier);
+        let waiter = queue.push(call.tier, !progress.tried.is_empty());
         record.waited = true;
         loop {
             if let Some(refusal) = self.refuse_paused(call, until) {
--- a/crates/edge/src/queue.rs
+++ b/crates/edge/src/queue.rs
@@ -14,7 +14,15 @@
 #[derive(Debug, Default)]
 pub struct Queue {
     next_sequence: Cell<u64>,
-    waiting: RefCell<BTreeMap<Position, Rc<Notify>>>,
+    waiting: RefCell<BTreeMap<Position, Entry>>,
+}
+
+/// Place of one request in a queue.
+#[derive(Debug)]
+struct Entry {
+    notify: Rc<Notify>,
+    /// Whether the request can't use some endpoints, so that what it can't use may serve others.
+    is_choosy: bool,
 }
 
 /// A request in a queue. Dropping it removes the request.
@@ -26,12 +34,17 @@
 }
 
 impl Queue {
-    /// Adds a request behind the others of its tier.
-    pub fn push(self: &Rc<Self>, tier: Tier) -> Waiter {
+    /// Adds a request behind the others of its tier. `is_choosy` tells whether it can't use some of the
+    /// endpoints.
+    pub fn push(self: &Rc<Self>, tier: Tier, is_choosy: bool) -> Waiter {
         let position = (tier, self.next_sequence.get());
         self.next_sequence.set(position.1 + 1);
         let notify = Rc::new(Notify::new());
-        self.waiting.borrow_mut().insert(position, notify.clone());
+        let entry = Entry {
+            notify: notify.clone(),
+            is_choosy,
+        };
+        self.waiting.borrow_mut().insert(position, entry);
         Waiter {
             queue: self.clone(),
             position,
@@ -39,10 +52,11 @@
         }
     }
 
-    /// Returns whether a request of the same or a more urgent tier is waiting.
+    /// Returns whether a request of the same or a more urgent tier is waiting that could use any endpoint.
     pub fn must_wait(&self, tier: Tier) -> bool {
         let waiting = self.waiting.borrow();
-        waiting.keys().next().is_some_and(|first| first.0 <= tier)
+        let mut ahead = waiting.range(..=(tier, u64::MAX));
+        ahead.any(|(_, entry)| !entry.is_choosy)
     }
 
     /// Returns the number of waiting requests.
@@ -55,10 +69,13 @@
         self.waiting.borrow().is_empty()
     }
 
-    /// Wakes the first request, since a slot may be free.
+    /// Wakes the first request that could use any endpoint, and those before it, since a slot may be free.
     pub fn wake_first(&self) {
-        if let Some((_, notify)) = self.waiting.borrow().iter().next() {
-            notify.notify_one();
+        for entry in self.waiting.borrow().values() {
+            entry.notify.notify_one();
+            if !entry.is_choosy {
+                return;
+            }
         }
     }
 }
