Gate: a request that outlasts the drain timeout gets a final response

Now a request that has no response when 95 % of the timeout are over gets 504 `endpoint_timeout` with execution unknown, and the rest of the time is left for writing it. A stream under way is cut at the end, as before, and counted in the log.

Evidence: the new test fails in its three forms before the change and passes after it.

--- a/crates/gate/src/activity.rs
+++ b/crates/gate/src/activity.rs
@@ -14,6 +14,8 @@
     Leaving,
     /// Accepts no connections and closes idle ones.
     Closing,
+    /// Gives requests that have no response yet a final one.
+    Ending,
 }
 
 /// Phase and counts of running requests and tasks. Clones share the same state.
--- a/crates/gate/src/front/route.rs
+++ b/crates/gate/src/front/route.rs
@@ -15,6 +15,7 @@
 use super::body::Tracked;
 use super::reply::{self, Reply};
 use super::{address, completion, plain};
+use crate::activity::Phase;
 use crate::config::View;
 use crate::gate::{Gate, random_id};
 use crate::refusal::{Denial, Progress, Refusal};
@@ -50,7 +51,12 @@
 pub async fn handle(gate: Rc<Gate>, mut request: Request) -> Response<BoxBody> {
     let guard = gate.activity.start_request();
     let id = random_id();
-    let reply = match dispatch(&gate, &id, &mut request).await {
+    let dispatched = tokio::select! {
+        biased;
+        dispatched = dispatch(&gate, &id, &mut request) => dispatched,
+        () = gate.activity.reached(Phase::Ending) => Err(end()),
+    };
+    let reply = match dispatched {
         Ok(reply) => reply,
         Err(refusal) => refuse(&gate, &id, &refusal).into(),
     };
@@ -62,6 +68,12 @@
     response.map_body(|_, body| BoxBody::new(Tracked::new(body, guard, on_delivered)))
 }
 
+/// Returns the refusal of a request that has no response when the process ends.
+fn end() -> Refusal {
+    let message = "the host shuts down before the endpoint has answered";
+    Refusal::given_up(Denial::new(Reason::EndpointTimeout, message))
+}
+
 /// Counts and logs a refusal and builds its response. The path and the message stay out of the log,
 /// because they may contain text from the caller, such as a key.
 fn refuse(gate: &Gate, id: &str, refusal: &Refusal) -> Response<BoxBody> {
--- a/crates/gate/src/program.rs
+++ b/crates/gate/src/program.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use actix_rt::task::JoinHandle;
+use tokio::time::{Instant, timeout_at};
 
 use crate::activity::Phase;
 use crate::front::server::{self, Connection, Listener};
@@ -15,6 +16,8 @@
 
 /// Time that a shutdown waits for a control process to acknowledge the last usage counters.
 const HANDOVER_TIMEOUT: Duration = Duration::from_secs(5);
+/// Share of the drain timeout that is left for writing final responses to requests that have none.
+const ENDING_SHARE: f64 = 0.05;
 /// Pause after a round in which no control process took the usage counters.
 const HANDOVER_PAUSE: Duration = Duration::from_millis(100);
 
@@ -105,7 +108,16 @@
         gate.activity.enter(Phase::Closing);
         tracing::info!(event = "closing", running = gate.activity.running());
         let _ = self.caller_task.await;
-        let _ = tokio::time::timeout(gate.settings.drain_timeout, gate.activity.idle()).await;
+        let end = Instant::now() + gate.settings.drain_timeout;
+        let last_response = end - gate.settings.drain_timeout.mul_f64(ENDING_SHARE);
+        if timeout_at(last_response, gate.activity.idle())
+            .await
+            .is_err()
+        {
+            gate.activity.enter(Phase::Ending);
+            tracing::warn!(event = "ending", running = gate.activity.running());
+            let _ = timeout_at(end, gate.activity.idle()).await;
+        }
         self.sync_task.abort();
         let loss = Loss {
             requests: gate.activity.running(),
--- a/crates/gate/src/refusal.rs
+++ b/crates/gate/src/refusal.rs
@@ -135,6 +135,14 @@
         }
     }
 
+    /// Creates a refusal of a request that is given up while it may be running.
+    pub fn given_up(denial: Denial) -> Self {
+        Self {
+            execution: Execution::Unknown,
+            denial,
+        }
+    }
+
     /// Returns the reason of the denial.
     pub fn reason(&self) -> Reason {
         self.denial.reason
--- a/crates/gate/tests/shutdown.rs
+++ b/crates/gate/tests/shutdown.rs
@@ -5,6 +5,8 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use rstest::rstest;
+use support::raw::{Behaviour, RawServer};
 use support::{
     DONE, Deployment, Endpoint, engine, event, event_stream, run, service, settings, text, until,
 };
@@ -120,3 +122,44 @@
         call.abort();
     });
 }
+
+// Guards against: a request that an endpoint has when the host ends is cut without a response.
+#[rstest]
+#[case::plain("/bookings/1", false)]
+#[case::completion("/v1/chat/completions", false)]
+#[case::stream("/v1/chat/completions", true)]
+fn a_request_that_outlasts_the_drain_timeout_gets_a_final_response(
+    #[case] target: &'static str,
+    #[case] stream: bool,
+) {
+    run(async {
+        let upstream = RawServer::start(Behaviour::Silent).await;
+        let mut settings = leaving_settings();
+        settings.keep_addresses = Duration::from_millis(50);
+        settings.drain_timeout = Duration::from_millis(400);
+        let endpoints = vec![
+            engine("e1", upstream.address),
+            service("s1", upstream.address),
+        ];
+        let deployment = Deployment::with(settings, endpoints).await;
+        let call = deployment
+            .client
+            .post(deployment.url(target))
+            .insert_header(("authorization", format!("Bearer {}", support::KEY)))
+            .send_body(support::chat_body(stream));
+        let call = actix_rt::spawn(async move {
+            let mut response = call.await.expect("a response");
+            let body = response.body().await.expect("a complete body");
+            (response.status().as_u16(), body)
+        });
+        until(|| upstream.count() >= 1).await;
+        let loss = deployment.program.close().await;
+        assert_eq!(loss.requests, 0);
+        let (status, body) = call.await.expect("the call ends");
+        assert_eq!(status, 504);
+        assert!(
+            String::from_utf8_lossy(&body).contains("unknown"),
+            "{body:?}"
+        );
+    });
+}
