--- a/crates/store/src/http/transport.rs
+++ b/crates/store/src/http/transport.rs
@@ -15,7 +15,6 @@
 
 use actix_rt::net::{ActixStream, Ready, TcpStream};
 use actix_service::Service;
-
 use actix_tls::connect::{ConnectError, ConnectInfo, Connection, ConnectorService};
 use awc::http::Uri;
 use futures_util::future::LocalBoxFuture;
@@ -41,7 +40,7 @@
 impl Drop for StrictStream {
     fn drop(&mut self) {
         if self.is_unanswered {
-            // It fails only for a connection that is gone already.
+            // This fails only for a connection that is gone already.
             let _ = self.stream.set_zero_linger();
         }
     }
