--- a/crates/edge/tests/peer.rs
+++ b/crates/edge/tests/peer.rs
@@ -6,10 +6,13 @@
 use actix_http::{Method, StatusCode};
 use agate_edge::peer::{Client, Error, OUTAGE_STATUS, Request};
 use bytes::Bytes;
+use rstest::rstest;
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::net::TcpListener;
 use tokio::time::{Instant, sleep};
 
+const CHUNKED: &str = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
+
 fn hosts() -> [SocketAddr; 4] {
     [1, 2, 3, 4].map(|port| SocketAddr::from(([127, 0, 0, 1], port)))
 }
@@ -120,3 +123,50 @@
     assert!(matches!(length, Err(Error::Timeout)), "{length:?}");
     assert!(took < Duration::from_secs(1), "{took:?}");
 }
+
+// Guards against: a host that sends bytes without end fills the memory of the one that called it, or a part of a
+// response is taken for a whole one.
+#[rstest]
+#[case::endless_head("HTTP/1.1 200 OK\r\nx-id: ", "a-long-value-", 1 << 20)]
+#[case::endless_body(CHUNKED, "8\r\n[[[[[[[[\r\n", 64 << 20)]
+#[case::endless_body_until_close("HTTP/1.1 200 OK\r\n\r\n", "[[[[[[[[", 32 << 20)]
+#[case::half_a_head("HTTP/1.1 200 OK\r\ncontent-le", "", 0)]
+#[case::half_a_length("HTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\n10", "", 0)]
+#[case::half_the_chunks(
+    "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n2\r\n10\r\n",
+    "",
+    0
+)]
+#[actix_rt::test]
+async fn a_response_that_is_endless_or_cut_is_an_error(
+    #[case] start: &'static str,
+    #[case] flood: &'static str,
+    #[case] limit: usize,
+) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = listener.local_addr().expect("an address");
+    let served = actix_rt::spawn(async move {
+        let (mut stream, _) = listener.accept().await.expect("a connection");
+        let _ = stream.read(&mut [0; 1024]).await;
+        let _ = stream.write_all(start.as_bytes()).await;
+        let flood = flood.repeat(512);
+        let mut sent = 0;
+        while !flood.is_empty() && stream.write_all(flood.as_bytes()).await.is_ok() {
+            sent += flood.len();
+        }
+        sent
+    });
+    let request = Request {
+        method: Method::GET,
+        target: "/x".to_owned(),
+        body: Bytes::new(),
+        wait: Duration::from_secs(20),
+    };
+    let response = Client::default().call::<u32>(address, request).await;
+    // On a busy machine bytes may pause for longer than a host waits for them.
+    let is_cut = matches!(response, Err(Error::Transport(_) | Error::Timeout));
+    assert!(is_cut, "{response:?}");
+    let sent = served.await.expect("the host ends");
+    // Up to 12 MiB more are in the buffers of both sockets.
+    assert!(sent <= limit + (12 << 20), "{sent} bytes were sent");
+}
