Edge: requests that end with the process are logged as such

They are `cut`, `request_incomplete` and the counts of `ending` now; a panic is logged with its place. No logic is changed.

--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -62,14 +62,16 @@
     pub decoder: Rc<dyn Decoder>,
 }
 
-/// Phase in the life of the process.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+/// Phase in the life of the process, in the order in which they follow each other.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Phase {
     /// Callers may be sent to this host.
     Serving,
     /// The process was told to stop: the directory no longer lists the host, and connections are
     /// closed between requests.
     Leaving,
+    /// The process ends, and with it all that has no response yet.
+    Ended,
 }
 
 /// State of one process incarnation of an entry host.
@@ -254,10 +256,20 @@
 
     /// Returns whether this process was told to stop.
     pub fn is_leaving(&self) -> bool {
-        *self.phase.borrow() == Phase::Leaving
+        *self.phase.borrow() >= Phase::Leaving
     }
 
-    /// Enters the leaving phase, which never ends. Returns the times at which its steps are due.
+    /// Returns whether the process ends.
+    pub fn has_ended(&self) -> bool {
+        *self.phase.borrow() == Phase::Ended
+    }
+
+    /// Enters the last phase.
+    pub fn end(&self) {
+        self.phase.send_replace(Phase::Ended);
+    }
+
+    /// Enters the leaving phase. Returns the times at which its steps are due.
     pub fn leave(&self) -> Stop {
         let stop = Stop::new(Instant::now(), self.settings.borrow().bounds.grace);
         self.stop.set(Some(stop));
@@ -282,7 +294,7 @@
     pub async fn wait_leaving(&self) {
         let mut phase = self.phase.subscribe();
         // The call can't fail: `self` owns the sender.
-        let _ = phase.wait_for(|phase| *phase == Phase::Leaving).await;
+        let _ = phase.wait_for(|phase| *phase >= Phase::Leaving).await;
     }
 
     /// Counts a request as in flight until the returned guard is dropped.
--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -28,7 +28,7 @@
 use crate::record::Record;
 use crate::refusal::{Reason, Refusal};
 use crate::sabotage::{self, Variant};
-use crate::server::{End, Handler, Incoming, ResponseWriter};
+use crate::server::{End, Handler, Incoming, ResponseWriter, Unanswered};
 
 /// Timeout for opening a connection to an endpoint.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(700);
@@ -595,4 +595,11 @@
             fault
         );
     }
+
+    fn unanswered(&self, what: Unanswered) {
+        count(&self.edge.metrics.unanswered, what.code());
+        if what == Unanswered::Partial {
+            tracing::warn!(event = "request_incomplete", reason = "the process ends");
+        }
+    }
 }
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -72,6 +72,9 @@
 pub struct Metrics {
     /// Number of requests by outcome.
     pub requests: Family<Outcome, Counter>,
+    /// Number of connections of callers that this process ended without a response to what it had read
+    /// from them, by that: `fresh`, `kept`, `partial`.
+    pub unanswered: Family<Outcome, Counter>,
     /// Number of attempts at endpoints by outcome.
     pub attempts: Family<Outcome, Counter>,
     /// Number of retries by reason.
@@ -122,6 +125,11 @@
     }
 }
 
+/// Returns the value of the counter of an outcome.
+pub fn value(family: &Family<Outcome, Counter>, outcome: &'static str) -> u64 {
+    family.get_or_create(&Outcome { outcome }).get()
+}
+
 /// Increments the counter of an outcome.
 pub fn count(family: &Family<Outcome, Counter>, outcome: &'static str) {
     family.get_or_create(&Outcome { outcome }).inc();
@@ -166,6 +174,8 @@
     pub fn render(&self) -> String {
         let mut registry = Registry::with_prefix("agate_edge");
         registry.register("requests", "Requests by outcome", self.requests.clone());
+        let unanswered = self.unanswered.clone();
+        registry.register("unanswered", "Connections ended unanswered", unanswered);
         registry.register("attempts", "Attempts by outcome", self.attempts.clone());
         registry.register("repeats", "Repeats by reason", self.retries.clone());
         let endless = self.endless.clone();
--- a/crates/edge/src/record.rs
+++ b/crates/edge/src/record.rs
@@ -10,6 +10,11 @@
 use crate::metrics::count;
 use crate::roster::Endpoint;
 
+/// Outcome of a request whose caller disconnected.
+const CALLER_GONE: &str = "caller_gone";
+/// Outcome of a request that was in flight when the process ended.
+const CUT: &str = "cut";
+
 /// Log record of one request. It is written to log and metrics when dropped, so that a request
 /// whose caller disconnects is recorded too.
 pub struct Record {
@@ -59,7 +64,7 @@
             waited: false,
             time_to_first_byte: None,
             status: 0,
-            outcome: "caller_gone",
+            outcome: CALLER_GONE,
             retry_after: None,
             endpoints: Vec::new(),
             time_to_attempt: None,
@@ -81,6 +86,9 @@
 
 impl Drop for Record {
     fn drop(&mut self) {
+        if self.outcome == CALLER_GONE && self.edge.has_ended() {
+            self.outcome = CUT;
+        }
         let metrics = &self.edge.metrics;
         count(&metrics.requests, self.outcome);
         let total = self.arrival.elapsed();
--- a/crates/edge/src/response.rs
+++ b/crates/edge/src/response.rs
@@ -6,7 +6,7 @@
 use futures_util::future::LocalBoxFuture;
 
 use crate::config::Limits;
-use crate::server::{End, Handler, Incoming, ResponseWriter};
+use crate::server::{End, Handler, Incoming, ResponseWriter, Unanswered};
 
 /// A complete response.
 #[derive(Clone, Debug, Default)]
@@ -81,4 +81,6 @@
             fault
         );
     }
+
+    fn unanswered(&self, _what: Unanswered) {}
 }
--- a/crates/edge/src/run.rs
+++ b/crates/edge/src/run.rs
@@ -13,7 +13,7 @@
 use crate::forward::Forwarder;
 use crate::response::Adapter;
 use crate::sabotage::{self, Variant};
-use crate::server::{self, Handler};
+use crate::server::{self, Handler, Unanswered};
 use crate::settings::Settings;
 use crate::{duty, follow, heartbeat, metrics, relay};
 
@@ -125,6 +125,14 @@
         for task in &self.tasks {
             task.abort();
         }
+        edge.end();
+        let unanswered = |what: Unanswered| metrics::value(&edge.metrics.unanswered, what.code());
+        tracing::info!(
+            event = "ending",
+            running = edge.in_flight(),
+            closed_fresh = unanswered(Unanswered::Fresh),
+            closed_kept = unanswered(Unanswered::Kept),
+        );
         edge.in_flight()
     }
 }
--- a/crates/edge/src/server.rs
+++ b/crates/edge/src/server.rs
@@ -49,6 +49,28 @@
     Aborted,
 }
 
+/// What was read from a connection, since its last response, when it ends without another one.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Unanswered {
+    /// Nothing at all since it was accepted.
+    Fresh,
+    /// Nothing since it carried a response.
+    Kept,
+    /// A part of a request.
+    Partial,
+}
+
+impl Unanswered {
+    /// Returns the code in logs and metrics.
+    pub fn code(self) -> &'static str {
+        match self {
+            Self::Fresh => "fresh",
+            Self::Kept => "kept",
+            Self::Partial => "partial",
+        }
+    }
+}
+
 /// Responds to the requests of a listener.
 pub trait Handler {
     /// Responds to one request. The future is dropped if the caller disconnects.
@@ -70,6 +92,37 @@
     /// Records that a request was rejected while it was read, for example as malformed or too
     /// large.
     fn rejected(&self, status: StatusCode, fault: &str);
+
+    /// Records that this process ended a connection without a response to what was read from it.
+    fn unanswered(&self, what: Unanswered);
+}
+
+/// A request that is being read. Dropping it means that the process ends before the request is complete.
+struct Reading<'a> {
+    handler: &'a dyn Handler,
+    is_closed: bool,
+}
+
+impl<'a> Reading<'a> {
+    fn new(handler: &'a dyn Handler) -> Self {
+        Self {
+            handler,
+            is_closed: false,
+        }
+    }
+
+    /// Ends the reading, because the request is complete, rejected, or broken off by its caller.
+    fn close(mut self) {
+        self.is_closed = true;
+    }
+}
+
+impl Drop for Reading<'_> {
+    fn drop(&mut self) {
+        if !self.is_closed {
+            self.handler.unanswered(Unanswered::Partial);
+        }
+    }
 }
 
 /// Writes the response to one request.
@@ -222,8 +275,9 @@
     }
 
     async fn run(mut self, handler: &dyn Handler) {
+        let mut idle = Unanswered::Fresh;
         loop {
-            match self.read_request(handler).await {
+            match self.read_request(handler, idle).await {
                 Next::Request(incoming) => {
                     if !self.respond(*incoming, handler).await {
                         return;
@@ -236,6 +290,7 @@
                 }
                 Next::Closed => return,
             }
+            idle = Unanswered::Kept;
             if self.read_buffer.is_empty() {
                 // Frees the buffer while the connection is idle.
                 self.read_buffer = BytesMut::new();
@@ -243,22 +298,33 @@
         }
     }
 
-    /// Waits for the next request and reads it completely.
-    async fn read_request(&mut self, handler: &dyn Handler) -> Next {
+    /// Waits for the next request and reads it completely. `idle` is what the connection is until then.
+    async fn read_request(&mut self, handler: &dyn Handler, idle: Unanswered) -> Next {
         let limits = handler.limits();
-        let idle = Instant::now() + limits.idle_timeout;
+        let idle_until = Instant::now() + limits.idle_timeout;
         if self.read_buffer.is_empty() {
             let wait = async {
                 tokio::select! {
                     biased;
                     read = self.stream.read_buf(&mut self.read_buffer) => matches!(read, Ok(1..)),
-                    () = handler.closing() => false,
+                    () = handler.closing() => {
+                        handler.unanswered(idle);
+                        false
+                    }
                 }
             };
-            if !timeout_at(idle, wait).await.unwrap_or(false) {
+            if !timeout_at(idle_until, wait).await.unwrap_or(false) {
                 return Next::Closed;
             }
         }
+        let reading = Reading::new(handler);
+        let next = self.read_rest(limits).await;
+        reading.close();
+        next
+    }
+
+    /// Reads a request of which at least one byte has come.
+    async fn read_rest(&mut self, limits: Limits) -> Next {
         let start = Instant::now();
         let head = timeout_at(start + limits.head_timeout, self.read_head(limits)).await;
         let request = match head {
--- a/crates/settings/src/log.rs
+++ b/crates/settings/src/log.rs
@@ -8,11 +8,21 @@
 /// Maximum number of lines buffered for standard output; further lines are dropped.
 const BUFFERED_LINES: usize = 4096;
 
+/// Logs panics beside printing them, since a panic in a task ends nothing but that task.
+fn log_panics() {
+    let print = std::panic::take_hook();
+    std::panic::set_hook(Box::new(move |info| {
+        let place = info.location().map(ToString::to_string);
+        tracing::error!(event = "panic", place = place.unwrap_or_default());
+        print(info);
+    }));
+}
+
 /// Starts logging on standard error. `filter` is a list of `tracing` directives such as
 /// `info,agate_gate=debug`; `info` replaces a malformed one. A second call has no effect.
 pub fn init(filter: &str) {
     let filter = EnvFilter::try_new(filter).unwrap_or_else(|_| EnvFilter::new("info"));
-    let _ = tracing_subscriber::registry()
+    let started = tracing_subscriber::registry()
         .with(filter)
         .with(
             tracing_logfmt::builder()
@@ -20,6 +30,9 @@
                 .with_writer(std::io::stderr),
         )
         .try_init();
+    if started.is_ok() {
+        log_panics();
+    }
 }
 
 /// Starts logging on standard output through a buffer; `filter` works as in [`init`]. A stalled
@@ -31,9 +44,12 @@
         .lossy(true)
         .buffered_lines_limit(BUFFERED_LINES)
         .finish(std::io::stdout());
-    let _ = tracing_subscriber::registry()
+    let started = tracing_subscriber::registry()
         .with(filter)
         .with(tracing_logfmt::builder().layer().with_writer(writer))
         .try_init();
+    if started.is_ok() {
+        log_panics();
+    }
     guard
 }
