--- a/crates/edge/tests/stop.rs
+++ b/crates/edge/tests/stop.rs
@@ -1,14 +1,21 @@
-//! Requests that come late in a planned stop, or last longer than it.
+//! Requests that come in a planned stop, or last longer than it.
 
 mod support;
 
 use std::time::Duration;
 
+use rstest::rstest;
 use support::{Harness, Server, Step, is_complete, read_response, request, settings, status};
 use tokio::io::AsyncWriteExt as _;
-use tokio::time::sleep;
+use tokio::net::TcpStream;
+use tokio::time::{Instant, sleep, sleep_until};
 
 const SILENT: [Step; 1] = [Step::Wait(Duration::from_secs(10))];
+/// An answer after a time in which a host that waits for nothing would have ended.
+const SLOW: [Step; 2] = [
+    Step::Wait(Duration::from_millis(300)),
+    Step::Write("HTTP/1.1 200 OK\r\nx-id: {id}\r\nx-signed: 1\r\ncontent-length: 4\r\n\r\nfine"),
+];
 
 /// Starts a host whose stop takes `grace`, with an endpoint that never answers.
 async fn host(grace: Duration) -> (Server, Harness) {
@@ -79,3 +86,52 @@
     assert_eq!(status(&response), "503", "{response}");
     closing.await.expect("the stop ends");
 }
+
+// Guards against: a request that is whole while a stop writes its last heartbeat is passed on and cut, or is cut
+// before it is whole though the grace time is not over.
+#[rstest]
+#[case::before_the_last_heartbeat(Duration::from_millis(850))]
+#[case::during_the_last_heartbeat(Duration::from_millis(950))]
+#[case::long_after_it(Duration::from_millis(2_000))]
+#[actix_rt::test]
+async fn a_request_that_is_being_sent_holds_up_the_end_of_a_stop(#[case] whole_after: Duration) {
+    let server = Server::start(vec![SLOW.to_vec()]).await;
+    let harness = Harness::start(&[&server]).await;
+    // Each heartbeat of the stop takes this long; without requests the last one ends after 1 s.
+    harness.store.commit_time.set(Duration::from_millis(100));
+    let mut caller = harness.connect().await;
+    let text = request("book", "r1", "body");
+    let (begin, rest) = text.split_at(20);
+    caller.write_all(begin.as_bytes()).await.expect("written");
+    sleep(Duration::from_millis(50)).await;
+    let started = Instant::now();
+    let closing = actix_rt::spawn(harness.program.close());
+    sleep_until(started + whole_after).await;
+    assert!(!closing.is_finished(), "the process has ended");
+    caller.write_all(rest.as_bytes()).await.expect("written");
+    let cut = closing.await.expect("the stop ends");
+    assert_eq!(cut, 0, "requests in flight at the end");
+    let response = read_response(&mut caller).await;
+    assert!(is_complete(&response), "{response}");
+}
+
+// Guards against: a host that is stopping accepts a connection and closes it before the request has come.
+#[rstest]
+#[case::at_once(Duration::ZERO)]
+#[case::late(Duration::from_millis(200))]
+#[actix_rt::test]
+async fn a_connection_that_is_accepted_in_a_stop_gets_a_response(#[case] pause: Duration) {
+    let server = Server::start(vec![SLOW.to_vec()]).await;
+    let harness = Harness::start(&[&server]).await;
+    let front = harness.settings.listen.front;
+    let closing = actix_rt::spawn(harness.program.close());
+    sleep(Duration::from_millis(700)).await;
+    let mut caller = TcpStream::connect(front).await.expect("the host accepts");
+    // The host sees the connection before the request.
+    sleep(pause.max(Duration::from_millis(5))).await;
+    let text = request("book", "r1", "body");
+    caller.write_all(text.as_bytes()).await.expect("written");
+    let response = read_response(&mut caller).await;
+    assert!(response.ends_with("fine"), "{response}");
+    assert_eq!(closing.await.expect("the stop ends"), 0);
+}
