Edge: a request that is being sent is in flight

What callers saw: at a planned stop a request was passed on to an endpoint and its connection closed without a response, or it was cut half sent with most of the grace time left.

Cause: a request counted as in flight once it was complete. Class: a look that is acted on after an await.

Change: a request is in flight from its first byte, so a stop waits for it, and nothing is admitted after the last look.

--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -70,6 +70,8 @@
     /// The process was told to stop: the directory no longer lists the host, and connections are
     /// closed between requests.
     Leaving,
+    /// Requests are not admitted any more.
+    Sealed,
     /// The process ends, and with it all that has no response yet.
     Ended,
 }
@@ -259,21 +261,26 @@
         *self.phase.borrow() >= Phase::Leaving
     }
 
+    /// Returns whether no request is admitted any more.
+    pub fn is_sealed(&self) -> bool {
+        *self.phase.borrow() >= Phase::Sealed
+    }
+
     /// Returns whether the process ends.
     pub fn has_ended(&self) -> bool {
         *self.phase.borrow() == Phase::Ended
     }
 
-    /// Enters the last phase.
-    pub fn end(&self) {
-        self.phase.send_replace(Phase::Ended);
+    /// Enters a phase of the stop.
+    pub fn enter(&self, phase: Phase) {
+        self.phase.send_replace(phase);
     }
 
     /// Enters the leaving phase. Returns the times at which its steps are due.
     pub fn leave(&self) -> Stop {
         let stop = Stop::new(Instant::now(), self.settings.borrow().bounds.grace);
         self.stop.set(Some(stop));
-        self.phase.send_replace(Phase::Leaving);
+        self.enter(Phase::Leaving);
         stop
     }
 
@@ -284,17 +291,17 @@
 
     /// Waits until requests without a response get a final one.
     pub async fn wait_last_response(&self) {
-        self.wait_leaving().await;
+        self.reached(Phase::Leaving).await;
         if let Some(stop) = self.stop() {
             sleep_until(stop.last_response).await;
         }
     }
 
-    /// Waits until this process is told to stop.
-    pub async fn wait_leaving(&self) {
-        let mut phase = self.phase.subscribe();
+    /// Waits until the process is in `phase` or a later one.
+    pub async fn reached(&self, phase: Phase) {
+        let mut receiver = self.phase.subscribe();
         // The call can't fail: `self` owns the sender.
-        let _ = phase.wait_for(|phase| *phase >= Phase::Leaving).await;
+        let _ = receiver.wait_for(|current| *current >= phase).await;
     }
 
     /// Counts a request as in flight until the returned guard is dropped.
@@ -304,7 +311,7 @@
         InFlight(self.clone())
     }
 
-    /// Returns the number of requests in flight.
+    /// Returns the number of requests in flight, with those that are not read completely.
     pub fn in_flight(&self) -> usize {
         self.in_flight.get()
     }
--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -21,7 +21,7 @@
 use crate::balancer::{Assignment, Criteria, Outcome};
 use crate::client::{self, Error, Exchange, Outgoing};
 use crate::config::Limits;
-use crate::edge::Edge;
+use crate::edge::{Edge, InFlight, Phase};
 use crate::guard;
 use crate::interface::Context;
 use crate::metrics::{self, count};
@@ -540,7 +540,6 @@
         writer: &'a mut ResponseWriter<'_>,
     ) -> LocalBoxFuture<'a, End> {
         Box::pin(async move {
-            let _running = self.edge.track_request();
             let mut record = Record::new(self.edge.clone(), incoming.arrival);
             let end = match self.admit(incoming, &mut record) {
                 Ok(call) => self.forward_until_stop(&call, writer, &mut record).await,
@@ -584,7 +583,11 @@
     }
 
     fn closing(&self) -> LocalBoxFuture<'_, ()> {
-        Box::pin(self.edge.wait_leaving())
+        Box::pin(self.edge.reached(Phase::Leaving))
+    }
+
+    fn track(&self) -> Option<InFlight> {
+        Some(self.edge.track_request())
     }
 
     fn rejected(&self, status: StatusCode, fault: &str) {
--- a/crates/edge/src/forward/admit.rs
+++ b/crates/edge/src/forward/admit.rs
@@ -13,6 +13,7 @@
 use crate::record::Record;
 use crate::refusal::{Reason, Refusal};
 use crate::server::Incoming;
+use crate::stop::Stop;
 use crate::subset::Subset;
 use crate::{estimate, headers};
 
@@ -108,9 +109,8 @@
             incoming,
         };
         record.tier = call.tier;
-        if let Some(stop) = edge.stop()
-            && !stop.admits(Instant::now(), call.deadline)
-        {
+        let is_late = |stop: Stop| !stop.admits(Instant::now(), call.deadline);
+        if edge.is_sealed() || edge.stop().is_some_and(is_late) {
             return Err(Refusal::retry_after(Reason::Leaving, LEAVING_RETRY_AFTER));
         }
         edge.record_request(&call.service, call.cost);
--- a/crates/edge/src/response.rs
+++ b/crates/edge/src/response.rs
@@ -6,6 +6,7 @@
 use futures_util::future::LocalBoxFuture;
 
 use crate::config::Limits;
+use crate::edge::InFlight;
 use crate::server::{End, Handler, Incoming, ResponseWriter, Unanswered};
 
 /// A complete response.
@@ -74,6 +75,10 @@
         Box::pin(std::future::pending())
     }
 
+    fn track(&self) -> Option<InFlight> {
+        None
+    }
+
     fn rejected(&self, status: StatusCode, fault: &str) {
         tracing::info!(
             event = "question_unreadable",
--- a/crates/edge/src/run.rs
+++ b/crates/edge/src/run.rs
@@ -9,7 +9,7 @@
 use tokio::time::{Instant, sleep, sleep_until, timeout_at};
 
 use crate::directory::Directory;
-use crate::edge::{Edge, Remote};
+use crate::edge::{Edge, Phase, Remote};
 use crate::forward::Forwarder;
 use crate::response::Adapter;
 use crate::sabotage::{self, Variant};
@@ -121,11 +121,14 @@
         while Instant::now() < deadline && edge.in_flight() > 0 {
             sleep(DRAIN_CHECK_INTERVAL).await;
         }
+        // No request is taken after this look at them, so that none begins while the last heartbeat is
+        // written and is cut after it.
+        edge.enter(Phase::Sealed);
         publish(edge, edge.in_flight() == 0, stop.exit).await;
         for task in &self.tasks {
             task.abort();
         }
-        edge.end();
+        edge.enter(Phase::Ended);
         let unanswered = |what: Unanswered| metrics::value(&edge.metrics.unanswered, what.code());
         tracing::info!(
             event = "ending",
--- a/crates/edge/src/server.rs
+++ b/crates/edge/src/server.rs
@@ -19,6 +19,7 @@
 
 use crate::client::set_socket_options;
 use crate::config::Limits;
+use crate::edge::InFlight;
 
 /// Pause after a connection could not be accepted, for example because no file descriptor is left.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
@@ -89,6 +90,10 @@
     /// Waits until idle connections are to be closed.
     fn closing(&self) -> LocalBoxFuture<'_, ()>;
 
+    /// Counts a request as in flight until the guard is dropped: from its first byte to the end of its
+    /// response. `None` if a stop does not wait for these requests.
+    fn track(&self) -> Option<InFlight>;
+
     /// Records that a request was rejected while it was read, for example as malformed or too
     /// large.
     fn rejected(&self, status: StatusCode, fault: &str);
@@ -261,7 +266,7 @@
     Request(Box<Incoming>),
     /// The request was rejected with this status; the text describes the fault.
     Refused(StatusCode, String),
-    /// The connection was closed, was idle for too long, or is to be closed.
+    /// The caller closed the connection.
     Closed,
 }
 
@@ -274,57 +279,54 @@
         }
     }
 
+    /// Serves requests until the connection ends.
     async fn run(mut self, handler: &dyn Handler) {
-        let mut idle = Unanswered::Fresh;
-        loop {
-            match self.read_request(handler, idle).await {
-                Next::Request(incoming) => {
-                    if !self.respond(*incoming, handler).await {
-                        return;
-                    }
-                }
-                Next::Refused(status, fault) => {
-                    handler.rejected(status, &fault);
-                    self.reject(handler, status).await;
-                    return;
-                }
-                Next::Closed => return,
-            }
-            idle = Unanswered::Kept;
+        let mut has_request = self.wait_next(handler, Unanswered::Fresh).await;
+        while has_request && self.serve_request(handler).await {
             if self.read_buffer.is_empty() {
                 // Frees the buffer while the connection is idle.
                 self.read_buffer = BytesMut::new();
+                has_request = self.wait_next(handler, Unanswered::Kept).await;
             }
         }
     }
 
-    /// Waits for the next request and reads it completely. `idle` is what the connection is until then.
-    async fn read_request(&mut self, handler: &dyn Handler, idle: Unanswered) -> Next {
-        let limits = handler.limits();
-        let idle_until = Instant::now() + limits.idle_timeout;
-        if self.read_buffer.is_empty() {
-            let wait = async {
-                tokio::select! {
-                    biased;
-                    read = self.stream.read_buf(&mut self.read_buffer) => matches!(read, Ok(1..)),
-                    () = handler.closing() => {
-                        handler.unanswered(idle);
-                        false
-                    }
-                }
-            };
-            if !timeout_at(idle_until, wait).await.unwrap_or(false) {
-                return Next::Closed;
-            }
-        }
+    /// Reads a request and responds to it. Returns whether the connection can be reused.
+    async fn serve_request(&mut self, handler: &dyn Handler) -> bool {
+        let _in_flight = handler.track();
         let reading = Reading::new(handler);
-        let next = self.read_rest(limits).await;
+        let next = self.read_request(handler.limits()).await;
         reading.close();
-        next
+        match next {
+            Next::Request(incoming) => self.respond(*incoming, handler).await,
+            Next::Refused(status, fault) => {
+                handler.rejected(status, &fault);
+                self.reject(handler, status).await;
+                false
+            }
+            Next::Closed => false,
+        }
+    }
+
+    /// Waits for the first byte of the next request. Returns false if the connection was closed, was idle
+    /// for too long, or is to be closed; `idle` is what it is until then.
+    async fn wait_next(&mut self, handler: &dyn Handler, idle: Unanswered) -> bool {
+        let wait = async {
+            tokio::select! {
+                biased;
+                read = self.stream.read_buf(&mut self.read_buffer) => matches!(read, Ok(1..)),
+                () = handler.closing() => {
+                    handler.unanswered(idle);
+                    false
+                }
+            }
+        };
+        let limit = handler.limits().idle_timeout;
+        timeout(limit, wait).await.unwrap_or(false)
     }
 
     /// Reads a request of which at least one byte has come.
-    async fn read_rest(&mut self, limits: Limits) -> Next {
+    async fn read_request(&mut self, limits: Limits) -> Next {
         let start = Instant::now();
         let head = timeout_at(start + limits.head_timeout, self.read_head(limits)).await;
         let request = match head {
--- a/crates/edge/tests/stop.rs
+++ b/crates/edge/tests/stop.rs
@@ -4,6 +4,7 @@
 
 use std::time::Duration;
 
+use agate_edge::edge::Phase;
 use rstest::rstest;
 use support::{Harness, Server, Step, is_complete, read_response, request, settings, status};
 use tokio::io::AsyncWriteExt as _;
@@ -115,6 +116,24 @@
     assert!(is_complete(&response), "{response}");
 }
 
+// Guards against: a request is taken after the last look at the requests in flight.
+#[actix_rt::test]
+async fn a_request_that_is_whole_after_the_last_look_is_refused_and_not_sent() {
+    let server = Server::start(vec![SLOW.to_vec()]).await;
+    let harness = Harness::start(&[&server]).await;
+    let mut caller = harness.connect().await;
+    let text = request("book", "r1", "body");
+    let (begin, rest) = text.split_at(20);
+    caller.write_all(begin.as_bytes()).await.expect("written");
+    sleep(Duration::from_millis(50)).await;
+    harness.program.edge().leave();
+    harness.program.edge().enter(Phase::Sealed);
+    caller.write_all(rest.as_bytes()).await.expect("written");
+    let response = read_response(&mut caller).await;
+    assert_eq!(status(&response), "503", "{response}");
+    assert_eq!(server.count(), 0, "the request was sent");
+}
+
 // Guards against: a host that is stopping accepts a connection and closes it before the request has come.
 #[rstest]
 #[case::at_once(Duration::ZERO)]
