Edge: connections that a stopping host accepts get a response

What callers saw: a host that is stopping goes on to accept for as long as callers keep its address, and closed the connections that it accepted before their request had come.

Cause: a leaving host closes connections without a byte of a request, and took one that it had just accepted for an idle one. When it stopped to accept, the kernel reset what it had queued. Class: a connection is judged by what was read, though its caller has already sent more.

Change: a new connection is in flight until its first byte is a second late; a listener that is closed first takes what the kernel has queued.

The test of queued connections fails without that part.

--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -70,6 +70,8 @@
     /// The process was told to stop: the directory no longer lists the host, and connections are
     /// closed between requests.
     Leaving,
+    /// Connections are not accepted any more.
+    Closing,
     /// Requests are not admitted any more.
     Sealed,
     /// The process ends, and with it all that has no response yet.
--- a/crates/edge/src/run.rs
+++ b/crates/edge/src/run.rs
@@ -1,5 +1,6 @@
 //! Starts an entry host with its listeners and tasks, reloads its settings, and shuts it down.
 
+use std::future::pending;
 use std::io;
 use std::rc::Rc;
 use std::time::Duration;
@@ -42,7 +43,12 @@
         let edge = Edge::new(settings, remote);
         let forwarder: Rc<dyn Handler> = Rc::new(Forwarder::new(edge.clone()));
         let directory: Rc<dyn Handler> = Rc::new(Adapter(Directory::new(edge.clone())));
-        let callers = serve(server::bind(listen.front)?, &forwarder);
+        let callers = {
+            let (listener, edge) = (server::bind(listen.front)?, edge.clone());
+            actix_rt::spawn(async move {
+                server::serve(listener, forwarder, edge.reached(Phase::Closing)).await;
+            })
+        };
         let mut tasks = vec![
             serve(server::bind(listen.directory)?, &directory),
             serve(server::bind(listen.ready)?, &directory),
@@ -115,8 +121,11 @@
         publish(edge, false, deadline).await;
         let linger = bounds.addresses.min(bounds.grace).mul_f64(LINGER_SHARE);
         sleep_until(deadline.min(started + linger)).await;
-        // No new connections are accepted from here on; requests in flight are still finished.
-        self.callers.abort();
+        // Requests in flight are still finished, and so are those of callers that have just connected.
+        edge.enter(Phase::Closing);
+        if let Err(err) = self.callers.await {
+            tracing::error!(event = "accept_failed", error = %err);
+        }
         publish(edge, false, deadline).await;
         while Instant::now() < deadline && edge.in_flight() > 0 {
             sleep(DRAIN_CHECK_INTERVAL).await;
@@ -149,9 +158,9 @@
     }
 }
 
-/// Starts a task that serves the connections of a listener.
+/// Starts a task that serves the connections of a listener for as long as the process runs.
 fn serve(listener: TcpListener, handler: &Rc<dyn Handler>) -> JoinHandle<()> {
-    actix_rt::spawn(server::serve(listener, handler.clone()))
+    actix_rt::spawn(server::serve(listener, handler.clone(), pending()))
 }
 
 /// Closes idle connections to endpoints until the task is dropped.
--- a/crates/edge/src/server.rs
+++ b/crates/edge/src/server.rs
@@ -29,6 +29,8 @@
 const READ_AHEAD: usize = 64 << 10;
 /// Connections not yet accepted that the kernel queues.
 const BACKLOG: u32 = 1024;
+/// Time within which a caller sends the first byte of its request once it is connected. A stop waits for it.
+const FIRST_BYTE_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// A request that was received completely.
 #[derive(Debug)]
@@ -90,8 +92,9 @@
     /// Waits until idle connections are to be closed.
     fn closing(&self) -> LocalBoxFuture<'_, ()>;
 
-    /// Counts a request as in flight until the guard is dropped: from its first byte to the end of its
-    /// response. `None` if a stop does not wait for these requests.
+    /// Counts a request as in flight until the guard is dropped: from the moment at which its caller has
+    /// connected, or has begun to send it, to the end of its response. `None` if a stop does not wait for
+    /// these requests.
     fn track(&self) -> Option<InFlight>;
 
     /// Records that a request was rejected while it was read, for example as malformed or too
@@ -236,22 +239,54 @@
     socket.listen(BACKLOG)
 }
 
-/// Accepts and serves connections for as long as the task runs. It keeps accepting during a
-/// shutdown, so that a caller that is just connecting gets a response instead of a reset.
-pub async fn serve(listener: TcpListener, handler: Rc<dyn Handler>) {
+/// Accepts and serves connections until `stop`. It keeps accepting during a shutdown before that, so that
+/// a caller that is just connecting gets a response instead of a reset.
+pub async fn serve(
+    listener: TcpListener,
+    handler: Rc<dyn Handler>,
+    stop: impl Future<Output = ()>,
+) {
+    tokio::pin!(stop);
     loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                set_socket_options(&stream);
-                let handler = handler.clone();
-                actix_rt::spawn(async move { Connection::new(stream).run(&*handler).await });
-            }
+        let accepted = tokio::select! {
+            biased;
+            () = &mut stop => break,
+            accepted = listener.accept() => accepted,
+        };
+        match accepted {
+            Ok((stream, _)) => spawn(stream, &handler),
             Err(err) => {
                 tracing::warn!(event = "accept_failed", error = %err);
                 tokio::time::sleep(ACCEPT_PAUSE).await;
             }
         }
     }
+    if let Err(err) = accept_queued(listener, &handler) {
+        tracing::warn!(event = "accept_failed", error = %err);
+    }
+}
+
+/// Accepts the connections that the kernel has queued, since it resets them when the listener is closed.
+fn accept_queued(listener: TcpListener, handler: &Rc<dyn Handler>) -> io::Result<()> {
+    let listener = listener.into_std()?;
+    for _ in 0..BACKLOG {
+        let stream = match listener.accept() {
+            Ok((stream, _)) => stream,
+            Err(err) if err.kind() == io::ErrorKind::WouldBlock => break,
+            Err(err) => return Err(err),
+        };
+        stream.set_nonblocking(true)?;
+        spawn(TcpStream::from_std(stream)?, handler);
+    }
+    Ok(())
+}
+
+/// Starts a task that serves a connection.
+fn spawn(stream: TcpStream, handler: &Rc<dyn Handler>) {
+    set_socket_options(&stream);
+    let handler = handler.clone();
+    let in_flight = handler.track();
+    actix_rt::spawn(async move { Connection::new(stream).run(&*handler, in_flight).await });
 }
 
 /// A caller's connection.
@@ -279,9 +314,10 @@
         }
     }
 
-    /// Serves requests until the connection ends.
-    async fn run(mut self, handler: &dyn Handler) {
-        let mut has_request = self.wait_next(handler, Unanswered::Fresh).await;
+    /// Serves requests until the connection ends. `connected` counts the first one as in flight before its
+    /// first byte.
+    async fn run(mut self, handler: &dyn Handler, connected: Option<InFlight>) {
+        let mut has_request = self.wait_first(handler, connected).await;
         while has_request && self.serve_request(handler).await {
             if self.read_buffer.is_empty() {
                 // Frees the buffer while the connection is idle.
@@ -308,6 +344,17 @@
         }
     }
 
+    /// Waits for the first byte of the first request. A stop waits as well, while a caller that has just
+    /// connected may still be sending it.
+    async fn wait_first(&mut self, handler: &dyn Handler, connected: Option<InFlight>) -> bool {
+        let read = self.stream.read_buf(&mut self.read_buffer);
+        if let Ok(read) = timeout(FIRST_BYTE_TIMEOUT, read).await {
+            return matches!(read, Ok(1..));
+        }
+        drop(connected);
+        self.wait_next(handler, Unanswered::Fresh).await
+    }
+
     /// Waits for the first byte of the next request. Returns false if the connection was closed, was idle
     /// for too long, or is to be closed; `idle` is what it is until then.
     async fn wait_next(&mut self, handler: &dyn Handler, idle: Unanswered) -> bool {
--- a/crates/edge/tests/stop.rs
+++ b/crates/edge/tests/stop.rs
@@ -2,9 +2,16 @@
 
 mod support;
 
+use std::future::ready;
+use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
+use actix_http::StatusCode;
 use agate_edge::edge::Phase;
+use agate_edge::response::{Adapter, Responder, Response};
+use agate_edge::server::{self, Incoming};
+use futures_util::future::LocalBoxFuture;
 use rstest::rstest;
 use support::{Harness, Server, Step, is_complete, read_response, request, settings, status};
 use tokio::io::AsyncWriteExt as _;
@@ -154,3 +161,27 @@
     assert!(response.ends_with("fine"), "{response}");
     assert_eq!(closing.await.expect("the stop ends"), 0);
 }
+
+/// Responds to every request.
+struct Fine;
+
+impl Responder for Fine {
+    fn respond<'a>(&'a self, _incoming: &'a Incoming) -> LocalBoxFuture<'a, Response> {
+        Box::pin(ready(Response::bare(StatusCode::OK)))
+    }
+}
+
+// Guards against: connections that the kernel has queued are reset when a listener is closed.
+#[actix_rt::test]
+async fn a_connection_that_is_queued_when_the_listener_is_closed_gets_a_response() {
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    let listener = server::bind(any).expect("a free port");
+    let address = listener.local_addr().expect("an address");
+    let mut caller = TcpStream::connect(address).await.expect("connected");
+    let text = request("read", "r1", "");
+    caller.write_all(text.as_bytes()).await.expect("written");
+    server::serve(listener, Rc::new(Adapter(Fine)), ready(())).await;
+    let response = read_response(&mut caller).await;
+    assert_eq!(status(&response), "200", "{response}");
+    assert!(TcpStream::connect(address).await.is_err(), "still accepts");
+}
