Edge: a request in the kernel is read before its connection is closed

What callers saw: at a stop a kept connection was closed, with a reset, although the request on it had reached the host. Cause: the runtime tells of bytes only when it looks at its sockets, and a task that closes an idle connection may run before that; the busier the machine, the later the look.

Change: before an idle connection is closed the kernel is asked for unread bytes.

a_request_in_the_kernel_is_read_before_its_connection_is_closed fails without that and passes with it.

--- a/crates/edge/src/server.rs
+++ b/crates/edge/src/server.rs
@@ -1,6 +1,7 @@
 //! HTTP/1.1 server for the connections of callers.
 
 use std::io;
+use std::mem::MaybeUninit;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -361,12 +362,15 @@
         let wait = async {
             tokio::select! {
                 biased;
-                read = self.stream.read_buf(&mut self.read_buffer) => matches!(read, Ok(1..)),
-                () = handler.closing() => {
-                    handler.unanswered(idle);
-                    false
-                }
+                read = self.stream.read_buf(&mut self.read_buffer) => return matches!(read, Ok(1..)),
+                () = handler.closing() => {}
+            }
+            if has_unread(&self.stream) {
+                let read = self.stream.read_buf(&mut self.read_buffer).await;
+                return matches!(read, Ok(1..));
             }
+            handler.unanswered(idle);
+            false
         };
         let limit = handler.limits().idle_timeout;
         timeout(limit, wait).await.unwrap_or(false)
@@ -475,6 +479,13 @@
     }
 }
 
+/// Returns whether the kernel holds bytes of a connection, also if the runtime has not noticed them yet.
+fn has_unread(stream: &TcpStream) -> bool {
+    let mut byte = [MaybeUninit::uninit()];
+    let peeked = socket2::SockRef::from(stream).peek(&mut byte);
+    matches!(peeked, Ok(1..))
+}
+
 /// Waits until the caller closes its side, and buffers pipelined requests meanwhile.
 async fn closed_by_caller(reader: &mut ReadHalf<'_>, read_buffer: &mut BytesMut) {
     loop {
--- a/crates/edge/tests/stop.rs
+++ b/crates/edge/tests/stop.rs
@@ -141,6 +141,27 @@
     assert_eq!(server.count(), 0, "the request was sent");
 }
 
+// Guards against: a connection is closed for its idleness while the kernel holds a request that the runtime has not
+// noticed, as on a busy machine.
+#[actix_rt::test]
+async fn a_request_in_the_kernel_is_read_before_its_connection_is_closed() {
+    let server = Server::start(vec![SLOW.to_vec()]).await;
+    let harness = Harness::start(&[&server]).await;
+    let mut caller = harness.connect().await;
+    let first = request("book", "r1", "body");
+    caller.write_all(first.as_bytes()).await.expect("written");
+    let response = read_response(&mut caller).await;
+    assert!(response.ends_with("fine"), "{response}");
+    // Between these lines the runtime looks at no socket.
+    let second = request("book", "r2", "body");
+    let written = caller.try_write(second.as_bytes());
+    harness.program.edge().leave();
+    harness.program.edge().enter(Phase::Closing);
+    assert_eq!(written.expect("written"), second.len());
+    let response = read_response(&mut caller).await;
+    assert!(response.ends_with("fine"), "{response}");
+}
+
 // Guards against: a host that is stopping accepts a connection and closes it before the request has come.
 #[rstest]
 #[case::at_once(Duration::ZERO)]
