Edge: a request whose handling panics gets a response

Change: a panic is caught where the response is written. If nothing of it is sent, the caller gets 500, which says nothing of whether the request has run, and the connection is closed. The request's line has the outcome `panicked`.

--- a/crates/edge/src/record.rs
+++ b/crates/edge/src/record.rs
@@ -14,6 +14,8 @@
 const CALLER_GONE: &str = "caller_gone";
 /// Outcome of a request that was in flight when the process ended.
 const CUT: &str = "cut";
+/// Outcome of a request whose handling panicked.
+const PANICKED: &str = "panicked";
 
 /// Log record of one request. It is written to log and metrics when dropped, so that a request
 /// whose caller disconnects is recorded too.
@@ -86,8 +88,12 @@
 
 impl Drop for Record {
     fn drop(&mut self) {
-        if self.outcome == CALLER_GONE && self.edge.has_ended() {
-            self.outcome = CUT;
+        if self.outcome == CALLER_GONE {
+            self.outcome = match self.edge.has_ended() {
+                _ if std::thread::panicking() => PANICKED,
+                true => CUT,
+                false => CALLER_GONE,
+            };
         }
         let metrics = &self.edge.metrics;
         count(&metrics.requests, self.outcome);
--- a/crates/edge/src/server.rs
+++ b/crates/edge/src/server.rs
@@ -3,6 +3,7 @@
 use std::io;
 use std::mem::MaybeUninit;
 use std::net::SocketAddr;
+use std::panic::AssertUnwindSafe;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -11,7 +12,7 @@
 use actix_http::header::HeaderMap;
 use actix_http::{ConnectionType, Request, Response, StatusCode};
 use bytes::{Bytes, BytesMut};
-use futures_util::future::LocalBoxFuture;
+use futures_util::future::{FutureExt as _, LocalBoxFuture};
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::net::tcp::{ReadHalf, WriteHalf};
 use tokio::net::{TcpListener, TcpStream};
@@ -456,10 +457,25 @@
             is_closing: false,
             is_started: false,
         };
+        let handled = AssertUnwindSafe(handler.handle(incoming, &mut writer)).catch_unwind();
         let end = tokio::select! {
             biased;
-            end = handler.handle(incoming, &mut writer) => end,
-            () = closed_by_caller(&mut reader, &mut self.read_buffer) => End::Aborted,
+            end = handled => end,
+            () = closed_by_caller(&mut reader, &mut self.read_buffer) => Ok(End::Aborted),
+        };
+        let end = match end {
+            Ok(end) => end,
+            Err(_) if writer.is_started() => End::Aborted,
+            // What was half encoded is not sent. The request may have run, so no status that denies it fits.
+            Err(_) => {
+                writer.write_buffer.clear();
+                writer.close_after();
+                let status = StatusCode::INTERNAL_SERVER_ERROR;
+                match writer.send(status, HeaderMap::new(), Bytes::new()).await {
+                    Ok(()) => End::Complete,
+                    Err(_) => End::Aborted,
+                }
+            }
         };
         let is_closing = writer.is_closing;
         end == End::Complete && !is_closing && self.codec.keep_alive()
