Edge: kept connections stay open for the first part of a stop

What callers saw: at SIGTERM a host closed all idle connections at once, so that each request that was under way on one of them met a closed connection. With real processes 47 of 48 requests sent 0 to 0.46 s after the signal on a kept connection had no answer (callers that notice the close in time use another host).

a_request_on_a_kept_connection_gets_a_response_when_a_stop_has_begun failed before and passes.

--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -9,7 +9,7 @@
 use agate_model::id::{AccountId, Incarnation, RouteId};
 use agate_store::interface::{Feed, Tables};
 use tokio::sync::{Notify, watch};
-use tokio::time::{Instant, sleep_until};
+use tokio::time::{Instant, sleep_until, timeout_at};
 
 use crate::balancer::{Balancer, Tuning};
 use crate::budget::Budget;
@@ -68,7 +68,7 @@
     /// Callers may be sent to this host.
     Serving,
     /// The process was told to stop: the directory no longer lists the host, and connections are
-    /// closed between requests.
+    /// closed after the next response.
     Leaving,
     /// Connections are not accepted any more.
     Closing,
@@ -306,6 +306,16 @@
         let _ = receiver.wait_for(|current| *current >= phase).await;
     }
 
+    /// Waits until idle connections are to be closed: once requests are not taken whatever time they need,
+    /// or connections are not accepted any more. Closed sooner, more of them would meet a request that is
+    /// under way.
+    pub async fn wait_idle_end(&self) {
+        self.reached(Phase::Leaving).await;
+        if let Some(stop) = self.stop() {
+            let _ = timeout_at(stop.admit, self.reached(Phase::Closing)).await;
+        }
+    }
+
     /// Counts a request as in flight until the returned guard is dropped.
     pub fn track_request(self: &Rc<Self>) -> InFlight {
         self.in_flight.set(self.in_flight.get() + 1);
--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -21,7 +21,7 @@
 use crate::balancer::{Assignment, Criteria, Outcome};
 use crate::client::{self, Error, Exchange, Outgoing};
 use crate::config::Limits;
-use crate::edge::{Edge, InFlight, Phase};
+use crate::edge::{Edge, InFlight};
 use crate::guard;
 use crate::interface::Context;
 use crate::metrics::{self, count};
@@ -583,7 +583,7 @@
     }
 
     fn closing(&self) -> LocalBoxFuture<'_, ()> {
-        Box::pin(self.edge.reached(Phase::Leaving))
+        Box::pin(self.edge.wait_idle_end())
     }
 
     fn track(&self) -> Option<InFlight> {
--- a/crates/edge/src/stop.rs
+++ b/crates/edge/src/stop.rs
@@ -19,7 +19,7 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Stop {
     /// Until when requests are taken whatever time they may need.
-    admit: Instant,
+    pub admit: Instant,
     /// When requests without a response get a final one.
     pub last_response: Instant,
     /// Until when requests in flight may end.
--- a/crates/edge/tests/stop.rs
+++ b/crates/edge/tests/stop.rs
@@ -34,6 +34,16 @@
     (server, harness)
 }
 
+/// Opens a connection that has served a request.
+async fn kept(harness: &Harness) -> TcpStream {
+    let mut caller = harness.connect().await;
+    let text = request("book", "r0", "body");
+    caller.write_all(text.as_bytes()).await.expect("written");
+    let response = read_response(&mut caller).await;
+    assert!(response.ends_with("fine"), "{response}");
+    caller
+}
+
 // Guards against: a request that comes late in a planned stop is passed on, and cut without a response when the
 // process ends.
 #[actix_rt::test]
@@ -141,17 +151,30 @@
     assert_eq!(server.count(), 0, "the request was sent");
 }
 
+// Guards against: a host that begins to stop closes a kept connection while a request is on its way.
+#[actix_rt::test]
+async fn a_request_on_a_kept_connection_gets_a_response_when_a_stop_has_begun() {
+    let server = Server::start(vec![SLOW.to_vec()]).await;
+    let harness = Harness::start(&[&server]).await;
+    let mut caller = kept(&harness).await;
+    let closing = actix_rt::spawn(harness.program.close());
+    sleep(Duration::from_millis(100)).await;
+    let second = request("book", "r2", "body");
+    caller.write_all(second.as_bytes()).await.expect("written");
+    let response = read_response(&mut caller).await;
+    assert!(response.ends_with("fine"), "{response}");
+    let head = response.to_lowercase();
+    assert!(head.contains("connection: close"), "{response}");
+    assert_eq!(closing.await.expect("the stop ends"), 0);
+}
+
 // Guards against: a connection is closed for its idleness while the kernel holds a request that the runtime has not
 // noticed, as on a busy machine.
 #[actix_rt::test]
 async fn a_request_in_the_kernel_is_read_before_its_connection_is_closed() {
     let server = Server::start(vec![SLOW.to_vec()]).await;
     let harness = Harness::start(&[&server]).await;
-    let mut caller = harness.connect().await;
-    let first = request("book", "r1", "body");
-    caller.write_all(first.as_bytes()).await.expect("written");
-    let response = read_response(&mut caller).await;
-    assert!(response.ends_with("fine"), "{response}");
+    let mut caller = kept(&harness).await;
     // Between these lines the runtime looks at no socket.
     let second = request("book", "r2", "body");
     let written = caller.try_write(second.as_bytes());
