Gate: a request is running from its first byte until its response is written

What callers saw: agate-gate at SIGTERM, after it has served for as long as callers keep its address, closed without a response each connection whose request it had not parsed: half of a head sent, a whole request in the kernel, a connection just accepted, one still in the kernel's accept queue (reset). A refusal that was written while the caller sent its body could be lost to a reset. A request whose body became whole too late got "unknown" though nothing was sent. Operators got no response at all from then on (metrics of a closing gate).

Operators' connections had that signal too.

Change: that signal is not used any more. The byte stream of a connection knows its stage (front/track.rs), counts a request from its first byte until the response is flushed, and ends only an idle connection, after it has asked the kernel for unread bytes. A shutdown also waits for a caller that connected within the last second, and for a caller that still sends the body of a refused request (bounded by the timeouts of the connection). The listener takes what the kernel has queued. Phase::Ending is entered in the same step as the last look, always, and admits nothing: what becomes whole while usage is handed over gets 503 shutting_down, not run. Operators are served until the process ends.

A connection whose request body was not read to its end is closed after the response, also if it was chunked.

--- a/crates/gate/src/activity.rs
+++ b/crates/gate/src/activity.rs
@@ -14,7 +14,7 @@
     Leaving,
     /// Accepts no connections and closes idle ones.
     Closing,
-    /// Gives requests that have no response yet a final one.
+    /// Admits no request, and gives those that have no response yet a final one.
     Ending,
 }
 
@@ -27,7 +27,8 @@
     changed: Rc<Notify>,
 }
 
-/// Keeps a request counted until its response was delivered, or a task that outlives a request.
+/// Keeps a request counted from its first byte until its response is written, or a task that a
+/// shutdown waits for.
 #[derive(Debug)]
 pub struct Guard {
     counter: Rc<Cell<usize>>,
@@ -76,8 +77,8 @@
         Guard::new(&self.requests, &self.changed)
     }
 
-    /// Counts a task that outlives its request, so that a shutdown waits until the guard is
-    /// dropped.
+    /// Counts a task that outlives its request, or a connection without one, so that a shutdown waits
+    /// until the guard is dropped.
     pub fn start_task(&self) -> Guard {
         Guard::new(&self.tasks, &self.changed)
     }
@@ -87,7 +88,7 @@
         self.requests.get()
     }
 
-    /// Returns whether no request is running and no task of an earlier one is left.
+    /// Returns whether no request is running and no task is left.
     pub fn is_idle(&self) -> bool {
         self.requests.get() + self.tasks.get() == 0
     }
--- a/crates/gate/src/front/body.rs
+++ b/crates/gate/src/front/body.rs
@@ -2,7 +2,6 @@
 
 use std::pin::Pin;
 use std::task::{Context, Poll};
-use std::time::Duration;
 
 use actix_http::Payload;
 use actix_http::body::{BodySize, BoxBody, MessageBody};
@@ -11,20 +10,30 @@
 use bytes::{Bytes, BytesMut};
 use futures_util::StreamExt as _;
 
+use crate::activity::Phase;
+use crate::gate::Gate;
 use crate::refusal::Denial;
 
-/// Reads a complete request body. Refuses it if it is larger than `limit` bytes or takes longer
-/// than `timeout`.
-pub async fn read(payload: Payload, limit: usize, timeout: Duration) -> Result<Bytes, Denial> {
-    match tokio::time::timeout(timeout, collect(payload, limit)).await {
-        Ok(result) => result,
-        Err(_) => Err(Denial::new(
-            Reason::SlowRequest,
-            "the request body did not arrive in time",
-        )),
+/// Reads a complete request body. Refuses it if it is larger than the limit, takes longer than the
+/// timeout, or is incomplete when the gate enters [`Phase::Ending`].
+pub async fn read(gate: &Gate, payload: Payload) -> Result<Bytes, Denial> {
+    let limits = &gate.settings.limits;
+    let read = tokio::time::timeout(limits.body_timeout, collect(payload, limits.body.bytes()));
+    tokio::select! {
+        biased;
+        () = gate.activity.reached(Phase::Ending) => Err(late()),
+        read = read => read.unwrap_or_else(|_| {
+            let message = "the request body did not arrive in time";
+            Err(Denial::new(Reason::SlowRequest, message))
+        }),
     }
 }
 
+/// Returns the denial of a request that is not complete when the gate admits none any more.
+pub fn late() -> Denial {
+    Denial::new(Reason::ShuttingDown, "the host shuts down")
+}
+
 async fn collect(mut payload: Payload, limit: usize) -> Result<Bytes, Denial> {
     let mut body = BytesMut::new();
     while let Some(chunk) = payload.next().await {
--- a/crates/gate/src/front/completion.rs
+++ b/crates/gate/src/front/completion.rs
@@ -75,9 +75,8 @@
 /// Authorizes the caller, reads the body and resolves route and class.
 async fn accept(gate: &Gate, mut call: Call) -> Result<Work, Denial> {
     authorize_early(gate, &call)?;
-    let limits = &gate.settings.limits;
     let payload = std::mem::replace(&mut call.payload, actix_http::Payload::None);
-    let body = body::read(payload, limits.body.bytes(), limits.body_timeout).await?;
+    let body = body::read(gate, payload).await?;
     let request: Completion = parse(&body)?;
     let view = gate.view();
     let Some(route) = view.model(&request.model) else {
--- a/crates/gate/src/front/mod.rs
+++ b/crates/gate/src/front/mod.rs
@@ -10,3 +10,4 @@
 pub mod route;
 pub mod server;
 pub mod timeout;
+pub mod track;
--- a/crates/gate/src/front/plain.rs
+++ b/crates/gate/src/front/plain.rs
@@ -36,9 +36,8 @@
     };
     let caller = call.caller(gate, route)?;
     let class = call.class(&view, route, caller.as_ref())?;
-    let limits = &gate.settings.limits;
     let payload = std::mem::replace(&mut call.payload, actix_http::Payload::None);
-    let body = body::read(payload, limits.body.bytes(), limits.body_timeout).await?;
+    let body = body::read(gate, payload).await?;
     let headers = forward::headers::for_endpoint(&call.headers);
     call.check_key_leak(&headers, &body)?;
     let idempotency = idempotency_key(&call)?;
--- a/crates/gate/src/front/route.rs
+++ b/crates/gate/src/front/route.rs
@@ -12,7 +12,7 @@
 use tokio::time::Instant;
 
 use super::auth::{self, Secret};
-use super::body::Tracked;
+use super::body::{self, Tracked};
 use super::reply::{self, Reply};
 use super::{address, completion, plain};
 use crate::activity::Phase;
@@ -46,13 +46,13 @@
     pub secret: Option<Secret>,
 }
 
-/// Handles one request of a caller. The request counts as running until its response body is
-/// dropped.
+/// Handles one request of a caller. Nothing is admitted once the gate enters [`Phase::Ending`].
 pub async fn handle(gate: Rc<Gate>, mut request: Request) -> Response<BoxBody> {
-    let guard = gate.activity.start_request();
     let id = random_id();
+    let is_ending = gate.activity.phase() >= Phase::Ending;
     let dispatched = tokio::select! {
         biased;
+        refusal = async { refuse_late() }, if is_ending => Err(refusal),
         dispatched = dispatch(&gate, &id, &mut request) => dispatched,
         () = gate.activity.reached(Phase::Ending) => Err(end()),
     };
@@ -65,7 +65,12 @@
         on_delivered,
     } = reply;
     reply::set_request_id(&mut response, &id);
-    response.map_body(|_, body| BoxBody::new(Tracked::new(body, guard, on_delivered)))
+    response.map_body(|_, body| BoxBody::new(Tracked::new(body, (), on_delivered)))
+}
+
+/// Returns the refusal of a request that was received too late to be sent to an endpoint.
+fn refuse_late() -> Refusal {
+    Progress::received(false).refuse(body::late())
 }
 
 /// Returns the refusal of a request that has no response when the process ends.
--- a/crates/gate/src/front/server.rs
+++ b/crates/gate/src/front/server.rs
@@ -12,7 +12,7 @@
 use std::time::Duration;
 
 use actix_http::body::BoxBody;
-use actix_http::{Extensions, HttpService, Request, Response};
+use actix_http::{ConnectionType, Extensions, HttpService, Request, Response};
 use actix_rt::net::TcpStream;
 use actix_service::{Service, ServiceFactory, fn_service};
 use actix_tls::accept::rustls_0_23::{Acceptor, AcceptorService, TlsStream};
@@ -22,9 +22,10 @@
 use tokio::net::TcpListener;
 
 use super::body::Tracked;
-use super::timeout::{Deadline, Stream};
+use super::timeout::{Deadline, Socket, Stream};
+use super::track::Track;
 use super::{admin, route};
-use crate::activity::Phase;
+use crate::activity::{Activity, Phase};
 use crate::gate::{Gate, random_id};
 use crate::refusal::{Denial, Progress};
 use crate::tls;
@@ -32,6 +33,8 @@
 /// Number of connections beyond the limit that still get an HTTP refusal. Further ones are closed
 /// without one.
 const MAX_REFUSED_CONNECTIONS: usize = 64;
+/// Number of connections that the kernel queues, which is that of [`TcpListener::bind`].
+const BACKLOG: usize = 1024;
 /// Pause after a failed accept, for example when file descriptors have run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
@@ -55,14 +58,20 @@
 /// Plain HTTP.
 struct Http<S> {
     service: Rc<S>,
+    activity: Activity,
     head_timeout: Duration,
     keep_alive: Duration,
 }
 
 impl<S> Http<S> {
-    fn timed<T>(&self, io: T) -> Stream<T> {
+    /// Starts to track a connection that was just accepted.
+    fn track(&self) -> Rc<Track> {
+        Track::new(self.activity.clone())
+    }
+
+    fn timed<T>(&self, io: T, track: Rc<Track>) -> Stream<T> {
         let deadline = Deadline::new(self.head_timeout, self.keep_alive + self.head_timeout);
-        Stream::new(io, deadline)
+        Stream::new(io, deadline, track)
     }
 }
 
@@ -73,7 +82,7 @@
 {
     fn serve(&self, stream: TcpStream) -> LocalBoxFuture<'static, ()> {
         let peer = stream.peer_addr().ok();
-        let served = self.service.call((self.timed(stream), peer));
+        let served = self.service.call((self.timed(stream, self.track()), peer));
         Box::pin(async move { log_failure(served.await) })
     }
 }
@@ -93,9 +102,13 @@
         let peer = stream.peer_addr().ok();
         let accepted = self.acceptor.call(stream);
         let http = self.http.clone();
+        let track = http.track();
         Box::pin(async move {
             match accepted.await {
-                Ok(stream) => log_failure(http.service.call((http.timed(stream), peer)).await),
+                Ok(stream) => {
+                    let stream = http.timed(stream, track);
+                    log_failure(http.service.call((stream, peer)).await);
+                }
                 Err(err) => log_failure::<(), _>(Err(err)),
             }
         })
@@ -117,7 +130,9 @@
         async move { route::handle(gate, request).await }
     };
     let Some(settings) = &gate.settings.tls else {
-        return Ok(Rc::new(http::<TcpStream, _, _>(gate, handler).await?));
+        return Ok(Rc::new(
+            http::<TcpStream, _, _>(gate, gate.activity.clone(), handler).await?,
+        ));
     };
     let mut acceptor = Acceptor::new(tls::load(settings)?);
     acceptor.set_handshake_timeout(gate.settings.limits.head_timeout);
@@ -126,18 +141,24 @@
         .map_err(|()| build_error())?;
     Ok(Rc::new(Https {
         acceptor: Rc::new(acceptor),
-        http: Rc::new(http::<TlsStream<TcpStream>, _, _>(gate, handler).await?),
+        http: Rc::new(
+            http::<TlsStream<TcpStream>, _, _>(gate, gate.activity.clone(), handler).await?,
+        ),
     }))
 }
 
-/// Builds the service for operators, in plain HTTP.
+/// Builds the service for operators, in plain HTTP. It serves for as long as the process runs, and a
+/// shutdown doesn't wait for its requests.
 pub async fn operators(gate: &Rc<Gate>) -> Result<Rc<dyn Connection>, Error> {
     let state = gate.clone();
     let handler = move |request: Request| {
         let response = admin::handle(&state, &request);
         async move { response }
     };
-    Ok(Rc::new(http::<TcpStream, _, _>(gate, handler).await?))
+    let activity = Activity::default();
+    Ok(Rc::new(
+        http::<TcpStream, _, _>(gate, activity, handler).await?,
+    ))
 }
 
 /// Builds the service for connections beyond the limit. It refuses each request in plain HTTP, also
@@ -149,54 +170,70 @@
         let mut response = refusal.response(&random_id());
         response
             .head_mut()
-            .set_connection_type(actix_http::ConnectionType::Close);
+            .set_connection_type(ConnectionType::Close);
         response
     };
-    Ok(Rc::new(http::<TcpStream, _, _>(gate, handler).await?))
+    Ok(Rc::new(
+        http::<TcpStream, _, _>(gate, gate.activity.clone(), handler).await?,
+    ))
 }
 
 fn build_error() -> Error {
     Error::Io(io::Error::other("the HTTP service could not be built"))
 }
 
-/// Builds an HTTP/1.1 service around `handler` with the limits of the settings.
+/// Builds an HTTP/1.1 service around `handler` with the limits of the settings. Its connections and
+/// requests count in `activity`.
 async fn http<T, F, A>(
     gate: &Rc<Gate>,
+    activity: Activity,
     handler: F,
 ) -> Result<
     Http<impl Service<(Stream<T>, Option<SocketAddr>), Error: std::fmt::Debug> + 'static>,
     Error,
 >
 where
-    T: AsyncRead + AsyncWrite + Unpin + 'static,
+    T: AsyncRead + AsyncWrite + Socket + Unpin + 'static,
     F: Fn(Request) -> A + Clone + 'static,
     A: Future<Output = Response<BoxBody>> + 'static,
 {
     let limits = &gate.settings.limits;
-    let activity = gate.activity.clone();
     let factory = HttpService::build()
         .client_request_timeout(limits.head_timeout)
         .client_disconnect_timeout(limits.head_timeout)
         .keep_alive(limits.keep_alive)
         // A caller that closes its sending side counts as disconnected, and its work is cancelled.
         .h1_allow_half_closed(false)
-        .graceful_shutdown_signal(move || activity.reached(Phase::Closing))
         .on_connect_ext(|io: &Stream<T>, data: &mut Extensions| {
             data.insert(io.deadline());
+            data.insert(io.track());
         })
-        .h1(fn_service(move |request: Request| {
+        .h1(fn_service(move |mut request: Request| {
             let busy = request.conn_data::<Rc<Deadline>>().map(Deadline::suspend);
+            let track = request.conn_data::<Rc<Track>>().cloned();
+            let running = track.map(|track| track.start(&mut request));
             let response = handler(request);
             async move {
-                let response = response.await;
+                let mut response = response.await;
+                let head = response.head_mut();
+                if let Some(running) = &running {
+                    if running.is_last() {
+                        head.set_connection_type(ConnectionType::Close);
+                    }
+                    if head.connection_type() == ConnectionType::Close {
+                        running.set_last();
+                    }
+                }
+                let guards = (busy, running);
                 let tracked =
-                    response.map_body(|_, body| BoxBody::new(Tracked::new(body, busy, None)));
+                    response.map_body(|_, body| BoxBody::new(Tracked::new(body, guards, None)));
                 Ok::<_, Infallible>(tracked)
             }
         }));
     match factory.new_service(()).await {
         Ok(service) => Ok(Http {
             service: Rc::new(service),
+            activity,
             head_timeout: limits.head_timeout,
             keep_alive: limits.keep_alive,
         }),
@@ -230,8 +267,10 @@
         }
     }
 
-    /// Serves callers until the gate enters [`Phase::Closing`]. Each connection uses the `service`
-    /// in place when it is accepted, or `refusals` beyond the limit of connections.
+    /// Serves callers until the gate enters [`Phase::Closing`], with those whose connections the
+    /// kernel has queued by then, since it resets them when the listener is closed. Each connection
+    /// uses the `service` in place when it is accepted, or `refusals` beyond the limit of
+    /// connections.
     pub async fn serve_callers(
         self,
         gate: Rc<Gate>,
@@ -242,32 +281,65 @@
         tokio::pin!(closing);
         loop {
             let accepted = tokio::select! {
-                () = &mut closing => return,
+                biased;
+                () = &mut closing => break,
                 accepted = accept(&self.socket) => accepted,
             };
-            let Some(stream) = accepted else { continue };
-            let open = gate.connections.get();
-            let limit = gate.settings.limits.connections;
-            if open >= limit {
-                gate.metrics.refused(Reason::ConnectionLimit);
-            }
-            if open >= limit + MAX_REFUSED_CONNECTIONS {
-                continue;
+            if let Some(stream) = accepted {
+                serve_caller(&gate, stream, &service, &*refusals);
             }
-            let connection = if open < limit {
-                service.borrow().serve(stream)
-            } else {
-                refusals.serve(stream)
+        }
+        let queued = self.accept_queued(|stream| {
+            serve_caller(&gate, stream, &service, &*refusals);
+        });
+        if let Err(err) = queued {
+            tracing::warn!(event = "accept_failed", error = %err);
+        }
+    }
+
+    /// Accepts the connections that the kernel has queued.
+    fn accept_queued(self, mut serve: impl FnMut(TcpStream)) -> io::Result<()> {
+        let listener = self.socket.into_std()?;
+        for _ in 0..BACKLOG {
+            let stream = match listener.accept() {
+                Ok((stream, _)) => stream,
+                Err(err) if err.kind() == io::ErrorKind::WouldBlock => break,
+                Err(err) => return Err(err),
             };
-            let guard = OpenConnection::new(gate.clone());
-            actix_rt::spawn(async move {
-                connection.await;
-                drop(guard);
-            });
+            stream.set_nonblocking(true)?;
+            serve(without_delay(TcpStream::from_std(stream)?));
         }
+        Ok(())
     }
 }
 
+/// Starts to serve a caller's connection, or closes it if too many are open.
+fn serve_caller(
+    gate: &Rc<Gate>,
+    stream: TcpStream,
+    service: &RefCell<Rc<dyn Connection>>,
+    refusals: &dyn Connection,
+) {
+    let open = gate.connections.get();
+    let limit = gate.settings.limits.connections;
+    if open >= limit {
+        gate.metrics.refused(Reason::ConnectionLimit);
+    }
+    if open >= limit + MAX_REFUSED_CONNECTIONS {
+        return;
+    }
+    let connection = if open < limit {
+        service.borrow().serve(stream)
+    } else {
+        refusals.serve(stream)
+    };
+    let guard = OpenConnection::new(gate.clone());
+    actix_rt::spawn(async move {
+        connection.await;
+        drop(guard);
+    });
+}
+
 /// Guard that counts a caller's connection in [`Gate::connections`] until it is dropped.
 struct OpenConnection(Rc<Gate>);
 
@@ -287,11 +359,7 @@
 /// Accepts a connection, or logs the failure, pauses and returns `None`.
 async fn accept(socket: &TcpListener) -> Option<TcpStream> {
     match socket.accept().await {
-        Ok((stream, _)) => {
-            // Without TCP_NODELAY responses are only delayed, not wrong.
-            let _ = stream.set_nodelay(true);
-            Some(stream)
-        }
+        Ok((stream, _)) => Some(without_delay(stream)),
         Err(err) => {
             tracing::warn!(event = "accept_failed", error = %err);
             tokio::time::sleep(ACCEPT_PAUSE).await;
@@ -299,3 +367,9 @@
         }
     }
 }
+
+/// Sets `TCP_NODELAY`. Without it responses are only delayed, not wrong.
+fn without_delay(stream: TcpStream) -> TcpStream {
+    let _ = stream.set_nodelay(true);
+    stream
+}
--- a/crates/gate/src/program.rs
+++ b/crates/gate/src/program.rs
@@ -107,17 +107,21 @@
         tokio::time::sleep(gate.settings.keep_addresses).await;
         gate.activity.enter(Phase::Closing);
         tracing::info!(event = "closing", running = gate.activity.running());
-        let _ = self.caller_task.await;
+        if let Err(err) = self.caller_task.await {
+            tracing::error!(event = "accept_failed", error = %err);
+        }
         let end = Instant::now() + gate.settings.drain_timeout;
         let last_response = end - gate.settings.drain_timeout.mul_f64(ENDING_SHARE);
         if timeout_at(last_response, gate.activity.idle())
             .await
             .is_err()
         {
-            gate.activity.enter(Phase::Ending);
             tracing::warn!(event = "ending", running = gate.activity.running());
-            let _ = timeout_at(end, gate.activity.idle()).await;
         }
+        // No request is admitted after the look at them, so that none runs or adds usage while the
+        // usage is handed over.
+        gate.activity.enter(Phase::Ending);
+        let _ = timeout_at(end, gate.activity.idle()).await;
         self.sync_task.abort();
         let loss = Loss {
             requests: gate.activity.running(),
--- a/crates/gate/tests/support/mod.rs
+++ b/crates/gate/tests/support/mod.rs
@@ -134,6 +134,8 @@
     pub requests: RefCell<Vec<sync::Request>>,
     /// Whether calls time out.
     pub down: Cell<bool>,
+    /// Time that a call takes.
+    pub delay: Cell<Duration>,
 }
 
 impl FakeSteer {
@@ -153,6 +155,7 @@
             }),
             requests: RefCell::default(),
             down: Cell::new(false),
+            delay: Cell::default(),
         })
     }
 
@@ -188,6 +191,9 @@
             if self.down.get() {
                 return Err(Error::Timeout);
             }
+            if !self.delay.get().is_zero() {
+                tokio::time::sleep(self.delay.get()).await;
+            }
             let mut response = self.response.borrow().clone();
             if request.version == response.version {
                 response.update = None;
