Gate: a task that a shutdown waits for is counted before it runs

The tasks that relay a stream or execute a claimed call were counted from their first poll, and the request that starts them could end before it (its caller disconnects). A shutdown that looked in between did not wait for the task, and could hand over the usage before the task had added its own. Found by reading; no test shows it. Each task is now counted before it is started, so that it overlaps with its request.

tests/tls.rs also has a test of a TLS connection at a shutdown.

--- a/crates/gate/src/forward/claimed.rs
+++ b/crates/gate/src/forward/claimed.rs
@@ -30,8 +30,14 @@
         let denial = Denial::new(Reason::ClaimUnavailable, message);
         return Err(Progress::received(false).refuse(denial));
     };
-    let task = execute(gate.clone(), work.clone(), reserved, claims, key.to_owned());
-    match actix_rt::spawn(task).await {
+    let guard = gate.activity.start_task();
+    let execution = execute(gate.clone(), work.clone(), reserved, claims, key.to_owned());
+    let task = actix_rt::spawn(async move {
+        let result = execution.await;
+        drop(guard);
+        result
+    });
+    match task.await {
         Ok(result) => result,
         Err(_) => Err(Refusal::claimed(Denial::new(
             Reason::ClaimUnknown,
@@ -47,7 +53,6 @@
     claims: Claims,
     key: String,
 ) -> Result<BufferedResponse, Refusal> {
-    let _guard = gate.activity.start_task();
     let account = work.account().map_or("", String::as_str);
     let request = agate_claim::digest::request(work.method.as_str(), &work.target, &work.body);
     let is_live = |host: &String| gate.is_live(host);
--- a/crates/gate/src/forward/relay.rs
+++ b/crates/gate/src/forward/relay.rs
@@ -80,13 +80,17 @@
             first_token: None,
             last_token: None,
         };
-        actix_rt::spawn(relay.run(upstream, slot));
+        // A shutdown waits until the usage is recorded, not only until the response is delivered. The
+        // guard is taken before the task runs, so that the request and the task overlap.
+        let guard = relay.gate.activity.start_task();
+        actix_rt::spawn(async move {
+            relay.run(upstream, slot).await;
+            drop(guard);
+        });
         Reader::new(receiver, meter)
     }
 
     async fn run(mut self, upstream: Upstream, mut slot: Slot) {
-        // A shutdown waits until the usage is recorded, not only until the response is delivered.
-        let _guard = self.gate.activity.start_task();
         let is_complete = self.deliver(upstream).await;
         let usage = self.usage.unwrap_or_default();
         slot.charge(Cost {
--- a/crates/gate/tests/tls.rs
+++ b/crates/gate/tests/tls.rs
@@ -8,6 +8,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use agate_gate::activity::Phase;
 use rustls::crypto::ring;
 use rustls::{ClientConfig, ClientConnection, RootCertStore, StreamOwned};
 use support::{Deployment, Endpoint, run, service, settings, text};
@@ -55,6 +56,11 @@
 
 fn get(stream: &mut Stream) -> std::io::Result<String> {
     stream.write_all(b"GET /prices/1 HTTP/1.1\r\nhost: gate.test\r\n\r\n")?;
+    read(stream)
+}
+
+/// Reads a response with the body `price`.
+fn read(stream: &mut Stream) -> std::io::Result<String> {
     let mut buffer = [0; 4096];
     let mut received = Vec::new();
     while !received.ends_with(b"price") {
@@ -113,6 +119,49 @@
     });
 }
 
+// Guards against: a TLS connection is cut under a request, or not closed between two, when the gate closes.
+#[test]
+fn a_tls_connection_is_closed_between_two_requests_when_the_gate_closes() {
+    run(async {
+        let directory = TempDir::new().expect("a directory");
+        install(&directory, "one");
+        let upstream = Endpoint::start(|_| async { text(200, "price") }).await;
+        let mut settings = settings();
+        settings.keep_addresses = Duration::from_millis(50);
+        settings.tls = Some(agate_gate::settings::Tls {
+            certificate: directory.path().join("certificate.pem"),
+            key: directory.path().join("key.pem"),
+        });
+        let deployment = Deployment::with(settings, vec![service("s1", upstream.address)]).await;
+        let address = deployment.program.address();
+        let (idle, sending) = blocking(move || {
+            let mut idle = connect(address, "one");
+            get(&mut idle).expect("a response");
+            let mut sending = connect(address, "one");
+            get(&mut sending).expect("a response");
+            sending.write_all(b"GET /pri").expect("written");
+            (idle, sending)
+        })
+        .await;
+        let closing = actix_rt::spawn(deployment.program.close());
+        support::until(|| deployment.gate.activity.phase() == Phase::Closing).await;
+        let (end, reply) = blocking(move || {
+            let (mut idle, mut sending) = (idle, sending);
+            let end = idle.read(&mut [0]);
+            std::thread::sleep(Duration::from_millis(300));
+            sending
+                .write_all(b"ces/1 HTTP/1.1\r\nhost: gate.test\r\n\r\n")
+                .expect("written");
+            (end, read(&mut sending))
+        })
+        .await;
+        assert_eq!(end.expect("an announced end"), 0);
+        let reply = reply.expect("a response");
+        assert!(reply.starts_with("HTTP/1.1 200"), "{reply}");
+        assert!(closing.await.expect("the shutdown ends").is_none());
+    });
+}
+
 #[test]
 fn a_connection_without_a_tls_handshake_is_closed_after_the_head_timeout() {
     run(async {
