--- a/crates/edge/tests/stop.rs
+++ b/crates/edge/tests/stop.rs
@@ -206,6 +206,38 @@
     assert_eq!(closing.await.expect("the stop ends"), 0);
 }
 
+// Guards against: a request that was read behind another one is dropped without a response in a stop.
+#[actix_rt::test]
+async fn a_request_that_is_pipelined_in_a_stop_gets_a_response() {
+    let server = Server::start(vec![SLOW.to_vec()]).await;
+    let harness = Harness::start(&[&server]).await;
+    let mut caller = kept(&harness).await;
+    let closing = actix_rt::spawn(harness.program.close());
+    sleep(Duration::from_millis(100)).await;
+    let both = request("book", "r1", "body") + &request("book", "r2", "body");
+    caller.write_all(both.as_bytes()).await.expect("written");
+    let first = read_response(&mut caller).await;
+    assert!(first.ends_with("fine"), "{first}");
+    let second = read_response(&mut caller).await;
+    assert!(is_complete(&second), "{second}");
+    assert_eq!(closing.await.expect("the stop ends"), 0);
+}
+
+// Guards against: a request that is half sent at the end of a stop counts as cut, and its connection ends without
+// a response.
+#[actix_rt::test]
+async fn a_request_that_is_half_sent_at_the_end_of_a_stop_is_refused() {
+    let (_server, harness) = host(Duration::from_secs(1)).await;
+    let mut caller = harness.connect().await;
+    let text = request("book", "r1", "body");
+    let (begin, _) = text.split_at(20);
+    caller.write_all(begin.as_bytes()).await.expect("written");
+    sleep(Duration::from_millis(50)).await;
+    assert_eq!(harness.program.close().await, 0, "requests that are cut");
+    let response = read_response(&mut caller).await;
+    assert_eq!(status(&response), "503", "{response}");
+}
+
 /// Responds to every request.
 struct Fine;
 
