Gate: the time for final responses counts from when it begins

What callers saw: a gate that ran late, as on a busy machine, ended without the final responses of requests that outlast the drain timeout. Cause: the end was computed before the wait for those requests; a process that came late to it found the end past as well, and gave the tasks of the requests no turn. Class: a time that is read before a wait.

The test is unchanged.

--- a/crates/gate/src/program.rs
+++ b/crates/gate/src/program.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use actix_rt::task::JoinHandle;
-use tokio::time::{Instant, timeout_at};
+use tokio::time::timeout;
 
 use crate::activity::Phase;
 use crate::front::server::{self, Connection, Listener};
@@ -110,18 +110,16 @@
         if let Err(err) = self.caller_task.await {
             tracing::error!(event = "accept_failed", error = %err);
         }
-        let end = Instant::now() + gate.settings.drain_timeout;
-        let last_response = end - gate.settings.drain_timeout.mul_f64(ENDING_SHARE);
-        if timeout_at(last_response, gate.activity.idle())
-            .await
-            .is_err()
-        {
+        let drain = gate.settings.drain_timeout;
+        let ending = drain.mul_f64(ENDING_SHARE);
+        if timeout(drain - ending, gate.activity.idle()).await.is_err() {
             tracing::warn!(event = "ending", running = gate.activity.running());
         }
         // No request is admitted after the look at them, so that none runs or adds usage while the
         // usage is handed over.
         gate.activity.enter(Phase::Ending);
-        let _ = timeout_at(end, gate.activity.idle()).await;
+        // Counts from here, so that a process that runs late still writes the final responses.
+        let _ = timeout(ending, gate.activity.idle()).await;
         self.sync_task.abort();
         let loss = Loss {
             requests: gate.activity.running(),
@@ -152,6 +150,6 @@
             }
         }
     };
-    let _ = tokio::time::timeout(HANDOVER_TIMEOUT, handover).await;
+    let _ = timeout(HANDOVER_TIMEOUT, handover).await;
     gate.usage.borrow().changed().len()
 }
