Soak: a request that has reached an endpoint gets its whole response

Change: the promise Answered. A request that reached an endpoint and ended Broken or in Silence is a finding, unless the host met another fault than stops and those of the store, or its endpoints were not sound. Disturbances tell their cause for that; PlannedStop counts what it did before.

The checks on ledgers of systems that break just this promise pass; each fails without the check.

--- a/crates/soak/src/check.rs
+++ b/crates/soak/src/check.rs
@@ -3,7 +3,7 @@
 use std::collections::{BTreeMap, HashMap};
 use std::time::Duration;
 
-use crate::ledger::{Arrival, Ask, Asked, Change, End, Ledger, Notice, Ran, Retry};
+use crate::ledger::{Arrival, Ask, Asked, Cause, Change, End, Ledger, Notice, Ran, Retry};
 
 /// Bounds that the checks allow, as the settings of the hosts give them.
 #[derive(Clone, Copy, Debug)]
@@ -58,6 +58,9 @@
     OneFigure,
     /// An orderly stop breaks no request in flight.
     PlannedStop,
+    /// A request that has reached a sound endpoint gets its whole response, whatever is planned and
+    /// whatever the store does.
+    Answered,
     /// The number of retries stays within the retry budget.
     RetryBudget,
     /// A host that has passed on the response of a leaving endpoint sends it no further request.
@@ -80,7 +83,7 @@
 }
 
 /// All promises with their checks, in the order in which they are checked.
-pub const CHECKS: [(Promise, Check); 17] = [
+pub const CHECKS: [(Promise, Check); 18] = [
     (Promise::AtMostOnce, at_most_once),
     (Promise::NotRun, not_run),
     (Promise::WholeAnswer, whole_answer),
@@ -93,6 +96,7 @@
     (Promise::OneHolder, one_holder),
     (Promise::OneFigure, one_figure),
     (Promise::PlannedStop, planned_stop),
+    (Promise::Answered, answered),
     (Promise::RetryBudget, retry_budget),
     (Promise::Leaving, leaving),
     (Promise::Pause, pause),
@@ -203,8 +207,8 @@
             .changes
             .iter()
             .take_while(|change| change.at <= execution.at);
-        let mut accounts = written.filter_map(|change| change.keys.get(&request.key));
-        !accounts.any(|account| Some(account) == execution.account.as_ref())
+        let mut accounts = written.filter_map(|change| change.account(request));
+        !accounts.any(|account| account == execution.account.as_ref())
     });
     wrong.map(|execution| format!("{execution:?}")).collect()
 }
@@ -231,7 +235,8 @@
         let Some(request) = requests.get(execution.id.as_str()) else {
             return false;
         };
-        let withdrawn = withdrawn_at(&ledger.changes, &request.key);
+        let key = request.key.as_deref();
+        let withdrawn = key.and_then(|key| withdrawn_at(&ledger.changes, key));
         withdrawn.is_some_and(|at| request.sent > at + bounds.withdraw)
     });
     let text = |execution: &Ran| {
@@ -253,9 +258,7 @@
                 ..
             }
         );
-        let allows = |change: &Change| {
-            change.keys.contains_key(&request.key) && change.routes.contains(&request.route)
-        };
+        let allows = |change: &Change| change.allows(request);
         is_denied && ledger.changes.iter().all(allows)
     });
     denied.map(|request| format!("{request:?}")).collect()
@@ -271,9 +274,7 @@
                 ..
             }
         );
-        let allows = |change: &Change| {
-            change.keys.contains_key(&request.key) && change.routes.contains(&request.route)
-        };
+        let allows = |change: &Change| change.allows(request);
         let Some(since) = request.sent.checked_sub(bounds.apply) else {
             return false;
         };
@@ -293,13 +294,13 @@
 /// Checks that a process incarnation which served a route and key does not refuse them later as
 /// unknown, as long as both exist in the configuration.
 fn never_back(ledger: &Ledger, _: &Bounds) -> Vec<String> {
-    let mut served: HashMap<(usize, u64, &str, &str), Duration> = HashMap::new();
+    let mut served: HashMap<(usize, u64, Option<&str>, &str), Duration> = HashMap::new();
     for request in &ledger.requests {
         if matches!(request.end, End::Whole { status: 200, .. }) {
             let scope = (
                 request.host,
                 request.boot,
-                request.key.as_str(),
+                request.key.as_deref(),
                 request.route.as_str(),
             );
             let since = served.entry(scope).or_insert(request.ended);
@@ -318,13 +319,11 @@
         let scope = (
             request.host,
             request.boot,
-            request.key.as_str(),
+            request.key.as_deref(),
             request.route.as_str(),
         );
         let since = served.get(&scope).filter(|since| **since < request.sent);
-        let exists = |change: &Change| {
-            change.keys.contains_key(&request.key) && change.routes.contains(&request.route)
-        };
+        let exists = |change: &Change| change.allows(request);
         is_unknown
             && since.is_some_and(|since| {
                 let changes = &ledger.changes;
@@ -393,6 +392,40 @@
     broken.map(|request| format!("{request:?}")).collect()
 }
 
+/// Checks the requests of hosts that met nothing but orderly stops, reloads, changes of the
+/// configuration and faults of the store.
+fn answered(ledger: &Ledger, bounds: &Bounds) -> Vec<String> {
+    let mut arrivals: HashMap<&str, Vec<&Arrival>> = HashMap::new();
+    for arrival in &ledger.arrivals {
+        arrivals.entry(&arrival.id).or_default().push(arrival);
+    }
+    let mut texts = Vec::new();
+    for request in &ledger.requests {
+        let Some(arrivals) = arrivals.get(request.id.as_str()) else {
+            continue;
+        };
+        let is_unanswered = matches!(request.end, End::Broken { .. } | End::Silence);
+        let from = request.sent.saturating_sub(bounds.settle);
+        let until = request.ended;
+        let first = arrivals.iter().map(|arrival| arrival.at).min();
+        let is_departed = ledger.departures.iter().any(|departure| {
+            let is_its = arrivals
+                .iter()
+                .any(|arrival| arrival.endpoint == departure.endpoint);
+            is_its && first.is_some_and(|first| (first..=until).contains(&departure.at))
+        });
+        let causes = [Cause::Stop, Cause::Store];
+        if is_unanswered
+            && !is_departed
+            && ledger.has_only(request.host, from, until, &causes)
+            && ledger.are_endpoints_undisturbed(from, until)
+        {
+            texts.push(format!("{request:?}, {arrivals:?}"));
+        }
+    }
+    texts
+}
+
 fn retry_budget(ledger: &Ledger, bounds: &Bounds) -> Vec<String> {
     let mut executions: HashMap<&str, usize> = HashMap::new();
     let mut retries: Vec<Duration> = Vec::new();
--- a/crates/soak/src/ledger.rs
+++ b/crates/soak/src/ledger.rs
@@ -51,8 +51,8 @@
     pub boot: u64,
     /// Whether the request may be retried.
     pub repeat: Retry,
-    /// API key that the request carried.
-    pub key: String,
+    /// API key that the request carried; `None` if it carried none.
+    pub key: Option<String>,
     /// Name of the route that the request was sent to.
     pub route: String,
     /// Time at which the last byte of the request was written.
@@ -120,6 +120,24 @@
     pub keys: BTreeMap<String, String>,
     /// Names of all routes that exist from this change on.
     pub routes: Vec<String>,
+    /// Names of the routes among them that need no key.
+    pub open: Vec<String>,
+}
+
+impl Change {
+    /// Returns whether the configuration has the route and the key of a request, or needs no key there.
+    pub fn allows(&self, request: &Asked) -> bool {
+        self.account(request).is_some() && self.routes.contains(&request.route)
+    }
+
+    /// Returns the client account of a request, which is `None` without a key. Returns `None` if the key
+    /// is unknown, or missing where one is needed.
+    pub fn account(&self, request: &Asked) -> Option<Option<&String>> {
+        match &request.key {
+            Some(key) => self.keys.get(key).map(Some),
+            None => self.open.contains(&request.route).then_some(None),
+        }
+    }
 }
 
 /// A call of a lease holder to the receiver of usage reports and orders.
@@ -135,6 +153,17 @@
     pub report: Option<(u64, BTreeMap<String, u64>)>,
 }
 
+/// What kind of fault disturbed a host.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Cause {
+    /// An orderly stop and nothing else.
+    Stop,
+    /// A fault of the store, or of a host's link to it, and nothing else.
+    Store,
+    /// Any other fault.
+    Other,
+}
+
 /// An interval during which faults disturbed a host.
 #[derive(Clone, Copy, Debug)]
 pub struct Disturbance {
@@ -144,8 +173,17 @@
     pub from: Duration,
     /// Time from which the host counts as undisturbed again.
     pub until: Duration,
-    /// Whether the disturbance was an orderly stop and nothing else.
-    pub planned: bool,
+    /// Kind of the fault.
+    pub cause: Cause,
+}
+
+/// The end of an endpoint that had announced its drain.
+#[derive(Clone, Debug)]
+pub struct Departure {
+    /// Id of the endpoint.
+    pub endpoint: String,
+    /// Time at which it closed its connections.
+    pub at: Duration,
 }
 
 /// Resources that the process of one host occupied.
@@ -176,6 +214,8 @@
     pub disturbances: Vec<Disturbance>,
     /// Intervals, as start and end, during which endpoints were disturbed.
     pub endpoint_disturbances: Vec<(Duration, Duration)>,
+    /// Ends of endpoints that had announced their drain.
+    pub departures: Vec<Departure>,
     /// Probes after the last fault, by host: number of served and of sent requests.
     pub probes: Vec<(usize, usize)>,
     /// Host index and time of each process exit that the run did not request.
@@ -192,7 +232,14 @@
 
     /// Returns whether only orderly stops, or nothing, disturbed the host in the interval.
     pub fn has_only_planned_stops(&self, host: usize, from: Duration, until: Duration) -> bool {
-        !self.is_disturbed(host, from, until, |disturbance| !disturbance.planned)
+        self.has_only(host, from, until, &[Cause::Stop])
+    }
+
+    /// Returns whether only disturbances of these causes, or nothing, disturbed the host in the interval.
+    pub fn has_only(&self, host: usize, from: Duration, until: Duration, causes: &[Cause]) -> bool {
+        !self.is_disturbed(host, from, until, |disturbance| {
+            !causes.contains(&disturbance.cause)
+        })
     }
 
     fn is_disturbed(
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -82,11 +82,13 @@
     ConfigStorm,
     /// The receiver of reports loses some of its responses.
     DutiesLost,
+    /// One endpoint, or all of them, takes longer for each request and serves all of them.
+    EndpointSlow,
 }
 
 impl Kind {
     /// All kinds, in the order of their declaration.
-    pub const ALL: [Kind; 31] = [
+    pub const ALL: [Kind; 32] = [
         Kind::HostKill,
         Kind::AllKill,
         Kind::HostStop,
@@ -118,6 +120,7 @@
         Kind::KeyWithdraw,
         Kind::ConfigStorm,
         Kind::DutiesLost,
+        Kind::EndpointSlow,
     ];
 
     /// Returns whether the fault disturbs all hosts, not only its target.
@@ -150,7 +153,24 @@
             )
     }
 
-    /// Returns whether the fault disturbs endpoints. An announced drain does not count as one.
+    /// Returns whether the fault is one of the store, or of hosts' links to it.
+    pub fn is_of_store(self) -> bool {
+        matches!(
+            self,
+            Kind::StoreCut
+                | Kind::StoreAnswersCut
+                | Kind::StoreReset
+                | Kind::StoreThin
+                | Kind::StoreDown
+                | Kind::StoreSlow
+                | Kind::StoreAnswersLost
+                | Kind::StoreWritesLate
+                | Kind::StoreForgets
+        )
+    }
+
+    /// Returns whether the fault disturbs endpoints. An announced drain does not count as one, nor
+    /// does an endpoint that serves all requests later.
     pub fn disturbs_endpoints(self) -> bool {
         matches!(
             self,
--- a/crates/soak/tests/check.rs
+++ b/crates/soak/tests/check.rs
@@ -5,7 +5,8 @@
 
 use agate_soak::check::{Bounds, CHECKS, Promise, findings};
 use agate_soak::ledger::{
-    Arrival, Ask, Asked, Call, Change, Disturbance, End, Ledger, Notice, Ran, Retry, Use,
+    Arrival, Ask, Asked, Call, Cause, Change, Departure, Disturbance, End, Ledger, Notice, Ran,
+    Retry, Use,
 };
 use rstest::rstest;
 
@@ -40,7 +41,7 @@
         host: 0,
         boot: 1,
         repeat: Retry::Forbidden,
-        key: "key".to_owned(),
+        key: Some("key".to_owned()),
         route: "book".to_owned(),
         sent: seconds(sent),
         ended: seconds(sent + 0.1),
@@ -81,6 +82,7 @@
         at: seconds(at),
         keys: keys.iter().map(account).collect(),
         routes: routes.iter().map(|route| (*route).to_owned()).collect(),
+        open: Vec::new(),
     }
 }
 
@@ -169,13 +171,27 @@
                 host: Some(0),
                 from: seconds(39.0),
                 until: seconds(47.0),
-                planned: true,
+                cause: Cause::Stop,
             });
             ledger
                 .requests
                 .push(request("r3", 40.0, End::Broken { begun: false }));
             ledger.executions.push(execution("r3", 40.05));
         }
+        Promise::Answered => {
+            for (cause, host) in [(Cause::Stop, Some(0)), (Cause::Store, None)] {
+                ledger.disturbances.push(Disturbance {
+                    host,
+                    from: seconds(39.0),
+                    until: seconds(47.0),
+                    cause,
+                });
+            }
+            ledger
+                .requests
+                .push(request("r3", 40.0, End::Broken { begun: false }));
+            ledger.arrivals.push(arrival("r3", 40.05));
+        }
         Promise::RetryBudget => {
             ledger.requests[0].repeat = Retry::Allowed;
             for n in 0..4 {
@@ -207,7 +223,7 @@
 
 #[rstest]
 fn each_check_alone_reports_the_violation_of_its_promise(
-    #[values(0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16)] n: usize,
+    #[values(0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17)] n: usize,
 ) {
     let (promise, _) = CHECKS[n];
     let found = findings(&broken_ledger(promise), &BOUNDS);
@@ -254,7 +270,88 @@
         host: Some(0),
         from: seconds(9.0),
         until: seconds(11.0),
-        planned: false,
+        cause: Cause::Store,
     });
     assert_eq!(findings(&ledger, &BOUNDS), []);
 }
+
+#[rstest]
+#[case::nothing_disturbs(None, 40.0, End::Silence)]
+#[case::a_store_that_fails(Some(Cause::Store), 40.0, End::Broken { begun: true })]
+#[case::a_stop(Some(Cause::Stop), 40.0, End::Silence)]
+fn a_request_at_an_endpoint_without_a_response_is_a_finding(
+    #[case] cause: Option<Cause>,
+    #[case] sent: f64,
+    #[case] end: End,
+) {
+    let ledger = unanswered_ledger(cause, sent, end);
+    let found = findings(&ledger, &BOUNDS);
+    let promises: Vec<Promise> = found.iter().map(|finding| finding.promise).collect();
+    assert_eq!(promises, [Promise::Answered], "{found:?}");
+}
+
+#[rstest]
+#[case::another_fault(Some(Cause::Other), 40.0, End::Silence)]
+#[case::another_fault_that_just_ended(Some(Cause::Other), 49.9, End::Broken { begun: false })]
+#[case::the_caller_left(None, 40.0, End::Left)]
+fn a_request_that_other_faults_excuse_is_no_finding(
+    #[case] cause: Option<Cause>,
+    #[case] sent: f64,
+    #[case] end: End,
+) {
+    assert_eq!(findings(&unanswered_ledger(cause, sent, end), &BOUNDS), []);
+}
+
+/// An endpoint that ends, and one that a fault disturbs, are not sound.
+#[test]
+fn a_request_whose_endpoint_ends_is_no_finding() {
+    let unanswered = unanswered_ledger(None, 40.0, End::Silence);
+    let mut departed = unanswered.clone();
+    let endpoints = ["e", "f"].map(|endpoint| Departure {
+        endpoint: endpoint.to_owned(),
+        at: seconds(40.08),
+    });
+    let [own, other] = endpoints;
+    departed.departures.push(other);
+    assert_eq!(findings(&departed, &BOUNDS).len(), 1);
+    departed.departures.push(own);
+    assert_eq!(findings(&departed, &BOUNDS), []);
+    let mut disturbed = unanswered;
+    disturbed
+        .endpoint_disturbances
+        .push((seconds(36.0), seconds(37.5)));
+    assert_eq!(findings(&disturbed, &BOUNDS), []);
+}
+
+#[rstest]
+#[case::open_route(&["book"], None, None)]
+#[case::closed_route(&[], None, Some(Promise::Account))]
+#[case::open_route_for_an_account(&["book"], Some("night"), Some(Promise::Account))]
+fn a_request_without_a_key_runs_on_open_routes_for_no_account(
+    #[case] open: &[&str],
+    #[case] account: Option<&str>,
+    #[case] promise: Option<Promise>,
+) {
+    let mut ledger = sound_ledger();
+    ledger.changes[0].open = open.iter().map(|route| (*route).to_owned()).collect();
+    ledger.requests[0].key = None;
+    ledger.executions[0].account = account.map(str::to_owned);
+    let found = findings(&ledger, &BOUNDS);
+    let promises: Vec<Promise> = found.iter().map(|finding| finding.promise).collect();
+    assert_eq!(promises, Vec::from_iter(promise), "{found:?}");
+}
+
+/// Returns a ledger with a request that reached an endpoint and ended like this, with a disturbance of
+/// its host from 39 s to 47 s.
+fn unanswered_ledger(cause: Option<Cause>, sent: f64, end: End) -> Ledger {
+    let mut ledger = sound_ledger();
+    ledger.disturbances.extend(cause.map(|cause| Disturbance {
+        host: Some(0),
+        from: seconds(39.0),
+        until: seconds(47.0),
+        cause,
+    }));
+    ledger.requests.push(request("r3", sent, end));
+    ledger.arrivals.push(arrival("r3", sent + 0.05));
+    ledger
+}
