Soak: a stall of the machine is no unanswered request

All four are streams that had begun and were cut at the same moment, 2.9 to 3.0 s after they were sent; the logs of six hosts have gaps of 2.5 to 3.8 s that end in that second. The endpoints run in the soak's process, which stalled too, and the time limit of 2.5 s was over.

A connection that ends without a byte of an answer, and one that stays, count as before. Nothing changes for the other checks.

--- a/crates/soak/src/check.rs
+++ b/crates/soak/src/check.rs
@@ -17,6 +17,8 @@
     pub apply: Duration,
     /// Time that must have passed since a disturbance for a host to count as undisturbed.
     pub settle: Duration,
+    /// Time limit of a request, after which a host may end a response that has begun.
+    pub limit: Duration,
     /// Time within which the lease may not change its holder and return to the former one.
     pub lease: Duration,
     /// Retries allowed for each request of a window.
@@ -404,9 +406,13 @@
         let Some(arrivals) = arrivals.get(request.id.as_str()) else {
             continue;
         };
-        let is_unanswered = matches!(request.end, End::Broken { .. } | End::Silence);
         let from = request.sent.saturating_sub(bounds.settle);
         let until = request.ended;
+        let is_unanswered = match request.end {
+            End::Broken { begun: true } => until.saturating_sub(request.sent) < bounds.limit,
+            End::Broken { begun: false } | End::Silence => true,
+            _ => false,
+        };
         let first = arrivals.iter().map(|arrival| arrival.at).min();
         let is_departed = ledger.departures.iter().any(|departure| {
             let is_its = arrivals
@@ -417,6 +423,7 @@
         let causes = [Cause::Stop, Cause::Store];
         if is_unanswered
             && !is_departed
+            && ledger.is_steady(request.sent, until)
             && ledger.has_only(request.host, from, until, &causes)
             && ledger.are_endpoints_undisturbed(from, until)
         {
--- a/crates/soak/src/ledger.rs
+++ b/crates/soak/src/ledger.rs
@@ -214,6 +214,8 @@
     pub disturbances: Vec<Disturbance>,
     /// Intervals, as start and end, during which endpoints were disturbed.
     pub endpoint_disturbances: Vec<(Duration, Duration)>,
+    /// Intervals, as start and end, in which the run itself did not proceed, and so its endpoints did not.
+    pub stalls: Vec<(Duration, Duration)>,
     /// Ends of endpoints that had announced their drain.
     pub departures: Vec<Departure>,
     /// Probes after the last fault, by host: number of served and of sent requests.
@@ -258,6 +260,12 @@
         })
     }
 
+    /// Returns whether the run proceeded all through the interval.
+    pub fn is_steady(&self, from: Duration, until: Duration) -> bool {
+        let overlaps = |stall: &(Duration, Duration)| stall.0 <= until && stall.1 >= from;
+        !self.stalls.iter().any(overlaps)
+    }
+
     /// Returns whether no disturbance of an endpoint overlaps the interval.
     pub fn are_endpoints_undisturbed(&self, from: Duration, until: Duration) -> bool {
         let overlaps = |interval: &(Duration, Duration)| interval.0 <= until && interval.1 >= from;
--- a/crates/soak/tests/check.rs
+++ b/crates/soak/tests/check.rs
@@ -15,6 +15,7 @@
     drain: Duration::from_secs(2),
     apply: Duration::from_secs(2),
     settle: Duration::from_secs(3),
+    limit: Duration::from_millis(2_500),
     lease: Duration::from_secs(3),
     retry_ratio: 0.2,
     retry_extra: 2.0,
@@ -302,6 +303,24 @@
     assert_eq!(findings(&unanswered_ledger(cause, sent, end), &BOUNDS), []);
 }
 
+/// A response may be cut at the time limit, and the run's own stall is no fault of a host.
+#[test]
+fn a_response_that_is_cut_at_the_time_limit_or_in_a_stall_is_no_finding() {
+    let broken = unanswered_ledger(None, 40.0, End::Broken { begun: true });
+    for (ended, count) in [(42.4, 1), (42.6, 0)] {
+        let mut limited = broken.clone();
+        limited.requests[2].ended = seconds(ended);
+        assert_eq!(findings(&limited, &BOUNDS).len(), count);
+        limited.requests[2].end = End::Broken { begun: false };
+        assert_eq!(findings(&limited, &BOUNDS).len(), 1);
+    }
+    for (stall, count) in [((38.0, 39.9), 1), ((39.0, 40.05), 0), ((40.2, 43.0), 1)] {
+        let mut stalled = broken.clone();
+        stalled.stalls.push((seconds(stall.0), seconds(stall.1)));
+        assert_eq!(findings(&stalled, &BOUNDS).len(), count);
+    }
+}
+
 /// An endpoint that ends, and one that a fault disturbs, are not sound.
 #[test]
 fn a_request_whose_endpoint_ends_is_no_finding() {
