Steer: a failed read of the store has no unknown outcome

Callers: a change that failed because a read of the store got no response was refused with "the store cannot be reached: outcome unknown: ...; nothing was changed" (503 store_unavailable). The two halves contradict each other. The second is right: a lost commit is kept apart and answered with 504 outcome_unknown.

Cause: the error of the store's client says what is known of the call's effect, and a read was reported with these words. Now a failed read is reported with its cause alone.

Evidence: a_change_whose_reads_fail_has_no_unknown_outcome fails before with the text above and passes after it, with the 15 other tests of the resource API.

--- a/crates/steer/src/config/commit.rs
+++ b/crates/steer/src/config/commit.rs
@@ -79,9 +79,9 @@
     /// The named resource does not exist.
     #[error("{0} does not exist")]
     NotFound(String),
-    /// The store cannot be reached; nothing was changed.
+    /// The store cannot be reached; nothing was changed. Holds the cause.
     #[error("the store cannot be reached: {0}")]
-    Unavailable(Error),
+    Unavailable(String),
     /// The store's response was lost; the change may have been made.
     #[error("outcome unknown: {0}")]
     Unknown(Error),
@@ -133,7 +133,8 @@
                 status: 409,
                 message: "too many concurrent changes".to_owned(),
             };
-            return Err(unknown.map_or(Failure::Unavailable(timeout), Failure::Unknown));
+            let unavailable = Failure::Unavailable(timeout.to_string());
+            return Err(unknown.map_or(unavailable, Failure::Unknown));
         }
         sleep(reader::jittered(RETRY_PAUSE)).await;
     }
@@ -173,7 +174,7 @@
         }
         Err(Error::Conflict(conflict)) => Ok(retry_after(&conflict)),
         Err(Error::Unknown(text)) => Ok(Attempt::Retry(Some(Error::Unknown(text)))),
-        Err(err) => Err(Failure::Unavailable(err)),
+        Err(err) => Err(Failure::Unavailable(err.to_string())),
     }
 }
 
@@ -182,9 +183,13 @@
     Attempt::Retry(None)
 }
 
-/// Maps the error of a read, which can't have changed anything.
+/// Maps the error of a read, which can't have changed anything, so that no outcome is unknown.
 fn unavailable(err: Error) -> Failure {
-    Failure::Unavailable(err)
+    let cause = match err {
+        Error::Unknown(cause) => cause,
+        err => err.to_string(),
+    };
+    Failure::Unavailable(cause)
 }
 
 async fn find_nonce(
--- a/crates/steer/tests/resources.rs
+++ b/crates/steer/tests/resources.rs
@@ -4,6 +4,7 @@
 
 use std::rc::Rc;
 
+use agate_fake::memory::Fault;
 use agate_wire::api::{Failure, KeyIssued, Listing, Outcome, State, Watch};
 use agate_wire::sync::{self, Request, Response, Update};
 use awc::http::Method;
@@ -167,6 +168,26 @@
     assert_eq!(host.apply(json!([put(&account("a", 1))])).await.status, 200);
 }
 
+// Guards against: a failed read is reported as "outcome unknown" and "nothing was changed" in one message.
+#[actix_rt::test]
+async fn a_change_whose_reads_fail_has_no_unknown_outcome() {
+    let (fake, host) = single().await;
+    let before = host.process.context.copy.version();
+    fake.tables.fault.set(Fault::ResponseLost);
+    let response = host.apply(json!([put(&account("a", 1))])).await;
+    assert_eq!(response.status, 503);
+    let failure: Failure = response.parse();
+    assert_eq!(failure.code, "store_unavailable");
+    assert!(
+        failure.message.contains("nothing was changed"),
+        "{failure:?}"
+    );
+    assert!(!failure.message.contains("unknown"), "{failure:?}");
+    fake.tables.fault.set(Fault::None);
+    assert_eq!(host.apply(json!([put(&account("a", 1))])).await.status, 200);
+    assert_eq!(host.process.context.copy.version(), before + 1);
+}
+
 #[actix_rt::test]
 async fn a_key_is_shown_once_and_stored_as_a_digest() {
     let (_fake, host) = single().await;
