Evacuated zones get no requests

Cause: the row by which an operator evacuates a zone was read with the configuration's table and ignored, so requests went on to its endpoints.

Change: hosts keep the newest known change of each zone, leave its endpoints out of every choice and check again once the connection is open. Readers hand the rows on beside the patches; heartbeats commit on the condition that no evacuation has changed, so a silent long poll does not hide one. Nothing is ordered in an evacuated zone.

--- a/crates/edge/src/balancer.rs
+++ b/crates/edge/src/balancer.rs
@@ -140,6 +140,8 @@
     entries: SlotMap<Key, Entry>,
     by_id: HashMap<EndpointId, Key>,
     by_service: HashMap<ServiceId, Vec<Key>>,
+    /// Zones whose endpoints get no requests.
+    evacuated: HashSet<ZoneId>,
     /// What endpoints asked for, also those that are not listed any more.
     notices: Notices<Rc<Incarnation>>,
 }
@@ -291,13 +293,20 @@
         open.to_vec()
     }
 
-    /// Returns the endpoints of a service that are not draining and did not say that they are leaving.
+    /// Sets the zones whose endpoints get no requests.
+    pub fn evacuate(&mut self, zones: HashSet<ZoneId>) {
+        self.evacuated = zones;
+    }
+
+    /// Returns the endpoints of a service that are not draining, did not say that they are leaving, and
+    /// are in no evacuated zone.
     fn ready(&self, service: &str) -> impl Iterator<Item = Key> {
         let keys = self.by_service.get(service).map_or(&[][..], Vec::as_slice);
         let all = keys.iter().copied();
         all.filter(|key| {
             let entry = &self.entries[*key];
-            !entry.endpoint.draining && !entry.is_leaving
+            let is_evacuated = self.evacuated.contains(&entry.endpoint.zone);
+            !entry.endpoint.draining && !entry.is_leaving && !is_evacuated
         })
     }
 
@@ -360,8 +369,10 @@
 
     /// Returns whether the endpoint of an assignment may still get the request.
     pub fn is_open(&self, now: Instant, assignment: &Assignment) -> bool {
-        self.notices
-            .is_open(now.into_std(), &assignment.incarnation)
+        !self.evacuated.contains(&assignment.endpoint.zone)
+            && self
+                .notices
+                .is_open(now.into_std(), &assignment.incarnation)
     }
 
     /// Returns when the first pause ends if all endpoints of a service are paused, otherwise `None`.
--- a/crates/edge/src/duty/fleet.rs
+++ b/crates/edge/src/duty/fleet.rs
@@ -117,6 +117,7 @@
 /// Plans the endpoints of one service and sends the orders that differ from the last ones.
 async fn step(edge: &Edge, service: &Service, state: &mut State) {
     let Some(scale) = &service.scale else { return };
+    let scale = &edge.evacuations.borrow().open_part(scale);
     let now = Instant::now();
     let listed = listed_plan(edge, &service.id);
     let demand = state.demand.entry(service.id.clone()).or_default();
@@ -146,7 +147,9 @@
     let exhausted: BTreeMap<ZoneId, u32> = state
         .exhausted
         .keys()
-        .filter(|(id, _, reclaimable)| *id == service.id && *reclaimable)
+        .filter(|(id, zone, reclaimable)| {
+            *id == service.id && *reclaimable && scale.zone_prices.contains_key(zone)
+        })
         .map(|(_, zone, _)| (zone.clone(), count_in(&listed, zone, true)))
         .collect();
     let inputs = Inputs {
@@ -215,12 +218,15 @@
     }
 }
 
-/// Returns the number of listed endpoints of a service that are not draining.
+/// Returns the number of listed endpoints of a service that are not draining, without those of
+/// evacuated zones.
 fn listed_plan(edge: &Edge, service: &str) -> Plan {
     let mut listed = Plan::new();
     let roster = edge.roster.borrow();
+    let evacuations = edge.evacuations.borrow();
     for endpoint in roster.endpoints() {
-        if endpoint.service == service && !endpoint.draining {
+        let is_evacuated = evacuations.contains(&endpoint.zone);
+        if endpoint.service == service && !endpoint.draining && !is_evacuated {
             let size = listed.entry(endpoint.zone.clone()).or_default();
             *count_mut(size, endpoint.reclaimable) += 1;
         }
--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -18,6 +18,7 @@
 use crate::config::{Config, ServiceId};
 use crate::duty::lease::Lease;
 use crate::estimate;
+use crate::evacuation::Evacuations;
 use crate::evidence::Evidence;
 use crate::guard::Guard;
 use crate::handover::Inbox;
@@ -121,7 +122,9 @@
     /// Revision up to which the configuration in force is the newest one written; `None` before there is
     /// one. It passes the revision that wrote it if the same version, or an older one, is written again.
     pub config_revision: Cell<Option<u64>>,
-    /// Notified when a newer configuration than the one in force is known to exist.
+    /// Evacuated zones as last read from the store or another host.
+    pub evacuations: RefCell<Evacuations>,
+    /// Notified when a newer configuration or evacuation than those in force is known to exist.
     pub config_outdated: Notify,
     /// Newest known revision of the store, of any table; 0 before the first.
     pub newest_revision: Cell<u64>,
@@ -170,6 +173,7 @@
             offers: RefCell::default(),
             lease: Lease::default(),
             config_revision: Cell::new(None),
+            evacuations: RefCell::default(),
             config_outdated: Notify::new(),
             newest_revision: Cell::new(0),
             buffered_bytes: Cell::new(0),
@@ -222,7 +226,7 @@
         self.config_revision.set(Some(revision));
     }
 
-    /// Records that the store held no newer configuration at `at`, in time since boot.
+    /// Records that the store held no newer configuration or evacuation at `at`, in time since boot.
     pub fn confirm(&self, at: Duration) {
         let mut evidence = self.evidence.get();
         evidence.confirm(at);
--- a/crates/edge/src/follow/config.rs
+++ b/crates/edge/src/follow/config.rs
@@ -1,7 +1,7 @@
-//! Puts new versions of the configuration in force.
+//! Puts new versions of the configuration, and evacuations of zones, in force.
 
 use std::cell::OnceCell;
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 use std::time::Duration;
 
 use agate_store::interface::{Change, Changes};
@@ -17,9 +17,9 @@
 /// Duration of a long poll for a change of the configuration. Heartbeats provide the evidence that
 /// there is none; this bounds the time for which a silent connection can hide a change.
 const CONFIG_WAIT: Duration = Duration::from_secs(25);
-/// Name under which hosts hand the configuration on, which differs from that of builds that hand on
-/// whole versions.
-const CONFIG_RELAY_TABLE: &str = "patches";
+/// Name under which hosts hand the configuration and the evacuations on, which differs from those of
+/// builds that hand on whole versions, or no evacuations.
+const CONFIG_RELAY_TABLE: &str = "operations";
 /// Maximum age of a configuration that is accepted from another host, longer than the long poll: its
 /// age is no evidence of any kind.
 const MAX_CONFIG_AGE: Duration = Duration::from_secs(30);
@@ -31,6 +31,7 @@
 pub async fn config(edge: Rc<Edge>) {
     let (table, key) = edge.remote.decoder.config_row();
     let sink = ConfigSink {
+        edge: Rc::downgrade(&edge),
         key,
         read: None,
         offered: None,
@@ -43,6 +44,8 @@
 
 /// Puts new versions of the configuration in force.
 struct ConfigSink {
+    /// State whose evacuations other hosts get.
+    edge: Weak<Edge>,
     /// Key of the configuration's row.
     key: &'static str,
     /// Revision of the newest row that was read from the store, whether it could be decoded or not; `None`
@@ -53,8 +56,10 @@
     offered: Option<(u64, Rc<Config>)>,
 }
 
-/// All of a version for hosts that have none of the versions to which patches apply.
+/// All of a version, and the evacuations in force, for hosts that have none of the versions to which
+/// patches apply.
 struct Whole {
+    edge: Weak<Edge>,
     key: &'static str,
     revision: u64,
     config: Rc<Config>,
@@ -70,7 +75,10 @@
             value: Some(value),
             revision: self.revision,
         });
-        row.into_iter().collect()
+        let evacuations = self.edge.upgrade().map(|edge| edge.evacuation_rows());
+        row.into_iter()
+            .chain(evacuations.unwrap_or_default())
+            .collect()
     }
 }
 
@@ -94,6 +102,7 @@
 impl ConfigSink {
     fn apply(&mut self, edge: &Edge, change: &Change) {
         if change.key != self.key {
+            edge.apply_evacuation(change);
             return;
         }
         self.read = self.read.max(Some(change.revision));
@@ -154,6 +163,7 @@
             .is_none_or(|(before, _)| *before != revision)
         {
             let whole = Whole {
+                edge: self.edge.clone(),
                 key: self.key,
                 revision,
                 config,
@@ -173,8 +183,8 @@
 }
 
 impl Sink for ConfigSink {
-    /// Publishes the patch that makes the version in force of the one before, in which keys are
-    /// replaced by their digests.
+    /// Publishes the evacuations, and the patch that makes the version in force of the one before, in
+    /// which keys are replaced by their digests.
     fn publish(&mut self, edge: &Edge, changes: Changes, _is_snapshot: bool) -> Changes {
         let before = self.offer(edge);
         let row = before.zip(self.offered.as_ref());
@@ -186,16 +196,27 @@
                 revision: *revision,
             })
         });
+        let evacuations = changes.rows.into_iter().filter(|row| {
+            let zone = edge.remote.decoder.evacuated_zone(&row.key);
+            zone.is_some()
+        });
         Changes {
-            rows: row.into_iter().collect(),
+            rows: evacuations.chain(row).collect(),
             ..changes
         }
     }
 
     fn relayed(&mut self, edge: &Edge, relayed: Relayed) -> Outcome {
         let changes = relayed.changes;
-        let is_empty = relayed.is_snapshot && changes.rows.is_empty();
-        let applied = changes.rows.iter().try_for_each(|change| {
+        if relayed.is_snapshot {
+            edge.replace_evacuations(&changes.rows, changes.revision);
+        }
+        let rows = changes.rows.iter();
+        let configs: Vec<&Change> = rows
+            .filter(|change| !edge.apply_evacuation(change))
+            .collect();
+        let is_empty = relayed.is_snapshot && configs.is_empty();
+        let applied = configs.into_iter().try_for_each(|change| {
             Self::apply_patch(edge, change).inspect_err(|err| {
                 tracing::warn!(
                     event = "config_not_patched",
@@ -213,6 +234,7 @@
     }
 
     fn snapshot(&mut self, edge: &Edge, changes: Changes, _is_behind: bool) {
+        edge.replace_evacuations(&changes.rows, changes.revision);
         for change in changes.rows {
             self.apply(edge, &change);
         }
--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -212,7 +212,7 @@
             reservation.is_excused.set(true);
             return Attempt::Unsent;
         }
-        // The endpoint may have asked for a pause meanwhile.
+        // The endpoint may have asked for a pause, or its zone may be evacuated, meanwhile.
         let assignment = reservation.assignment();
         if !self.edge.board.borrow().is_open(Instant::now(), assignment) {
             reservation.is_excused.set(true);
--- a/crates/edge/src/handover.rs
+++ b/crates/edge/src/handover.rs
@@ -40,13 +40,16 @@
     pub sums: Sums,
 }
 
-/// Evidence of a reader that its configuration is the newest.
+/// Evidence of a reader that its configuration and its evacuations are the newest.
 #[derive(Clone, Copy, Debug, Serialize, Deserialize)]
 pub struct Evidence {
     /// Revision that wrote the configuration in force at the reader.
     pub revision: u64,
     /// Time since the store was known to hold nothing newer, in milliseconds.
     pub age_ms: u64,
+    /// Revision of the newest evacuation that the reader knows, 0 for none; `None` if it does not tell.
+    #[serde(default)]
+    pub evacuations: Option<u64>,
 }
 
 impl Evidence {
@@ -56,6 +59,7 @@
         newest.map(|(revision, age)| Self {
             revision,
             age_ms: u64::try_from(age.as_millis()).unwrap_or(u64::MAX),
+            evacuations: Some(edge.evacuations.borrow().newest()),
         })
     }
 }
@@ -196,12 +200,15 @@
     let Some(own) = edge.config_revision.get() else {
         return;
     };
-    if newest.revision > own {
+    let evacuations = newest.evacuations.unwrap_or(0);
+    let lacks_evacuation = !edge.evacuations.borrow().is_complete(evacuations);
+    if newest.revision > own || lacks_evacuation {
         edge.config_outdated.notify_waiters();
-        // Only the store has the newer configuration, also for a host that it turned away before.
+        // Only the store has what is newer, also for a host that it turned away before.
         edge.outage.hasten(Instant::now());
     }
-    if newest.revision == own {
+    let is_telling = newest.evacuations.is_some() || edge.settings.borrow().evacuation.is_none();
+    if newest.revision == own && !lacks_evacuation && is_telling {
         edge.confirm(sent_at.saturating_sub(Duration::from_millis(newest.age_ms)));
     }
 }
--- a/crates/edge/src/heartbeat.rs
+++ b/crates/edge/src/heartbeat.rs
@@ -218,6 +218,7 @@
 /// Returns the number of heartbeats that fit into one transaction, and its writes. If this host
 /// holds the lease, these include the removal of stale rows.
 fn batch(edge: &Edge, heartbeats: &[Heartbeat]) -> Result<(usize, Vec<Write>), Error> {
+    let max_rows = MAX_BATCH.saturating_sub(edge.evacuation_checks().len());
     let mut writes = Vec::new();
     let mut count = 0;
     let mut bytes = 0;
@@ -228,7 +229,7 @@
         }
         let length = |write: &Write| write.value.as_ref().map_or(0, String::len);
         bytes += rows.iter().map(length).sum::<usize>();
-        let is_full = bytes > MAX_BATCH_BYTES || writes.len() + rows.len() > MAX_BATCH;
+        let is_full = bytes > MAX_BATCH_BYTES || writes.len() + rows.len() > max_rows;
         if count > 0 && is_full {
             break;
         }
@@ -271,13 +272,14 @@
     })
 }
 
-/// Commits a batch, on the condition that the configuration in force is the newest if possible.
+/// Commits a batch, on the condition that the configuration and the evacuations in force are the newest
+/// if possible.
 async fn commit_batch(edge: &Edge, writes: Vec<Write>) -> Result<(), Error> {
     let outcome = match edge.config_revision.get() {
         Some(revision) => confirm(edge, &writes, revision).await,
         None => commit(edge, Vec::new(), writes.clone()).await,
     };
-    // The rows must be written even if there is a newer configuration.
+    // The rows must be written even if there is a newer configuration or evacuation.
     match outcome {
         Err(Error::Conflict(_)) => {
             edge.config_outdated.notify_waiters();
@@ -298,17 +300,18 @@
     }
 }
 
-/// Commits on the condition that the configuration in force is the newest. Success is evidence of
-/// that, dated at the time when the request was sent.
+/// Commits on the condition that the configuration and the evacuations in force are the newest. Success
+/// is evidence of that, dated at the time when the request was sent.
 async fn confirm(edge: &Edge, writes: &[Write], revision: u64) -> Result<(), Error> {
     let (table, key) = edge.remote.decoder.config_row();
-    let check = Check {
+    let mut checks = edge.evacuation_checks();
+    checks.push(Check {
         table: table.to_owned(),
         key: key.to_owned(),
         revision: Some(revision),
-    };
+    });
     let sent_at = clock::boot();
-    commit(edge, vec![check], writes.to_vec()).await?;
+    commit(edge, checks, writes.to_vec()).await?;
     edge.confirm(sent_at);
     Ok(())
 }
--- a/crates/edge/src/interface.rs
+++ b/crates/edge/src/interface.rs
@@ -128,6 +128,12 @@
     /// Returns the table and key of the configuration's row.
     fn config_row(&self) -> (&'static str, &'static str);
 
+    /// Returns the key of the row, in the configuration's table, that exists while a zone is evacuated.
+    fn evacuation_row(&self, zone: &str) -> String;
+
+    /// Returns the zone that a row of the configuration's table evacuates; `None` for other rows.
+    fn evacuated_zone(&self, key: &str) -> Option<ZoneId>;
+
     /// Returns the table of the endpoints.
     fn endpoint_table(&self) -> &'static str;
 
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod duty;
 pub mod edge;
 pub mod estimate;
+pub mod evacuation;
 pub mod event;
 pub mod evidence;
 pub mod follow;
--- a/crates/edge/src/sabotage.rs
+++ b/crates/edge/src/sabotage.rs
@@ -24,6 +24,8 @@
     IgnoreLeaving,
     /// Requests go on to endpoints that ask for a pause.
     IgnorePauses,
+    /// Requests go on to endpoints in evacuated zones.
+    IgnoreEvacuations,
 }
 
 /// Returns whether a variant is active.
--- a/crates/edge/src/settings.rs
+++ b/crates/edge/src/settings.rs
@@ -1,5 +1,6 @@
 //! Settings file of an entry host.
 
+use std::collections::BTreeMap;
 use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
@@ -85,6 +86,14 @@
     }
 }
 
+/// Settings of a deployment whose zones the operators evacuate.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Evacuation {
+    /// Zones that may be evacuated, each with its region.
+    pub zones: BTreeMap<ZoneId, String>,
+}
+
 /// Contents of the settings file.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -103,6 +112,9 @@
     pub remote: Remote,
     /// Time bounds and budgets that this host must meet.
     pub bounds: Bounds,
+    /// Evacuations of zones; without it, hosts do not check for them with each heartbeat.
+    #[serde(default)]
+    pub evacuation: Option<Evacuation>,
     /// Directives of the log filter.
     pub log: String,
 }
--- a/crates/edge/tests/relay.rs
+++ b/crates/edge/tests/relay.rs
@@ -105,7 +105,7 @@
 async fn no_key_is_handed_on() {
     let (_server, mut harnesses) = start_zone().await;
     harnesses.sort_by(|left, right| left.settings.host.cmp(&right.settings.host));
-    let page = page(&harnesses[0], "patches", 0).await;
+    let page = page(&harnesses[0], "operations", 0).await;
     let text = page["rows"][0]["value"]["text"].as_str().expect("a patch");
     let patch = Patch::decode(text.as_bytes()).expect("a patch");
     let patch = serde_json::to_string(&patch).expect("JSON");
@@ -136,7 +136,7 @@
 async fn a_host_far_behind_gets_one_version_and_not_each_change() {
     let server = Server::start(vec![vec![Step::Write(OK_RESPONSE)]]).await;
     let harness = Harness::start(&[&server]).await;
-    let first = page(&harness, "patches", 0).await["revision"]
+    let first = page(&harness, "operations", 0).await["revision"]
         .as_u64()
         .expect("a revision");
     for version in 2..22 {
@@ -148,7 +148,7 @@
             sleep(Duration::from_millis(10)).await;
         }
     }
-    let page = page(&harness, "patches", first).await;
+    let page = page(&harness, "operations", first).await;
     assert_eq!(page["is_snapshot"], true);
     let bytes = page["rows"].to_string().len();
     assert!(bytes < 200_000, "{bytes} bytes for 2,000 keys");
--- a/crates/edge/tests/support/mod.rs
+++ b/crates/edge/tests/support/mod.rs
@@ -29,7 +29,7 @@
 use agate_edge::roster::Endpoint;
 use agate_edge::run::Program;
 use agate_edge::settings::{self, Bounds, Listen, Settings};
-use agate_model::id::EndpointId;
+use agate_model::id::{EndpointId, ZoneId};
 use agate_notice::retry_after;
 use bytes::Bytes;
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
@@ -121,6 +121,14 @@
         ("settings", "config")
     }
 
+    fn evacuation_row(&self, zone: &str) -> String {
+        format!("evacuated/{zone}")
+    }
+
+    fn evacuated_zone(&self, key: &str) -> Option<ZoneId> {
+        key.strip_prefix("evacuated/").map(str::to_owned)
+    }
+
     fn endpoint_table(&self) -> &'static str {
         "endpoints"
     }
@@ -136,7 +144,8 @@
         Ok(config(version, keys))
     }
 
-    /// Decodes an address, followed by the word `leaving` if the endpoint is draining.
+    /// Decodes an address, followed by the word `leaving` if the endpoint is draining, or by `in` and its
+    /// zone if that is not `a`.
     fn endpoint(&self, id: &EndpointId, value: &[u8]) -> Result<Endpoint, Fault> {
         let text = String::from_utf8_lossy(value);
         let (address, state) = text.split_once(' ').unwrap_or((&text, ""));
@@ -148,7 +157,7 @@
             born: None,
             service: "floor".to_owned(),
             address,
-            zone: "a".to_owned(),
+            zone: state.strip_prefix("in ").unwrap_or("a").to_owned(),
             slots: 8,
             draining: state == "leaving",
             reclaimable: false,
@@ -360,6 +369,7 @@
             repeat_extra: 10.0,
             repeat_window: Duration::from_secs(10),
         },
+        evacuation: None,
         log: "info".to_owned(),
     }
 }
