Settings: the machine of an entry host

A host did not know its memory, descriptors and link, so nothing could be bounded or weighed by them. Nothing reads them yet.

--- a/crates/edge/src/settings.rs
+++ b/crates/edge/src/settings.rs
@@ -10,6 +10,11 @@
 
 use crate::budget;
 
+/// Least memory of a host in megabytes: the program itself, and one request and its response.
+const MIN_MEMORY_MB: u64 = 48;
+/// Least number of file descriptors: those of files, and some connections.
+const MIN_DESCRIPTORS: usize = 256;
+
 /// Addresses at which the host listens.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -85,6 +90,28 @@
     }
 }
 
+/// Resources of the machine that this host runs on. Each has a default.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Machine {
+    /// Memory in megabytes beyond which the process is ended.
+    pub memory_mb: u64,
+    /// Maximum number of open file descriptors.
+    pub descriptors: usize,
+    /// Bandwidth of the machine's link in megabits per second.
+    pub link_mbps: f64,
+}
+
+impl Default for Machine {
+    fn default() -> Self {
+        Self {
+            memory_mb: 1024,
+            descriptors: 4096,
+            link_mbps: 1000.0,
+        }
+    }
+}
+
 /// Contents of the settings file.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -103,6 +130,9 @@
     pub remote: Remote,
     /// Time bounds and budgets that this host must meet.
     pub bounds: Bounds,
+    /// Resources of the machine.
+    #[serde(default)]
+    pub machine: Machine,
     /// Directives of the log filter.
     pub log: String,
 }
@@ -115,6 +145,17 @@
         if !(self.weight.is_finite() && self.weight > 0.0) {
             report.push("weight", "must be above 0");
         }
+        if self.machine.memory_mb < MIN_MEMORY_MB {
+            let message = format!("must be at least {MIN_MEMORY_MB}");
+            report.push("machine.memory_mb", message);
+        }
+        if self.machine.descriptors < MIN_DESCRIPTORS {
+            let message = format!("must be at least {MIN_DESCRIPTORS}");
+            report.push("machine.descriptors", message);
+        }
+        if !(self.machine.link_mbps.is_finite() && self.machine.link_mbps > 0.0) {
+            report.push("machine.link_mbps", "must be above 0");
+        }
         if self.bounds.window.as_millis() == 0 {
             report.push("bounds.window", "must be at least 1ms");
         }
--- a/crates/edge/tests/support/mod.rs
+++ b/crates/edge/tests/support/mod.rs
@@ -28,7 +28,7 @@
 };
 use agate_edge::roster::Endpoint;
 use agate_edge::run::Program;
-use agate_edge::settings::{self, Bounds, Listen, Settings};
+use agate_edge::settings::{self, Bounds, Listen, Machine, Settings};
 use agate_model::id::EndpointId;
 use agate_notice::retry_after;
 use bytes::Bytes;
@@ -360,6 +360,7 @@
             repeat_extra: 10.0,
             repeat_window: Duration::from_secs(10),
         },
+        machine: Machine::default(),
         log: "info".to_owned(),
     }
 }
