--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -8,7 +8,7 @@
 
 use agate_model::id::{AccountId, Incarnation, RouteId};
 use agate_store::interface::{Feed, Tables};
-use tokio::sync::{Notify, watch};
+use tokio::sync::{Mutex, Notify, watch};
 use tokio::time::{Instant, sleep_until, timeout_at};
 
 use crate::balancer::{Balancer, Tuning};
@@ -106,6 +106,9 @@
     pub mirrors: Mirrors,
     /// Heartbeats that other hosts handed over to be written by this host.
     pub inbox: Inbox,
+    /// Held while rows are written: the store may apply two writes in either order, and the last one of a
+    /// process must not be overtaken by the one before it.
+    pub row_write: Mutex<()>,
     /// Recent requests of the hosts for which this one reads, including this host.
     pub recent: RefCell<Recent>,
     /// Usage and demand of all hosts; filled only while this host holds the lease.
@@ -163,6 +166,7 @@
             hosts: RefCell::default(),
             mirrors: Mirrors::default(),
             inbox: Inbox::default(),
+            row_write: Mutex::default(),
             recent: RefCell::default(),
             ledger: RefCell::default(),
             outage: Outage::default(),
--- a/crates/edge/src/heartbeat.rs
+++ b/crates/edge/src/heartbeat.rs
@@ -129,6 +129,10 @@
         if wake != Wake::Probe && (!is_due || edge.outage.is_active()) {
             continue;
         }
+        if edge.is_sealed() {
+            // The last heartbeat is being written, and says more than this one.
+            return;
+        }
         let at = own.host.at;
         match write(&edge, own).await {
             Ok(()) => {
@@ -187,8 +191,9 @@
     }
 }
 
-/// Writes the rows of this host and those that were handed over to it.
+/// Writes the rows of this host and those that were handed over to it, once an earlier write has ended.
 async fn write(edge: &Edge, own: Heartbeat) -> Result<(), Error> {
+    let _writing = edge.row_write.lock().await;
     let mut heartbeats = edge.inbox.take();
     heartbeats.insert(0, own);
     let mut rest = heartbeats.as_slice();
--- a/crates/edge/tests/heartbeat.rs
+++ b/crates/edge/tests/heartbeat.rs
@@ -7,8 +7,8 @@
 use std::time::Duration;
 
 use agate_edge::interface::Counts;
-use agate_edge::ledger;
 use agate_edge::settings::Settings;
+use agate_edge::{heartbeat, ledger};
 use support::{Connection, Harness, Server, Step, request, settings, status};
 use tokio::time::{Instant, sleep};
 
@@ -104,6 +104,33 @@
     assert_eq!(counted(&harnesses[0]), 5);
 }
 
+/// Guards against a last heartbeat that the store applies before the one that was sent before it: the row then
+/// does not say that the process has ended, and its successor waits for it.
+#[actix_rt::test]
+async fn the_last_heartbeat_is_not_overtaken_by_the_one_before_it() {
+    let server = Server::start(vec![vec![Step::Write(OK_RESPONSE)]]).await;
+    let harness = Harness::start(&[&server]).await;
+    let edge = harness.program.edge().clone();
+    let store = harness.store.clone();
+    let before = async {
+        store.commit_time.set(Duration::from_millis(600));
+        heartbeat::publish(&edge, false).await;
+    };
+    let last = async {
+        sleep(Duration::from_millis(50)).await;
+        store.commit_time.set(Duration::from_millis(10));
+        heartbeat::publish(&edge, true).await;
+    };
+    futures_util::future::join(before, last).await;
+    let rows = store.contents(ledger::TABLE).into_iter();
+    let mut rows =
+        rows.map(|value| serde_json::from_str::<ledger::Row>(&value).expect("a ledger row"));
+    assert!(
+        rows.all(|row| row.ended),
+        "a row without the mark of the end"
+    );
+}
+
 /// Guards against separate probes by the four tasks of each host, which called the unavailable store
 /// four times a second.
 #[actix_rt::test]
