--- a/crates/edge/tests/support/mod.rs
+++ b/crates/edge/tests/support/mod.rs
@@ -28,7 +28,7 @@
 };
 use agate_edge::roster::Endpoint;
 use agate_edge::run::Program;
-use agate_edge::settings::{self, Bounds, Listen, Settings};
+use agate_edge::settings::{self, Bounds, Listen, Machine, Settings};
 use agate_model::id::{EndpointId, ZoneId};
 use agate_notice::retry_after;
 use bytes::Bytes;
@@ -370,6 +370,7 @@
             repeat_window: Duration::from_secs(10),
         },
         evacuation: None,
+        machine: Machine::default(),
         log: "info".to_owned(),
     }
 }
