Cold endpoints get no requests

Change: rows tell for how long an endpoint is cold; at services whose configuration bounds the work of cold endpoints it is chosen only afterwards, and checked again once the connection is open. Endpoints of a zone that is taken back are presumed cold, since their rows lag behind.

--- a/crates/edge/src/balancer.rs
+++ b/crates/edge/src/balancer.rs
@@ -15,6 +15,7 @@
 use slotmap::{SlotMap, new_key_type};
 use tokio::time::Instant;
 
+use crate::cold::Cold;
 use crate::config::ServiceId;
 use crate::estimate::hash_pair;
 use crate::roster::{Change, Endpoint, Incarnation};
@@ -111,6 +112,8 @@
     is_leaving: bool,
     /// When the pause ends that the endpoint has asked for, as in the notices.
     paused_until: Option<Instant>,
+    /// For how long the endpoint is cold.
+    cold: Cold,
 }
 
 /// Least number of open endpoints in the host's zone, as a fraction of an equal share per zone, at
@@ -142,6 +145,8 @@
     by_service: HashMap<ServiceId, Vec<Key>>,
     /// Zones whose endpoints get no requests.
     evacuated: HashSet<ZoneId>,
+    /// Services whose cold endpoints get no requests, with the time for which they are cold.
+    cold_starts: HashMap<ServiceId, Duration>,
     /// What endpoints asked for, also those that are not listed any more.
     notices: Notices<Rc<Incarnation>>,
 }
@@ -167,8 +172,10 @@
     fn join(&mut self, endpoint: &Rc<Endpoint>) {
         self.leave(&endpoint.id);
         let incarnation = Rc::new(Incarnation::from(&**endpoint));
-        let now = Instant::now().into_std();
-        let paused_until = self.notices.paused_until(now, &incarnation);
+        let now = Instant::now();
+        let paused_until = self.notices.paused_until(now.into_std(), &incarnation);
+        let mut cold = Cold::default();
+        cold.observe(now, endpoint.cold);
         let key = self.entries.insert(Entry {
             endpoint: endpoint.clone(),
             is_leaving: self.notices.is_leaving(&incarnation),
@@ -181,6 +188,7 @@
             failure_rate: 0.0,
             ejections: 0,
             ejected_until: None,
+            cold,
         });
         self.by_id.insert(endpoint.id.clone(), key);
         let keys = self.by_service.entry(endpoint.service.clone()).or_default();
@@ -193,6 +201,7 @@
         match entry {
             Some(entry) if entry.endpoint.service == endpoint.service => {
                 entry.endpoint = endpoint.clone();
+                entry.cold.observe(Instant::now(), endpoint.cold);
             }
             _ => self.join(endpoint),
         }
@@ -293,9 +302,30 @@
         open.to_vec()
     }
 
-    /// Sets the zones whose endpoints get no requests.
-    pub fn evacuate(&mut self, zones: HashSet<ZoneId>) {
-        self.evacuated = zones;
+    /// Sets the zones whose endpoints get no requests. Those of zones that are taken back are presumed
+    /// cold, since their rows may not tell it yet.
+    pub fn evacuate(&mut self, now: Instant, zones: HashSet<ZoneId>) {
+        let before = std::mem::replace(&mut self.evacuated, zones);
+        for entry in self.entries.values_mut() {
+            let zone = &entry.endpoint.zone;
+            if before.contains(zone)
+                && !self.evacuated.contains(zone)
+                && let Some(time) = self.cold_starts.get(&entry.endpoint.service)
+            {
+                entry.cold.presume(now + *time);
+            }
+        }
+    }
+
+    /// Sets the services whose cold endpoints get no requests, with the time for which they are cold.
+    pub fn set_cold_starts(&mut self, cold_starts: HashMap<ServiceId, Duration>) {
+        self.cold_starts = cold_starts;
+    }
+
+    /// Returns until when an endpoint gets no requests since it is cold; `None` if it gets them.
+    fn cold_until(&self, now: Instant, entry: &Entry) -> Option<Instant> {
+        let is_spared = self.cold_starts.contains_key(&entry.endpoint.service);
+        entry.cold.until(now).filter(|_| is_spared)
     }
 
     /// Returns the endpoints of a service that are not draining, did not say that they are leaving, and
@@ -310,11 +340,12 @@
         })
     }
 
-    /// Returns the ready endpoints that did not ask for a pause.
+    /// Returns the ready endpoints that did not ask for a pause and are not cold.
     fn open(&self, now: Instant, service: &str) -> impl Iterator<Item = Key> {
         self.ready(service).filter(move |key| {
-            let until = self.entries[*key].paused_until;
-            until.is_none_or(|until| until <= now)
+            let entry = &self.entries[*key];
+            let is_paused = entry.paused_until.is_some_and(|until| until > now);
+            !is_paused && self.cold_until(now, entry).is_none()
         })
     }
 
@@ -369,19 +400,28 @@
 
     /// Returns whether the endpoint of an assignment may still get the request.
     pub fn is_open(&self, now: Instant, assignment: &Assignment) -> bool {
+        let entry = self.by_id.get(&assignment.endpoint.id);
+        let entry = entry.and_then(|key| self.entries.get(*key));
+        let entry = entry.filter(|entry| entry.incarnation == assignment.incarnation);
         !self.evacuated.contains(&assignment.endpoint.zone)
+            && entry.is_none_or(|entry| self.cold_until(now, entry).is_none())
             && self
                 .notices
                 .is_open(now.into_std(), &assignment.incarnation)
     }
 
-    /// Returns when the first pause ends if all endpoints of a service are paused, otherwise `None`.
+    /// Returns when the first endpoint of a service ends its pause or is warm if all are paused or cold,
+    /// otherwise `None`.
     pub fn opening(&self, now: Instant, service: &str) -> Option<Instant> {
         if self.open(now, service).next().is_some() {
             return None;
         }
         let ready = self.ready(service);
-        ready.filter_map(|key| self.entries[key].paused_until).min()
+        let end = |key: Key| {
+            let entry = &self.entries[key];
+            entry.paused_until.max(self.cold_until(now, entry))
+        };
+        ready.filter_map(end).min()
     }
 
     /// Returns the endpoint with the fewest requests in flight, then the least work; a random one
--- a/crates/edge/src/config.rs
+++ b/crates/edge/src/config.rs
@@ -126,6 +126,10 @@
     pub engine: Option<Engine>,
     /// Bounds and prices of orders; `None` if no endpoints are ordered for the service.
     pub scale: Option<Scale>,
+    /// Time for which an endpoint is cold after its start, and gets no requests; `None` if cold endpoints
+    /// take requests like others.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub cold_start: Option<Duration>,
 }
 
 /// Limits on the size and time of callers' requests.
--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -226,6 +226,13 @@
         count(&self.metrics.changes, "config");
         let version = i64::try_from(config.version).unwrap_or(i64::MAX);
         self.metrics.config_version.set(version);
+        let cold_starts = config.services.values().filter_map(|service| {
+            let time = service.cold_start?;
+            Some((service.id.clone(), time))
+        });
+        self.board
+            .borrow_mut()
+            .set_cold_starts(cold_starts.collect());
         *self.config.borrow_mut() = Some(Rc::new(config));
         self.config_revision.set(Some(revision));
     }
@@ -360,11 +367,13 @@
                 zone = endpoint.zone,
                 draining = endpoint.draining,
                 reclaimable = endpoint.reclaimable,
+                cold_ms = endpoint.cold.as_millis(),
             ),
             Change::Updated(endpoint) => tracing::info!(
                 event = "endpoint_updated",
                 endpoint = endpoint.id,
                 draining = endpoint.draining,
+                cold_ms = endpoint.cold.as_millis(),
             ),
             Change::Left(id) => tracing::info!(event = "endpoint_left", endpoint = id),
         }
--- a/crates/edge/src/evacuation.rs
+++ b/crates/edge/src/evacuation.rs
@@ -11,6 +11,7 @@
 use agate_store::interface::Change;
 use agate_wire::table::Check;
 use bytes::Bytes;
+use tokio::time::Instant;
 
 use crate::config::Scale;
 use crate::edge::Edge;
@@ -155,7 +156,7 @@
         self.metrics.evacuated_zones.set(evacuated);
         tracing::info!(event = "zones_evacuated", zones = ?zones, revision);
         if !sabotage::is(Variant::IgnoreEvacuations) {
-            self.board.borrow_mut().evacuate(zones);
+            self.board.borrow_mut().evacuate(Instant::now(), zones);
         }
         self.wake_queues();
     }
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod budget;
 pub mod client;
 pub mod clock;
+pub mod cold;
 pub mod config;
 pub mod directory;
 pub mod duty;
--- a/crates/edge/src/roster.rs
+++ b/crates/edge/src/roster.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 
 use agate_model::id::{EndpointId, ZoneId};
 
@@ -28,6 +29,8 @@
     pub draining: bool,
     /// Whether the platform may take it away on short notice.
     pub reclaimable: bool,
+    /// How much longer it was cold when it wrote this; zero if it was warm.
+    pub cold: Duration,
 }
 
 /// Identity of one incarnation of an endpoint.
--- a/crates/edge/tests/choice.rs
+++ b/crates/edge/tests/choice.rs
@@ -24,6 +24,7 @@
             slots: 16,
             draining: false,
             reclaimable: false,
+            cold: Duration::ZERO,
         })));
     }
     balancer
--- a/crates/edge/tests/evacuation.rs
+++ b/crates/edge/tests/evacuation.rs
@@ -61,6 +61,7 @@
             slots: 16,
             draining: false,
             reclaimable: false,
+            cold: Duration::ZERO,
         })));
     }
     balancer
@@ -82,7 +83,7 @@
     };
     let now = Instant::now();
     let first = balancer.choose(now, &criteria, 100).expect("an endpoint");
-    balancer.evacuate(HashSet::from([first.endpoint.zone.clone()]));
+    balancer.evacuate(now, HashSet::from([first.endpoint.zone.clone()]));
     assert!(!balancer.is_open(now, &first));
     balancer.finish(now, &first, Outcome::Excused);
     for _ in 0..50 {
@@ -90,7 +91,7 @@
         assert_ne!(next.endpoint.zone, first.endpoint.zone);
         assert!(balancer.is_open(now, &next));
     }
-    balancer.evacuate(["a", "b"].map(str::to_owned).into());
+    balancer.evacuate(now, ["a", "b"].map(str::to_owned).into());
     assert!(balancer.choose(now, &criteria, 100).is_none());
     assert_eq!(balancer.ready_count(&service), 0);
 }
--- a/crates/edge/tests/subset.rs
+++ b/crates/edge/tests/subset.rs
@@ -24,6 +24,7 @@
         slots: 16,
         draining: false,
         reclaimable,
+        cold: Duration::ZERO,
     }
 }
 
--- a/crates/edge/tests/support/mod.rs
+++ b/crates/edge/tests/support/mod.rs
@@ -161,6 +161,7 @@
             slots: 8,
             draining: state == "leaving",
             reclaimable: false,
+            cold: Duration::ZERO,
         })
     }
 }
@@ -206,6 +207,7 @@
             memory_tokens: 1000,
         }),
         scale: None,
+        cold_start: None,
     };
     Config::new(version, limits, [service], Some(keys), routes)
 }
