Poison: work and messages on evidence of crashes are bounded

Cause: each loss, each learned report, each own report and each question whether crashes are unexplained put all crashes together anew (0.5 to 1.5 ms each at 1,000 losses of 16 parts, release build). Reports held the time of the last answer to a suspected part, so they changed all the time, and each change was news to all hosts. A crash stayed unexplained for a minute, since the own part of its prompt is never answered again.

Change: evaluations are limited to a burst of 8 and four a second, and cost one sort of the known parts; reports keep a reported answer until there is a loss after it; hosts share the losses that each keeps; early heartbeats and early reads are limited; a single unexplained crash counts for 5 s. Counters evidence and evidence_micros, log line evidence_work.

Measured: all tests of agate-poison, and poison, crash, heartbeat and hosts of agate-edge pass.

--- a/crates/edge/src/follow/hosts.rs
+++ b/crates/edge/src/follow/hosts.rs
@@ -140,7 +140,7 @@
     }
 
     fn is_urgent(&self, edge: &Edge) -> bool {
-        edge.is_suspicious()
+        edge.takes_urgent_read()
     }
 
     fn confirmed(&mut self, edge: &Edge, _at: Duration, clock: u64) {
--- a/crates/edge/src/guard.rs
+++ b/crates/edge/src/guard.rs
@@ -10,15 +10,16 @@
 use std::time::Duration;
 
 use agate_model::id::{EndpointId, RequestId};
+use agate_poison::pace::Pace;
 use agate_poison::report::Report;
-use agate_poison::{Detector, Loss, MIN_AGE, PartId, Time, Tuning, Verdict};
+use agate_poison::{Detector, Loss, MIN_AGE, PartId, Time, Tuning, Verdict, Work};
 use tokio::sync::Notify;
 use tokio::time::{Instant, sleep, timeout};
 
 use crate::client;
 use crate::clock;
 use crate::edge::Edge;
-use crate::metrics::count;
+use crate::metrics::{Outcome, count, value};
 use crate::roster::Endpoint;
 
 /// Time within which an endpoint that runs accepts a connection.
@@ -27,6 +28,16 @@
 /// may follow the first bytes.
 const SETTLE_TIME: Duration = Duration::from_millis(250);
 
+/// Heartbeats that are sent before their time one after the other, and the interval of further ones: with
+/// more news the regular ones carry it.
+const HEARTBEAT_BURST: u32 = 8;
+const HEARTBEAT_INTERVAL: Duration = Duration::from_secs(2);
+/// Reads of hosts' rows before their time, likewise: the time of six crashes a second apart.
+const READ_BURST: u32 = 20;
+const READ_INTERVAL: Duration = Duration::from_secs(1);
+/// Interval between two log lines on the work that evidence takes.
+const WORK_INTERVAL: Duration = Duration::from_secs(10);
+
 /// When a response began.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Onset(Option<Instant>);
@@ -57,25 +68,39 @@
 }
 
 /// Evidence on parts of prompts, and what is refused by it.
-#[derive(Default)]
 pub struct Guard {
     detector: RefCell<Detector>,
     /// Endpoints that are being checked, with the requests lost there.
     checks: RefCell<HashMap<EndpointId, Vec<Candidate>>>,
-    /// Report in the last heartbeat.
-    published: RefCell<Report>,
     /// Notified when a heartbeat is needed before its time.
     changed: Notify,
+    /// Limits such heartbeats.
+    heartbeats: RefCell<Pace>,
+    /// Limits reads of hosts' rows before their time.
+    reads: RefCell<Pace>,
+    /// Work that was logged last, and when.
+    logged: Cell<(Time, Work)>,
     /// Time since boot minus the store's clock, as another host told it; `None` before it did.
     offset: Cell<Option<i64>>,
 }
 
+impl Default for Guard {
+    fn default() -> Self {
+        Self::new(Tuning::default())
+    }
+}
+
 impl Guard {
     /// Creates a guard without evidence.
     pub fn new(tuning: Tuning) -> Self {
         Self {
             detector: RefCell::new(Detector::new(tuning)),
-            ..Self::default()
+            checks: RefCell::default(),
+            changed: Notify::new(),
+            heartbeats: RefCell::new(Pace::new(HEARTBEAT_BURST, HEARTBEAT_INTERVAL)),
+            reads: RefCell::new(Pace::new(READ_BURST, READ_INTERVAL)),
+            logged: Cell::default(),
+            offset: Cell::default(),
         }
     }
 
@@ -86,11 +111,6 @@
         self.offset.set(Some(clock::millis(boot) - store));
     }
 
-    /// Waits until the evidence to be published changes.
-    pub async fn wait_changed(&self) {
-        self.changed.notified().await;
-    }
-
     /// Requests a heartbeat before its time.
     pub fn hurry(&self) {
         self.changed.notify_one();
@@ -118,11 +138,31 @@
             return;
         };
         let parts = parts.iter().copied();
-        let verdicts = self.guard.detector.borrow_mut().answer(now, parts);
+        self.update(now, |detector| detector.answer(now, parts));
+    }
+
+    /// Changes the evidence, writes what follows from it to log and metrics, and requests a heartbeat if other
+    /// hosts should learn of it at once.
+    fn update(&self, now: Time, change: impl FnOnce(&mut Detector) -> Vec<Verdict>) {
+        let started = Instant::now();
+        let (verdicts, has_news) = {
+            let mut detector = self.guard.detector.borrow_mut();
+            let before = detector.news();
+            (change(&mut detector), detector.news() != before)
+        };
         if !verdicts.is_empty() {
             self.apply_verdicts(now, &verdicts);
-            self.publish_evidence(now);
         }
+        if has_news {
+            self.guard.hurry();
+        }
+        self.record_time(started);
+    }
+
+    /// Adds the time since `started` to what evidence takes.
+    fn record_time(&self, started: Instant) {
+        let micros = u64::try_from(started.elapsed().as_micros()).unwrap_or(u64::MAX);
+        self.metrics.evidence_micros.inc_by(micros);
     }
 
     /// Records that the connection of a request ended before the request was answered. It counts once
@@ -172,21 +212,42 @@
         let Some(now) = self.shared_time() else {
             return false;
         };
-        let (verdicts, is_new) = {
-            let mut detector = self.guard.detector.borrow_mut();
+        let mut is_new = false;
+        self.update(now, |detector| {
             let before = detector.revision();
-            (detector.learn(now, reports), detector.revision() != before)
+            let verdicts = detector.learn(now, reports);
+            is_new = detector.revision() != before;
+            verdicts
+        });
+        is_new
+    }
+
+    /// Returns whether news of other hosts matter so much that their rows are read before their time: crashes
+    /// are not explained yet, and there were few such reads so far.
+    pub fn takes_urgent_read(&self) -> bool {
+        let Some(now) = self.shared_time() else {
+            return false;
         };
-        self.apply_verdicts(now, &verdicts);
-        if is_new {
-            self.publish_evidence(now);
+        if !self.guard.detector.borrow().is_suspicious(now) {
+            return false;
         }
-        is_new
+        let is_allowed = self.guard.reads.borrow_mut().try_take(now);
+        let kind = if is_allowed { "read" } else { "read_held" };
+        count(&self.metrics.evidence, kind);
+        is_allowed
     }
 
-    /// Returns whether crashes are not explained yet, so that news of other hosts matter.
-    pub fn is_suspicious(&self) -> bool {
-        self.guard.detector.borrow().has_unexplained()
+    /// Waits until other hosts should learn of changed evidence before the next regular heartbeat.
+    pub async fn wait_urgent(&self) {
+        loop {
+            self.guard.changed.notified().await;
+            let now = self.shared_time().unwrap_or_default();
+            if self.guard.heartbeats.borrow_mut().try_take(now) {
+                count(&self.metrics.evidence, "heartbeat");
+                return;
+            }
+            count(&self.metrics.evidence, "heartbeat_held");
+        }
     }
 
     /// Returns the evidence for the next heartbeat.
@@ -194,17 +255,47 @@
         let Some(now) = self.shared_time() else {
             return Report::default();
         };
-        let report = self.guard.detector.borrow().report(now);
-        self.guard.published.replace(report.clone());
+        let hosts = self.hosts.borrow_mut().sharing_hosts(Instant::now());
+        let mut report = Report::default();
+        self.update(now, |detector| {
+            detector.set_hosts(hosts);
+            let (published, verdicts) = detector.publish(now);
+            report = published;
+            verdicts
+        });
+        self.log_work(now);
         report
     }
 
-    /// Requests a heartbeat if there is something to publish that the last one did not say.
-    fn publish_evidence(&self, now: Time) {
-        let report = self.guard.detector.borrow().report(now);
-        if report != *self.guard.published.borrow() {
-            self.guard.hurry();
+    /// Writes the work that evidence took to log and metrics, if there was any.
+    fn log_work(&self, now: Time) {
+        let work = self.guard.detector.borrow().work();
+        let (at, last) = self.guard.logged.get();
+        if work == last || now.saturating_sub(at) < WORK_INTERVAL {
+            return;
         }
+        self.guard.logged.set((now, work));
+        let kinds = [
+            ("evaluated", work.evaluations - last.evaluations),
+            ("deferred", work.deferrals - last.deferrals),
+            ("learned", work.learned - last.learned),
+        ];
+        for (outcome, more) in kinds {
+            let counter = self.metrics.evidence.get_or_create(&Outcome { outcome });
+            counter.inc_by(more);
+        }
+        let total = |kind| value(&self.metrics.evidence, kind);
+        tracing::info!(
+            event = "evidence_work",
+            evaluated = work.evaluations,
+            deferred = work.deferrals,
+            learned = work.learned,
+            heartbeats = total("heartbeat"),
+            heartbeats_held = total("heartbeat_held"),
+            reads = total("read"),
+            reads_held = total("read_held"),
+            took_ms = self.metrics.evidence_micros.get() / 1000,
+        );
     }
 
     /// Writes changes of what is refused to log and metrics.
@@ -263,9 +354,7 @@
         let Some(now) = edge.shared_time() else {
             return;
         };
-        let verdicts = edge.guard.detector.borrow_mut().lose(now, candidate.loss);
-        edge.apply_verdicts(now, &verdicts);
-        edge.publish_evidence(now);
+        edge.update(now, |detector| detector.lose(now, candidate.loss));
     }
     sleep(MIN_AGE).await;
     edge.learn_evidence(Vec::new());
--- a/crates/edge/src/handover.rs
+++ b/crates/edge/src/handover.rs
@@ -147,7 +147,8 @@
         }
     };
     // Hosts of other zones learn it with the next write of this host.
-    if edge.learn_evidence(vec![heartbeat.host.evidence.clone()]) {
+    let is_known = edge.hosts.borrow().has_evidence(&heartbeat.host);
+    if !is_known && edge.learn_evidence(vec![heartbeat.host.evidence.clone()]) {
         edge.guard.hurry();
     }
     let mut recent = edge.recent.borrow_mut();
--- a/crates/edge/src/heartbeat.rs
+++ b/crates/edge/src/heartbeat.rs
@@ -160,7 +160,7 @@
     let has_outage = edge.outage.is_active();
     let urgent = async {
         sleep(URGENT_INTERVAL).await;
-        edge.guard.wait_changed().await;
+        edge.wait_urgent().await;
     };
     tokio::select! {
         () = sleep(delay) => Wake::Due,
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -93,6 +93,11 @@
     pub config_version: Gauge,
     /// Number of notices of endpoints by kind: `leaving`, `paused`, `resumed`, `malformed`.
     pub notices: Family<Outcome, Counter>,
+    /// Work and messages spent on evidence of prompts that crash endpoints, by kind: `evaluated`, `deferred`,
+    /// `learned`, and `heartbeat`, `heartbeat_held`, `read`, `read_held` for what is sent before its time.
+    pub evidence: Family<Outcome, Counter>,
+    /// Time spent on that evidence, in microseconds.
+    pub evidence_micros: Counter,
     /// Number of sets of prompt parts whose requests are refused.
     pub blocked_prompts: Gauge,
     /// Number of requests in flight.
@@ -196,6 +201,14 @@
         registry.register("config_version", "Configuration in force", version);
         let notices = self.notices.clone();
         registry.register("notices", "Notices of endpoints by kind", notices);
+        let evidence = self.evidence.clone();
+        registry.register("evidence", "Work on evidence of crashes by kind", evidence);
+        let micros = self.evidence_micros.clone();
+        registry.register(
+            "evidence_micros",
+            "Time spent on that, in microseconds",
+            micros,
+        );
         let blocked = self.blocked_prompts.clone();
         registry.register("blocked_prompts", "Sets of prompt parts refused", blocked);
         registry.register("running", "Requests being handled", self.in_flight.clone());
--- a/crates/poison/src/detector.rs
+++ b/crates/poison/src/detector.rs
@@ -4,9 +4,20 @@
 use std::time::Duration;
 
 use crate::evidence::{self, Crash, Suspect};
+use crate::pace::Pace;
 use crate::report::{self, Report};
+use crate::suspects::{Contest, Suspects};
 use crate::{Block, Loss, PartId, Time};
 
+/// Evaluations of all evidence that may follow one another at once: a prompt that crashes endpoints is
+/// refused with the third crash, and a few losses of each are told one by one.
+const EVALUATION_BURST: u32 = 8;
+/// Interval of the further ones. Evidence waits no longer than its way to other hosts takes.
+const EVALUATION_INTERVAL: Duration = Duration::from_millis(250);
+/// Losses and answers that a host reports, however many hosts share what all keep: a crash that a part
+/// causes again needs one of each.
+const MIN_REPORTED: usize = 2;
+
 /// Limits of a [`Detector`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Tuning {
@@ -58,27 +69,57 @@
     Lifted(Block),
 }
 
+/// Work that a [`Detector`] has done.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Work {
+    /// Evaluations of all evidence.
+    pub evaluations: u64,
+    /// Calls that left new evidence to a later evaluation.
+    pub deferrals: u64,
+    /// Losses that other hosts have reported.
+    pub learned: u64,
+}
+
 /// Evidence of all hosts and what follows from it.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Detector {
     tuning: Tuning,
+    /// Number of hosts, which share the losses that each of them keeps.
+    hosts: usize,
     /// Losses of this host, oldest first.
     own: VecDeque<Loss>,
     /// Losses of other hosts.
     others: BTreeSet<Loss>,
+    /// Parts of all losses.
+    suspects: Suspects,
     /// Last answer to each part.
     answered: HashMap<PartId, Time>,
     blocks: Vec<Block>,
-    /// Parts in blocks of other hosts that were answered since, with the time of the report.
-    contested: BTreeMap<PartId, Time>,
+    /// Parts in blocks of other hosts that were answered since.
+    contested: BTreeMap<PartId, Contest>,
     /// What explains the crashes in evidence.
     causes: Vec<Suspect>,
-    /// Those crashes, and whether it does.
-    explained: Vec<(Time, bool)>,
+    /// Those crashes, at the last evaluation.
+    crashes: Vec<Crash>,
     /// Whether there is evidence that was not looked at yet.
     is_outdated: bool,
+    /// When the evidence says more than now, by its age.
+    ripe_at: Option<Time>,
+    /// Until when further crashes may soon tell what causes them.
+    suspicious_until: Time,
+    /// Limits the evaluations.
+    pace: Pace,
     /// Number of changes by what other hosts have said.
     revision: u64,
+    /// Number of changes that other hosts should learn at once.
+    news: u64,
+    work: Work,
+}
+
+impl Default for Detector {
+    fn default() -> Self {
+        Self::new(Tuning::default())
+    }
 }
 
 impl Detector {
@@ -87,18 +128,41 @@
     pub fn new(tuning: Tuning) -> Self {
         Self {
             tuning,
-            ..Self::default()
+            hosts: 1,
+            own: VecDeque::new(),
+            others: BTreeSet::new(),
+            suspects: Suspects::default(),
+            answered: HashMap::new(),
+            blocks: Vec::new(),
+            contested: BTreeMap::new(),
+            causes: Vec::new(),
+            crashes: Vec::new(),
+            is_outdated: false,
+            ripe_at: None,
+            suspicious_until: Time::ZERO,
+            pace: Pace::new(EVALUATION_BURST, EVALUATION_INTERVAL),
+            revision: 0,
+            news: 0,
+            work: Work::default(),
         }
     }
 
+    /// Sets the number of hosts, among which the losses that each of them keeps are shared out.
+    pub fn set_hosts(&mut self, hosts: usize) {
+        self.hosts = hosts.max(1);
+    }
+
     /// Records a request that this host lost when its endpoint crashed.
     pub fn lose(&mut self, now: Time, mut loss: Loss) -> Vec<Verdict> {
         self.limit_parts(&mut loss.parts);
-        self.is_outdated = true;
+        self.suspect(&loss);
         self.own.push_back(loss);
         while self.own.len() > self.tuning.max_own_losses {
-            self.own.pop_front();
+            if let Some(loss) = self.own.pop_front() {
+                self.suspects.remove(&loss);
+            }
         }
+        self.news += 1;
         self.decide(now)
     }
 
@@ -107,6 +171,7 @@
         let mut is_suspect = false;
         for part in parts {
             self.answered.insert(part, now);
+            self.is_outdated |= self.suspects.answer(part, now);
             is_suspect |= self.blocks.iter().any(|block| block.parts.contains(&part));
         }
         if self.answered.len() > self.tuning.max_answered {
@@ -131,28 +196,31 @@
     pub fn learn(&mut self, now: Time, reports: impl IntoIterator<Item = Report>) -> Vec<Verdict> {
         let mut told: Vec<Block> = Vec::new();
         for report in reports {
-            for loss in report.losses {
+            for loss in report.losses.into_iter().take(self.tuning.max_own_losses) {
                 let mut loss = Loss::from(loss);
                 loss.at = loss.at.min(now);
                 self.limit_parts(&mut loss.parts);
                 let is_recent = loss.at + self.tuning.memory >= now;
-                if is_recent && self.others.insert(loss) {
+                if is_recent && self.others.insert(loss.clone()) {
+                    self.suspect(&loss);
                     self.revision += 1;
-                    self.is_outdated = true;
+                    self.work.learned += 1;
                 }
             }
             for (part, at) in report.sound.into_iter().take(self.tuning.max_sound) {
                 let at = Duration::from_millis(at).min(now);
                 if self.answered.get(&part).is_none_or(|known| *known < at) {
                     self.answered.insert(part, at);
-                    self.is_outdated = true;
                 }
+                self.is_outdated |= self.suspects.hear(part, at);
             }
             let blocks = report.blocks.into_iter().take(self.tuning.max_blocks);
             told.extend(blocks.map(Block::from));
         }
         while self.others.len() > self.tuning.max_losses {
-            self.others.pop_first();
+            if let Some(loss) = self.others.pop_first() {
+                self.suspects.remove(&loss);
+            }
         }
         if self.answered.len() > self.tuning.max_answered {
             self.forget_answers();
@@ -178,6 +246,15 @@
         verdicts
     }
 
+    /// Adds the parts of a loss to those under suspicion.
+    fn suspect(&mut self, loss: &Loss) {
+        let answered = &self.answered;
+        self.suspects
+            .insert(loss, |part| answered.get(&part).copied());
+        self.suspicious_until = self.suspicious_until.max(loss.at + self.tuning.settle_time);
+        self.is_outdated = true;
+    }
+
     /// Keeps the first parts and the last one.
     fn limit_parts(&self, parts: &mut Vec<PartId>) {
         let surplus = parts.len().saturating_sub(self.tuning.max_parts);
@@ -188,9 +265,19 @@
     /// Records the parts of a block that were answered since its first crash, to tell other hosts.
     fn contest(&mut self, now: Time, block: &Block) {
         for part in &block.parts {
-            if self.is_cleared(*part, block.since) && self.contested.insert(*part, now).is_none() {
+            let answer = self.answered.get(part).copied();
+            let Some(answered) = answer.filter(|at| *at > block.since) else {
+                continue;
+            };
+            let known = self.contested.get(part).copied();
+            // The time that was reported stays while it answers the block.
+            let known = known.filter(|contest| contest.answered > block.since);
+            if known.is_none() {
                 self.revision += 1;
+                self.news += 1;
             }
+            let answered = known.map_or(answered, |contest| contest.answered);
+            self.contested.insert(*part, Contest { at: now, answered });
         }
         while self.contested.len() > self.tuning.max_sound {
             self.contested.pop_first();
@@ -236,25 +323,31 @@
         (now < block.until()).then_some(Verdict::Blocked(block))
     }
 
-    /// Brings the blocks up to date with the evidence.
+    /// Brings the blocks up to date with the evidence. With too much new evidence at once that is left to a
+    /// later call, but for blocks that answers clear.
     fn decide(&mut self, now: Time) -> Vec<Verdict> {
         let mut verdicts = self.expire(now);
-        if !self.is_outdated {
-            return verdicts;
+        let is_due = self.is_outdated || self.ripe_at.is_some_and(|at| at <= now);
+        if is_due && self.pace.try_take(now) {
+            self.evaluate(now, &mut verdicts);
+        } else if is_due {
+            self.work.deferrals += 1;
         }
-        let crashes = self.crashes();
-        // Crashes become evidence with time.
-        let is_new = |crash: &Crash| now < crash.at + evidence::MIN_AGE * 2;
-        self.is_outdated = crashes.iter().any(is_new);
+        self.news += verdicts.len() as u64;
+        verdicts
+    }
+
+    /// Looks at all evidence.
+    fn evaluate(&mut self, now: Time, verdicts: &mut Vec<Verdict>) {
+        self.work.evaluations += 1;
+        let losses = self.own.iter().chain(&self.others);
+        let mut crashes = evidence::crashes(losses, |part, since| self.is_cleared(part, since));
         verdicts.extend(self.extend_blocks(now, &crashes));
-        self.causes = evidence::causes(now, &crashes);
-        self.explained = crashes
-            .iter()
-            .map(|crash| {
-                let is_explained = self.causes.iter().any(|cause| crash.has(&cause.parts));
-                (crash.at, is_explained)
-            })
-            .collect();
+        let findings = evidence::explain(now, &mut crashes, self.tuning.max_blocks);
+        self.is_outdated = false;
+        self.ripe_at = findings.ripe_at;
+        self.causes = findings.causes;
+        self.crashes = crashes;
         for block in std::mem::take(&mut self.blocks) {
             if self.is_superseded(&block) {
                 verdicts.push(Verdict::Lifted(block));
@@ -271,7 +364,19 @@
             };
             verdicts.extend(self.adopt(now, block));
         }
-        verdicts
+        let open = self
+            .crashes
+            .iter()
+            .filter(|crash| !crash.is_cleared() && !self.is_blocked(crash));
+        let last = open.map(|crash| crash.at).max();
+        let settled = last.map(|at| at + self.tuning.settle_time);
+        let repeated = findings.last_repeated.map(|at| at + self.tuning.memory);
+        self.suspicious_until = settled.max(repeated).unwrap_or_default();
+    }
+
+    /// Returns whether a block explains a crash.
+    fn is_blocked(&self, crash: &Crash) -> bool {
+        self.blocks.iter().any(|block| crash.has(&block.parts))
     }
 
     /// Returns whether the crashes in a block's evidence are known, and other parts explain all of
@@ -281,43 +386,50 @@
             return false;
         }
         let mut known = self
-            .explained
+            .crashes
             .iter()
-            .filter(|(at, _)| (block.since..=block.last).contains(at))
+            .filter(|crash| (block.since..=block.last).contains(&crash.at))
             .peekable();
-        known.peek().is_some() && known.all(|(_, is_explained)| *is_explained)
+        known.peek().is_some() && known.all(|crash| crash.is_explained)
     }
 
     /// Removes evidence that is too old, and blocks that are cleared or long over.
     fn expire(&mut self, now: Time) -> Vec<Verdict> {
         let oldest = now.saturating_sub(self.tuning.memory);
-        self.own.retain(|loss| loss.at >= oldest);
-        self.others.retain(|loss| loss.at >= oldest);
-        self.contested.retain(|_, at| *at >= oldest);
+        let suspects = &mut self.suspects;
+        let mut is_old = |loss: &Loss| {
+            let is_old = loss.at < oldest;
+            if is_old {
+                suspects.remove(loss);
+            }
+            is_old
+        };
+        self.own.retain(|loss| !is_old(loss));
+        while self.others.first().is_some_and(&mut is_old) {
+            self.others.pop_first();
+        }
+        self.contested.retain(|_, contest| contest.at >= oldest);
         let mut verdicts = Vec::new();
         for mut block in std::mem::take(&mut self.blocks) {
+            let is_cleared = |part: &PartId| self.is_cleared(*part, block.since);
+            let is_over = now >= block.until() + block.hold;
+            if !is_over && !block.parts.iter().any(is_cleared) {
+                self.blocks.push(block);
+                continue;
+            }
+            self.is_outdated = true;
             let before = block.clone();
             self.clear(&mut block);
-            let is_over = now >= block.until() + block.hold;
-            if block.parts.is_empty() || is_over {
-                self.is_outdated = true;
+            if is_over || block.parts.is_empty() {
                 verdicts.push(Verdict::Lifted(before));
             } else {
-                if block.parts != before.parts {
-                    self.is_outdated = true;
-                    verdicts.push(Verdict::Blocked(block.clone()));
-                }
+                verdicts.push(Verdict::Blocked(block.clone()));
                 self.blocks.push(block);
             }
         }
         verdicts
     }
 
-    fn crashes(&self) -> Vec<Crash> {
-        let losses = self.own.iter().chain(&self.others);
-        evidence::crashes(losses, |part, since| self.is_cleared(part, since))
-    }
-
     /// Extends blocks by the crashes that they explain. One after the end of the hold begins another
     /// hold, twice as long: the parts have not changed.
     fn extend_blocks(&mut self, now: Time, crashes: &[Crash]) -> Vec<Verdict> {
@@ -343,13 +455,23 @@
         self.revision
     }
 
-    /// Returns whether there are crashes that no block explains, and parts that may have caused them.
+    /// Returns the number of changes that other hosts should learn before the next regular report.
+    #[must_use]
+    pub fn news(&self) -> u64 {
+        self.news
+    }
+
+    /// Returns the work done since the start.
+    #[must_use]
+    pub fn work(&self) -> Work {
+        self.work
+    }
+
+    /// Returns whether further crashes may soon tell what causes them: a recent one is unexplained, or
+    /// several have a part in common.
     #[must_use]
-    pub fn has_unexplained(&self) -> bool {
-        let crashes = self.crashes();
-        let is_explained = |crash: &Crash| self.blocks.iter().any(|block| crash.has(&block.parts));
-        let mut open = crashes.iter().filter(|crash| !crash.is_cleared());
-        open.any(|crash| !is_explained(crash))
+    pub fn is_suspicious(&self, now: Time) -> bool {
+        now < self.suspicious_until
     }
 
     /// Returns how long a request with these parts is refused; `None` if it may be sent.
@@ -368,49 +490,43 @@
     }
 
     /// Returns what other hosts need to know. Losses that a block explains say nothing new, once all
-    /// hosts have told what they lost in the same crash.
+    /// hosts have told what they lost in the same crash. Of more than this host's share of what others
+    /// keep, the newest are told.
     #[must_use]
     pub fn report(&self, now: Time) -> Report {
         let oldest = now.saturating_sub(self.tuning.memory);
-        let mut explained = self.crashes();
-        explained.retain(|crash| self.blocks.iter().any(|block| crash.has(&block.parts)));
         let is_news = |loss: &Loss| {
             let is_settled = loss.at + self.tuning.settle_time <= now;
-            !is_settled || !explained.iter().any(|crash| crash.includes(loss))
+            let crash = || evidence::find(&self.crashes, loss);
+            !is_settled || !crash().is_some_and(|crash| self.is_blocked(crash))
         };
-        let recent = self.own.iter().filter(|loss| loss.at >= oldest);
+        let recent = self.own.iter().rev().filter(|loss| loss.at >= oldest);
         let losses = recent.filter(|loss| is_news(loss)).filter_map(|loss| {
             let mut loss = loss.clone();
             let at = loss.at;
             loss.parts.retain(|part| !self.is_cleared(*part, at));
             (!loss.parts.is_empty()).then(|| report::Loss::from(&loss))
         });
+        let share = (self.tuning.max_losses / self.hosts).max(MIN_REPORTED);
+        let mut losses: Vec<report::Loss> = losses.take(share).collect();
+        losses.reverse();
+        let count = self.tuning.max_sound.min(share);
+        let sound = self.suspects.news(&self.contested, count);
+        let sound = sound.into_iter();
         Report {
-            losses: losses.collect(),
+            losses,
             blocks: self.blocks.iter().map(report::Block::from).collect(),
-            sound: self.sound(),
+            sound: sound.map(|(part, at)| (part, report::millis(at))).collect(),
         }
     }
 
-    /// Returns the parts that other hosts suspect and that were answered since: those that they block
-    /// first, then those in the most losses.
-    fn sound(&self) -> Vec<(PartId, u64)> {
-        let contested = self.contested.keys();
-        let contested = contested.filter(|part| self.answered.contains_key(part));
-        let mut counts: BTreeMap<PartId, usize> =
-            contested.map(|part| (*part, usize::MAX / 2)).collect();
-        for loss in self.own.iter().chain(&self.others) {
-            let parts = loss.parts.iter();
-            for part in parts.filter(|part| self.is_cleared(**part, loss.at)) {
-                *counts.entry(*part).or_default() += 1;
-            }
+    /// Looks at evidence that was left for later, and returns what is to be published now.
+    pub fn publish(&mut self, now: Time) -> (Report, Vec<Verdict>) {
+        let verdicts = self.decide(now);
+        let report = self.report(now);
+        for (part, at) in &report.sound {
+            self.suspects.tell(*part, Duration::from_millis(*at));
         }
-        let mut parts: Vec<(PartId, usize)> = counts.into_iter().collect();
-        parts.sort_by_key(|(_, losses)| std::cmp::Reverse(*losses));
-        parts.truncate(self.tuning.max_sound);
-        let parts = parts.into_iter().map(|(part, _)| part);
-        parts
-            .map(|part| (part, report::millis(self.answered[&part])))
-            .collect()
+        (report, verdicts)
     }
 }
--- a/crates/poison/src/evidence.rs
+++ b/crates/poison/src/evidence.rs
@@ -1,6 +1,6 @@
 //! Crashes, put together from the requests that were lost in them, and what they have in common.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -25,14 +25,16 @@
 pub(crate) struct Crash {
     endpoint: SocketAddr,
     pub(crate) at: Time,
-    /// Parts, of each lost request, that were not answered since.
-    requests: Vec<BTreeSet<PartId>>,
+    /// Sorted parts, of each lost request, that were not answered since.
+    requests: Vec<Vec<PartId>>,
+    /// Whether its cause is known.
+    pub(crate) is_explained: bool,
 }
 
 impl Crash {
     /// Returns whether each part of each lost request was answered since.
     pub(crate) fn is_cleared(&self) -> bool {
-        self.requests.iter().all(BTreeSet::is_empty)
+        self.requests.iter().all(Vec::is_empty)
     }
 
     /// Returns whether a loss belongs to this crash.
@@ -42,12 +44,16 @@
 
     /// Returns whether a lost request has all of these parts.
     pub(crate) fn has(&self, parts: &BTreeSet<PartId>) -> bool {
-        self.requests
-            .iter()
-            .any(|request| request.is_superset(parts))
+        let has = |request: &Vec<PartId>| parts.iter().all(|part| holds(request, *part));
+        self.requests.iter().any(has)
     }
 }
 
+/// Returns whether sorted parts hold one.
+fn holds(request: &[PartId], part: PartId) -> bool {
+    request.binary_search(&part).is_ok()
+}
+
 /// Puts losses together by address and time. `is_cleared` tells whether a part was answered after a
 /// time.
 pub(crate) fn crashes<'a>(
@@ -59,19 +65,30 @@
     let mut crashes: Vec<Crash> = Vec::new();
     for loss in losses {
         let left = |part: &PartId| !is_cleared(*part, loss.at);
-        let request: BTreeSet<PartId> = loss.parts.iter().copied().filter(left).collect();
+        let mut request: Vec<PartId> = loss.parts.iter().copied().filter(left).collect();
+        request.sort_unstable();
+        request.dedup();
         match crashes.last_mut() {
             Some(crash) if crash.includes(loss) => crash.requests.push(request),
             _ => crashes.push(Crash {
                 endpoint: loss.endpoint,
                 at: loss.at,
                 requests: vec![request],
+                is_explained: false,
             }),
         }
     }
     crashes
 }
 
+/// Returns the crash to which a loss belongs.
+pub(crate) fn find<'a>(crashes: &'a [Crash], loss: &Loss) -> Option<&'a Crash> {
+    let is_before = |crash: &Crash| (crash.endpoint, crash.at) <= (loss.endpoint, loss.at);
+    let end = crashes.partition_point(is_before);
+    let crash = crashes[..end].last()?;
+    crash.includes(loss).then_some(crash)
+}
+
 /// Parts that are in several crashes, and the times of the first and the last of them.
 #[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) struct Suspect {
@@ -80,81 +97,185 @@
     pub(crate) last: Time,
 }
 
-impl Suspect {
-    fn new(parts: BTreeSet<PartId>, crashes: &[&Crash]) -> Self {
-        let times = || crashes.iter().map(|crash| crash.at);
-        Self {
-            parts,
-            first: times().min().unwrap_or_default(),
-            last: times().max().unwrap_or_default(),
+/// What crashes have in common.
+#[derive(Debug, Default)]
+pub(crate) struct Findings {
+    /// What explains crashes: the parts that are in the most of them, then those in the most of the rest,
+    /// and so on.
+    pub(crate) causes: Vec<Suspect>,
+    /// When a part that is in enough crashes will have been suspected for long enough; `None` if there
+    /// is none.
+    pub(crate) ripe_at: Option<Time>,
+    /// The last unexplained crash that has a part in common with one at another address and moment.
+    pub(crate) last_repeated: Option<Time>,
+}
+
+/// A part and the requests that have it, as indices of a crash and of a request in it, ascending.
+struct Posting {
+    part: PartId,
+    requests: Vec<(usize, usize)>,
+}
+
+impl Posting {
+    /// Returns the crashes that are not explained.
+    fn open<'a>(&self, crashes: &'a [Crash]) -> Vec<&'a Crash> {
+        let mut indices: Vec<usize> = self.requests.iter().map(|(crash, _)| *crash).collect();
+        indices.dedup();
+        let open = indices.into_iter().map(|index| &crashes[index]);
+        open.filter(|crash| !crash.is_explained).collect()
+    }
+
+    /// Returns the parts that are in each lost request of an unexplained crash which has this one, and
+    /// itself.
+    fn companions(&self, crashes: &[Crash]) -> BTreeSet<PartId> {
+        let open = self
+            .requests
+            .iter()
+            .filter(|(crash, _)| !crashes[*crash].is_explained);
+        let mut requests = open.map(|(crash, request)| &crashes[*crash].requests[*request]);
+        let mut common = requests.next().cloned().unwrap_or_default();
+        for request in requests {
+            common.retain(|part| holds(request, *part));
         }
+        common.into_iter().collect()
     }
 }
 
-/// Returns what explains the crashes: the parts that are in the most of them, then those in the most
-/// of the rest, and so on.
-pub(crate) fn causes(now: Time, crashes: &[Crash]) -> Vec<Suspect> {
-    let mut causes: Vec<Suspect> = Vec::new();
-    let mut rest: Vec<&Crash> = crashes.iter().collect();
-    loop {
-        let found = suspects(now, &rest);
+/// Finds what explains crashes, and marks those that are. At most `max_causes` causes are looked for.
+pub(crate) fn explain(now: Time, crashes: &mut [Crash], max_causes: usize) -> Findings {
+    let mut findings = Findings::default();
+    let mut postings = postings(crashes);
+    while findings.causes.len() < max_causes {
+        let mut found = suspects(now, crashes, &postings);
         if found.is_empty() {
-            return causes;
+            break;
+        }
+        found.truncate(max_causes - findings.causes.len());
+        for crash in crashes.iter_mut() {
+            crash.is_explained |= found.iter().any(|cause| crash.has(&cause.parts));
         }
-        rest.retain(|crash| !found.iter().any(|cause| crash.has(&cause.parts)));
-        causes.extend(found);
+        findings.causes.extend(found);
+        postings.retain(|posting| posting.open(crashes).len() >= MIN_ADDRESSES);
     }
+    for posting in &postings {
+        let open = posting.open(crashes);
+        let pattern = Pattern::of(&open);
+        if pattern.addresses >= MIN_ADDRESSES && pattern.moments >= 2 {
+            findings.last_repeated = findings.last_repeated.max(Some(pattern.last));
+        }
+        if pattern.is_coincidence() || pattern.first + MIN_AGE <= now {
+            continue;
+        }
+        let ripe_at = pattern.first + MIN_AGE;
+        let earliest = findings.ripe_at.map_or(ripe_at, |at| at.min(ripe_at));
+        findings.ripe_at = Some(earliest);
+    }
+    findings
+}
+
+/// Returns the parts that are in two crashes or more.
+fn postings(crashes: &[Crash]) -> Vec<Posting> {
+    let mut entries: Vec<(PartId, usize, usize)> = Vec::new();
+    for (index, crash) in crashes.iter().enumerate() {
+        for (number, request) in crash.requests.iter().enumerate() {
+            entries.extend(request.iter().map(|part| (*part, index, number)));
+        }
+    }
+    entries.sort_unstable();
+    let groups = entries.chunk_by(|left, right| left.0 == right.0);
+    let repeated = groups.filter(|group| group[0].1 != group[group.len() - 1].1);
+    repeated
+        .map(|group| Posting {
+            part: group[0].0,
+            requests: group
+                .iter()
+                .map(|(_, crash, request)| (*crash, *request))
+                .collect(),
+        })
+        .collect()
 }
 
 /// Returns the parts that are in the most crashes, if those are enough. Several suspects that explain
 /// equally many crashes are told apart by the next ones, as long as there are few.
-fn suspects(now: Time, crashes: &[&Crash]) -> Vec<Suspect> {
-    let mut by_part: BTreeMap<PartId, Vec<&Crash>> = BTreeMap::new();
-    for crash in crashes.iter().copied() {
-        let parts: BTreeSet<PartId> = crash.requests.iter().flatten().copied().collect();
-        for part in parts {
-            by_part.entry(part).or_default().push(crash);
+fn suspects(now: Time, crashes: &[Crash], postings: &[Posting]) -> Vec<Suspect> {
+    let mut most = 0;
+    let mut leaders: Vec<(&Posting, Pattern)> = Vec::new();
+    for posting in postings {
+        let open = posting.open(crashes);
+        if open.len() < most.max(MIN_CRASHES) {
+            continue;
+        }
+        let pattern = Pattern::of(&open);
+        if pattern.is_coincidence() || pattern.first + MIN_AGE > now {
+            continue;
         }
+        if open.len() > most {
+            most = open.len();
+            leaders.clear();
+        }
+        leaders.push((posting, pattern));
     }
-    by_part.retain(|_, crashes| is_enough(now, crashes));
-    let most = by_part.values().map(Vec::len).max().unwrap_or(0);
-    let leaders = by_part.iter().filter(|(_, crashes)| crashes.len() == most);
-    let all: BTreeSet<Suspect> = leaders
-        .map(|(part, crashes)| Suspect::new(companions(*part, crashes), crashes))
+    let sets: HashMap<PartId, BTreeSet<PartId>> = leaders
+        .iter()
+        .map(|(posting, _)| (posting.part, posting.companions(crashes)))
+        .collect();
+    // Of a set of parts and a smaller one the larger is blocked, which refuses fewer requests. A part
+    // that is in the set of another one has a part of that set, or all of it, as its own.
+    let covered: BTreeSet<PartId> = sets
+        .values()
+        .flat_map(|set| set.iter().map(move |part| (part, set.len())))
+        .filter(|(part, size)| sets.get(part).is_some_and(|own| own.len() < *size))
+        .map(|(part, _)| *part)
+        .collect();
+    let suspects: BTreeSet<Suspect> = leaders
+        .iter()
+        .filter(|(posting, _)| !covered.contains(&posting.part))
+        .map(|(posting, pattern)| Suspect {
+            parts: sets[&posting.part].clone(),
+            first: pattern.first,
+            last: pattern.last,
+        })
         .collect();
-    // Of a set of parts and a smaller one the larger is blocked, which refuses fewer requests.
-    let is_covered = |suspect: &Suspect| {
-        let mut others = all.iter().filter(|other| *other != suspect);
-        others.any(|other| other.parts.is_superset(&suspect.parts))
-    };
-    let suspects: Vec<&Suspect> = all.iter().filter(|suspect| !is_covered(suspect)).collect();
     if suspects.len() > 1 && most < CERTAIN_CRASHES {
         return Vec::new();
     }
-    suspects.into_iter().cloned().collect()
+    suspects.into_iter().collect()
+}
+
+/// How crashes are spread over addresses and time.
+#[derive(Clone, Copy, Debug)]
+struct Pattern {
+    addresses: usize,
+    /// Moments at which there were crashes.
+    moments: usize,
+    first: Time,
+    last: Time,
 }
 
-/// Returns whether crashes are too many, at too many addresses and moments, for a coincidence.
-fn is_enough(now: Time, crashes: &[&Crash]) -> bool {
-    let addresses: BTreeSet<SocketAddr> = crashes.iter().map(|crash| crash.endpoint).collect();
-    let mut times: Vec<Time> = crashes.iter().map(|crash| crash.at).collect();
-    times.sort_unstable();
-    let age = now.saturating_sub(times.first().copied().unwrap_or(now));
-    let mut moments = 0;
-    let mut next = Time::ZERO;
-    for time in times {
-        if time >= next {
-            moments += 1;
-            next = time + MOMENT;
+impl Pattern {
+    /// Returns the pattern of crashes in the order of their addresses.
+    fn of(crashes: &[&Crash]) -> Self {
+        let other_address = |pair: &&[&Crash]| pair[0].endpoint != pair[1].endpoint;
+        let mut times: Vec<Time> = crashes.iter().map(|crash| crash.at).collect();
+        times.sort_unstable();
+        let mut moments = 0;
+        let mut next = Time::ZERO;
+        for time in &times {
+            if *time >= next {
+                moments += 1;
+                next = *time + MOMENT;
+            }
+        }
+        Self {
+            addresses: crashes.windows(2).filter(other_address).count() + crashes.len().min(1),
+            moments,
+            first: times.first().copied().unwrap_or_default(),
+            last: times.last().copied().unwrap_or_default(),
         }
     }
-    addresses.len() >= MIN_ADDRESSES && moments >= MIN_CRASHES && age >= MIN_AGE
-}
 
-/// Returns the parts that are in each lost request which has `part`, and itself.
-fn companions(part: PartId, crashes: &[&Crash]) -> BTreeSet<PartId> {
-    let requests = crashes.iter().flat_map(|crash| &crash.requests);
-    let with_part = requests.filter(|request| request.contains(&part));
-    let common = with_part.cloned().reduce(|left, right| &left & &right);
-    common.unwrap_or_default()
+    /// Returns whether the crashes are at too few addresses or moments to have a common cause.
+    fn is_coincidence(&self) -> bool {
+        self.addresses < MIN_ADDRESSES || self.moments < MIN_CRASHES
+    }
 }
--- a/crates/poison/src/lib.rs
+++ b/crates/poison/src/lib.rs
@@ -10,13 +10,15 @@
 
 mod detector;
 mod evidence;
+pub mod pace;
 pub mod report;
+mod suspects;
 
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::time::Duration;
 
-pub use self::detector::{Detector, Tuning, Verdict};
+pub use self::detector::{Detector, Tuning, Verdict, Work};
 pub use self::evidence::MIN_AGE;
 
 /// Identity of a part of a prompt; equal for the same content at the same service.
