Cold endpoints: two owner hosts use a part of what they bear

Change: each cold endpoint has two owners among the live hosts, by rendezvous hashing, which use 0.4 of its rate together, one request at a time. A host that sees a part of the hosts uses less; one without recent evidence or its own row in the table uses nothing.

--- a/crates/edge/src/balancer.rs
+++ b/crates/edge/src/balancer.rs
@@ -132,6 +132,8 @@
     key: Key,
     incarnation: Rc<Incarnation>,
     work: f64,
+    /// Whether the endpoint was chosen although it is cold.
+    is_cold: bool,
     /// Endpoint that the request was assigned to.
     pub endpoint: Rc<Endpoint>,
 }
@@ -145,7 +147,7 @@
     by_service: HashMap<ServiceId, Vec<Key>>,
     /// Zones whose endpoints get no requests.
     evacuated: HashSet<ZoneId>,
-    /// Services whose cold endpoints get no requests, with the time for which they are cold.
+    /// Services whose cold endpoints get only a share of requests, with the time for which they are cold.
     cold_starts: HashMap<ServiceId, Duration>,
     /// What endpoints asked for, also those that are not listed any more.
     notices: Notices<Rc<Incarnation>>,
@@ -230,6 +232,11 @@
         criteria: &Criteria<'_>,
         limit: u32,
     ) -> Option<Assignment> {
+        let cold = self.admitted_cold(now, criteria, limit);
+        if let Some(key) = cold {
+            self.entries[key].cold.take(now);
+            return Some(self.assign(key, criteria.cost, true));
+        }
         let usable = self.usable(now, criteria.service);
         let open: Vec<Key> = usable
             .into_iter()
@@ -244,15 +251,54 @@
             Some(prefix) if !is_light => self.by_prefix(&open, prefix, criteria),
             _ => self.least_loaded(&self.in_zone(&open, criteria)),
         }?;
+        Some(self.assign(key, criteria.cost, false))
+    }
+
+    /// Counts a request at an endpoint.
+    fn assign(&mut self, key: Key, cost: f64, is_cold: bool) -> Assignment {
         let entry = &mut self.entries[key];
         entry.running += 1;
-        entry.work += criteria.cost;
-        Some(Assignment {
+        entry.work += cost;
+        Assignment {
             key,
             incarnation: entry.incarnation.clone(),
-            work: criteria.cost,
+            work: cost,
+            is_cold,
             endpoint: entry.endpoint.clone(),
-        })
+        }
+    }
+
+    /// Returns a cold endpoint to which this host may send the request: the one with the fewest requests
+    /// in flight.
+    fn admitted_cold(&self, now: Instant, criteria: &Criteria<'_>, limit: u32) -> Option<Key> {
+        self.cold_starts.get(criteria.service)?;
+        let admitted = self.ready(criteria.service).filter(|key| {
+            let entry = &self.entries[*key];
+            let is_paused = entry.paused_until.is_some_and(|until| until > now);
+            let is_ejected = entry.ejected_until.is_some_and(|until| until > now);
+            let is_free = entry.running < limit && !is_paused && !is_ejected;
+            is_free
+                && entry.cold.until(now).is_some()
+                && entry.cold.admits(now)
+                && !criteria.excluded.contains(&entry.endpoint.id)
+        });
+        admitted.min_by_key(|key| self.entries[*key].running)
+    }
+
+    /// Returns the endpoints that get only a share of requests since they are cold, with their services.
+    pub fn cold_endpoints(&self, now: Instant) -> Vec<(EndpointId, ServiceId)> {
+        let entries = self.entries.values().filter(|entry| entry.is_listed);
+        let cold = entries.filter(|entry| self.cold_until(now, entry).is_some());
+        cold.map(|entry| (entry.endpoint.id.clone(), entry.endpoint.service.clone()))
+            .collect()
+    }
+
+    /// Sets the rate at which this host may send to a cold endpoint, in requests per second. Returns
+    /// whether it may send there from now on.
+    pub fn set_cold_rate(&mut self, now: Instant, id: &EndpointId, rate: f64) -> bool {
+        let key = self.by_id.get(id);
+        let entry = key.and_then(|key| self.entries.get_mut(*key));
+        entry.is_some_and(|entry| entry.cold.set_rate(now, rate))
     }
 
     /// Returns the open endpoints of the request's subset, or all open ones if it has none. The
@@ -317,12 +363,13 @@
         }
     }
 
-    /// Sets the services whose cold endpoints get no requests, with the time for which they are cold.
+    /// Sets the services whose cold endpoints get only a share of requests, with the time for which they are cold.
     pub fn set_cold_starts(&mut self, cold_starts: HashMap<ServiceId, Duration>) {
         self.cold_starts = cold_starts;
     }
 
-    /// Returns until when an endpoint gets no requests since it is cold; `None` if it gets them.
+    /// Returns until when an endpoint gets only a share of requests since it is cold; `None` if it gets them
+    /// like others.
     fn cold_until(&self, now: Instant, entry: &Entry) -> Option<Instant> {
         let is_spared = self.cold_starts.contains_key(&entry.endpoint.service);
         entry.cold.until(now).filter(|_| is_spared)
@@ -404,7 +451,8 @@
         let entry = entry.and_then(|key| self.entries.get(*key));
         let entry = entry.filter(|entry| entry.incarnation == assignment.incarnation);
         !self.evacuated.contains(&assignment.endpoint.zone)
-            && entry.is_none_or(|entry| self.cold_until(now, entry).is_none())
+            && (assignment.is_cold
+                || entry.is_none_or(|entry| self.cold_until(now, entry).is_none()))
             && self
                 .notices
                 .is_open(now.into_std(), &assignment.incarnation)
--- a/crates/edge/src/cold.rs
+++ b/crates/edge/src/cold.rs
@@ -1,21 +1,62 @@
 //! Endpoints that are cold: slow for some seconds after their start, or at any other moment, and
 //! overloaded by a fraction of their usual work.
 //!
-//! The rate that a cold endpoint bears is a bound on all hosts together, and hosts that don't know of
-//! each other can't share a rate. So no host sends to an endpoint that it takes for cold: work goes to
-//! warm endpoints, waits or is refused.
+//! The rate that a cold endpoint bears is a bound on all hosts together. Each cold endpoint has a few
+//! owners among the hosts, by rendezvous hashing over the table of live hosts. They use a part of the
+//! rate; all other hosts send nothing.
 
+use std::rc::Rc;
 use std::time::Duration;
 
-use tokio::time::Instant;
+use tokio::time::{Instant, sleep};
 
-/// What is known of the time for which an endpoint is cold.
+use crate::edge::Edge;
+use crate::estimate;
+use crate::hosts::Row;
+
+/// Hosts that send to one cold endpoint. With one, an endpoint would go unused after a loss.
+const OWNERS: usize = 2;
+/// Part of what a cold endpoint bears that its owners use. Hosts whose tables are outdated may take
+/// themselves for owners beside them.
+const USED_PART: f64 = 0.4;
+/// Age of the evidence that this host reaches the store, itself or by others, beyond which its table of
+/// hosts may be outdated: two heartbeats and a call.
+const MAX_EVIDENCE_AGE: Duration = Duration::from_millis(2_600);
+/// Interval between two looks at the cold endpoints and their owners.
+const SHARE_INTERVAL: Duration = Duration::from_millis(250);
+
+/// Returns the rate at which `host` may send to a cold endpoint that bears `rate` requests a second; 0
+/// unless it is an owner. `sharing` is the number of hosts that may be running: a host that sees only a
+/// part of them uses less, since those that it does not see have owners of their own.
+pub fn share(endpoint: &str, host: &str, live: &[&str], sharing: usize, rate: f64) -> f64 {
+    if !live.contains(&host) {
+        return 0.0;
+    }
+    let seed = estimate::hash(endpoint);
+    let rank = |host: &str| estimate::hash_pair(seed, host);
+    let own = rank(host);
+    let before = live.iter().filter(|other| rank(other) > own).count();
+    if before >= OWNERS {
+        return 0.0;
+    }
+    let owners = OWNERS.min(live.len()) as f64;
+    let seen = live.len() as f64 / sharing.max(live.len()) as f64;
+    rate * USED_PART * seen / owners
+}
+
+/// What is known of the time for which an endpoint is cold, and this host's share of it.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Cold {
     /// End according to the endpoint's row.
     listed: Option<Instant>,
     /// End as presumed until the row can tell.
     presumed: Option<Instant>,
+    /// Requests a second that this host may send until then.
+    rate: f64,
+    /// Requests that it may send at once; at most one, so that shares of several hosts don't add up.
+    tokens: f64,
+    /// When the tokens were last counted.
+    counted: Option<Instant>,
 }
 
 impl Cold {
@@ -35,4 +76,76 @@
         let end = self.listed.max(self.presumed)?;
         (end > now).then_some(end)
     }
+
+    /// Sets the rate of this host. Returns whether it becomes an owner by that.
+    pub fn set_rate(&mut self, now: Instant, rate: f64) -> bool {
+        self.tokens = self.tokens(now);
+        self.counted = Some(now);
+        if rate <= 0.0 {
+            self.tokens = 0.0;
+        }
+        let before = std::mem::replace(&mut self.rate, rate);
+        before <= 0.0 && rate > 0.0
+    }
+
+    /// Returns whether this host may send a request to the cold endpoint.
+    pub fn admits(&self, now: Instant) -> bool {
+        self.tokens(now) >= 1.0
+    }
+
+    /// Counts a request that this host sends to the cold endpoint.
+    pub fn take(&mut self, now: Instant) {
+        self.tokens = self.tokens(now) - 1.0;
+        self.counted = Some(now);
+    }
+
+    fn tokens(&self, now: Instant) -> f64 {
+        let counted = self.counted.unwrap_or(now);
+        let time = now.saturating_duration_since(counted);
+        (self.tokens + self.rate * time.as_secs_f64()).min(1.0)
+    }
+}
+
+/// Keeps this host's shares of cold endpoints until the task is dropped.
+pub async fn run(edge: Rc<Edge>) {
+    loop {
+        sleep(SHARE_INTERVAL).await;
+        edge.share_cold_endpoints(Instant::now());
+    }
+}
+
+impl Edge {
+    /// Sets this host's rate at each cold endpoint.
+    fn share_cold_endpoints(&self, now: Instant) {
+        let cold = self.board.borrow().cold_endpoints(now);
+        let count = i64::try_from(cold.len()).unwrap_or(i64::MAX);
+        self.metrics.cold_endpoints.set(count);
+        let Some(config) = self.config().filter(|_| count > 0) else {
+            return;
+        };
+        let sharing = self.sharing_hosts();
+        let hosts = self.hosts.borrow();
+        let rows = hosts.live(now);
+        let is_own = |row: &&Row| row.incarnation == self.incarnation;
+        let is_current = self
+            .evidence_age()
+            .is_some_and(|age| age <= MAX_EVIDENCE_AGE);
+        // A row that this host has read back was in the table with those of the others.
+        let live: Vec<&str> = match is_current && rows.iter().any(is_own) {
+            true => rows.iter().map(|row| row.host.as_str()).collect(),
+            false => Vec::new(),
+        };
+        let host = &self.settings.borrow().host;
+        let mut board = self.board.borrow_mut();
+        for (endpoint, service) in cold {
+            let bounds = config.services.get(&service);
+            let bounds = bounds.and_then(|service| service.cold);
+            let rate = bounds.map_or(0.0, |bounds| {
+                share(&endpoint, host, &live, sharing, bounds.rate)
+            });
+            if board.set_cold_rate(now, &endpoint, rate) {
+                tracing::info!(event = "cold_endpoint_shared", endpoint, rate);
+            }
+        }
+    }
 }
--- a/crates/edge/src/config.rs
+++ b/crates/edge/src/config.rs
@@ -113,6 +113,15 @@
     pub zone_prices: BTreeMap<ZoneId, f64>,
 }
 
+/// What an endpoint bears while it is cold.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
+pub struct ColdBounds {
+    /// Time for which an endpoint is cold after its start.
+    pub time: Duration,
+    /// Requests a second of all hosts together.
+    pub rate: f64,
+}
+
 /// Group of endpoints that serve the same requests.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Service {
@@ -126,10 +135,9 @@
     pub engine: Option<Engine>,
     /// Bounds and prices of orders; `None` if no endpoints are ordered for the service.
     pub scale: Option<Scale>,
-    /// Time for which an endpoint is cold after its start, and gets no requests; `None` if cold endpoints
-    /// take requests like others.
+    /// Bounds of cold endpoints; `None` if they take requests like others.
     #[serde(default, skip_serializing_if = "Option::is_none")]
-    pub cold_start: Option<Duration>,
+    pub cold: Option<ColdBounds>,
 }
 
 /// Limits on the size and time of callers' requests.
--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -227,8 +227,8 @@
         let version = i64::try_from(config.version).unwrap_or(i64::MAX);
         self.metrics.config_version.set(version);
         let cold_starts = config.services.values().filter_map(|service| {
-            let time = service.cold_start?;
-            Some((service.id.clone(), time))
+            let bounds = service.cold?;
+            Some((service.id.clone(), bounds.time))
         });
         self.board
             .borrow_mut()
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -91,6 +91,8 @@
     pub changes: Family<Outcome, Counter>,
     /// Version of the configuration in force; 0 before the first.
     pub config_version: Gauge,
+    /// Number of endpoints that are cold.
+    pub cold_endpoints: Gauge,
     /// Number of evacuated zones.
     pub evacuated_zones: Gauge,
     /// Number of notices of endpoints by kind: `leaving`, `paused`, `resumed`, `malformed`.
@@ -201,6 +203,8 @@
         registry.register("changes", "Changes of belief by kind", self.changes.clone());
         let version = self.config_version.clone();
         registry.register("config_version", "Configuration in force", version);
+        let cold = self.cold_endpoints.clone();
+        registry.register("cold_endpoints", "Cold endpoints", cold);
         let evacuated = self.evacuated_zones.clone();
         registry.register("evacuated_zones", "Evacuated zones", evacuated);
         let notices = self.notices.clone();
