--- a/crates/edge/src/balancer.rs
+++ b/crates/edge/src/balancer.rs
@@ -232,8 +232,10 @@
         criteria: &Criteria<'_>,
         limit: u32,
     ) -> Option<Assignment> {
+        let is_light = criteria.subset.is_some_and(|subset| subset.is_light);
+        // Light requests have the shortest targets, which a cold endpoint misses.
         let cold = self.admitted_cold(now, criteria, limit);
-        if let Some(key) = cold {
+        if let Some(key) = cold.filter(|_| !is_light) {
             self.entries[key].cold.take(now);
             return Some(self.assign(key, criteria.cost, true));
         }
@@ -245,8 +247,7 @@
                 entry.running < limit && !criteria.excluded.contains(&entry.endpoint.id)
             })
             .collect();
-        let open = self.in_subset(open, criteria, limit);
-        let is_light = criteria.subset.is_some_and(|subset| subset.is_light);
+        let open = self.in_subset(now, open, criteria, limit);
         let key = match criteria.prefix {
             Some(prefix) if !is_light => self.by_prefix(&open, prefix, criteria),
             _ => self.least_loaded(&self.in_zone(&open, criteria)),
@@ -302,14 +303,21 @@
     }
 
     /// Returns the open endpoints of the request's subset, or all open ones if it has none. The
-    /// light subset is the first part of an order that all hosts share: endpoints that are not
+    /// light subset is the first part of an order of the warm ones that all hosts share: endpoints that are not
     /// reclaimable, and so are not taken away, come first, then the id decides. Light requests
     /// spill over to the other endpoints once those of their subset are at half of `limit`.
-    fn in_subset(&self, open: Vec<Key>, criteria: &Criteria<'_>, limit: u32) -> Vec<Key> {
+    fn in_subset(
+        &self,
+        now: Instant,
+        open: Vec<Key>,
+        criteria: &Criteria<'_>,
+        limit: u32,
+    ) -> Vec<Key> {
         let Some(subset) = criteria.subset else {
             return open;
         };
-        let mut ready: Vec<Key> = self.ready(criteria.service).collect();
+        let warm = |key: &Key| self.cold_until(now, &self.entries[*key]).is_none();
+        let mut ready: Vec<Key> = self.ready(criteria.service).filter(warm).collect();
         ready.sort_by(|left, right| {
             let order = |key: &Key| {
                 let endpoint = &self.entries[*key].endpoint;
