edge: requests wait at the host by what can still be met

Cause: a host let each endpoint have three of its requests whatever the number of hosts, so that at any shortage requests waited at the endpoints or were turned away there; a request that did wait at the host was refused after half of its target, first in, first out, whatever was ahead.

Change: a host sends a service at most its share of all slots. The rest waits in agate_queue's Scheduler: tier, then whether the target can still be met, then the account with the fewest tokens. What can't start before its deadline is refused when it arrives, with a Retry-After from the length of the queue. The scheduler tells 16 tiers apart, as accounts and routes together make more than 5, and tells the expected wait. Directories name hosts in proportion to their weight.

--- a/crates/edge/src/directory.rs
+++ b/crates/edge/src/directory.rs
@@ -1,6 +1,6 @@
 //! Serves host addresses to callers, and the readiness of this host.
 
-use std::collections::HashSet;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -11,10 +11,10 @@
 use tokio::time::Instant;
 
 use crate::edge::Edge;
-use crate::headers;
 use crate::interface::Lookup;
 use crate::response::{Responder, Response};
 use crate::server::Incoming;
+use crate::{estimate, headers};
 
 /// Time for which callers may keep the addresses. It is short, so that callers soon stop using a
 /// host that leaves.
@@ -47,7 +47,14 @@
         if self.edge.is_ready() || candidates.is_empty() && !self.edge.is_leaving() {
             candidates.push((&settings.zone, settings.listen.front));
         }
-        nearest(&candidates, lookup.zone.as_ref())
+        let mut weights: HashMap<SocketAddr, f64> =
+            live.iter().map(|row| (row.address, row.weight)).collect();
+        weights.insert(settings.listen.front, settings.weight);
+        let near = nearest(&candidates, lookup.zone.as_ref());
+        let weighted = near
+            .into_iter()
+            .map(|address| (address, weights.get(&address).copied().unwrap_or(1.0)));
+        in_proportion(weighted.collect(), &settings.host)
     }
 }
 
@@ -70,6 +77,41 @@
     candidates.iter().map(|host| host.1).collect()
 }
 
+/// Least part of the hosts that an answer names.
+const MIN_NAMED_SHARE: f64 = 0.5;
+/// Least number of hosts that an answer names, so that a caller finds one that works after many are lost.
+const MIN_NAMED: usize = 4;
+
+/// Returns the addresses that the directory of `host` names. Callers choose one of them at random, so a
+/// host is named by a part of the directories that is its weight relative to the largest one. Each
+/// directory always names the same hosts, since callers leave those that are no longer named. The
+/// heaviest ones are named whatever the chance if too few would be.
+pub fn in_proportion(mut hosts: Vec<(SocketAddr, f64)>, host: &str) -> Vec<SocketAddr> {
+    hosts.sort_by(|(left, left_weight), (right, right_weight)| {
+        right_weight
+            .total_cmp(left_weight)
+            .then_with(|| left.cmp(right))
+    });
+    let heaviest = hosts.first().map_or(0.0, |(_, weight)| *weight);
+    let least = (hosts.len() as f64 * MIN_NAMED_SHARE).ceil() as usize;
+    let least = least.max(MIN_NAMED);
+    let is_drawn = |address: &SocketAddr, weight: f64| {
+        let draw = estimate::hash(&format!("{host}/{address}"));
+        (draw as f64) < weight / heaviest * u64::MAX as f64
+    };
+    let mut named: Vec<(SocketAddr, f64)> = Vec::new();
+    let mut rest = Vec::new();
+    for (address, weight) in hosts {
+        match weight >= heaviest || is_drawn(&address, weight) {
+            true => named.push((address, weight)),
+            false => rest.push((address, weight)),
+        }
+    }
+    let missing = least.saturating_sub(named.len());
+    named.extend(rest.into_iter().take(missing));
+    named.into_iter().map(|(address, _)| address).collect()
+}
+
 impl Responder for Directory {
     fn respond<'a>(&'a self, incoming: &'a Incoming) -> LocalBoxFuture<'a, Response> {
         let dialect = &self.edge.remote.dialect;
--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -328,19 +328,17 @@
         self.in_flight.get()
     }
 
+    /// Returns the services for which requests have queued on this host.
+    pub fn queued_services(&self) -> Vec<ServiceId> {
+        self.queues.borrow().keys().cloned().collect()
+    }
+
     /// Returns the queue of requests that wait for an endpoint of a service.
     pub fn queue(&self, service: &ServiceId) -> Rc<Queue> {
         let mut queues = self.queues.borrow_mut();
         queues.entry(service.clone()).or_default().clone()
     }
 
-    /// Wakes the first request of each queue, after endpoints were added or removed.
-    pub fn wake_queues(&self) {
-        for queue in self.queues.borrow().values() {
-            queue.wake_first();
-        }
-    }
-
     /// Applies a change of the list of endpoints to the connection pool, the load board and queues.
     pub fn apply(&self, change: &Change) {
         match change {
--- a/crates/edge/src/estimate.rs
+++ b/crates/edge/src/estimate.rs
@@ -37,6 +37,12 @@
     BASE + prefilled * PER_PROMPT_TOKEN + output * PER_OUTPUT_TOKEN
 }
 
+/// Returns the tokens of a request's prompt and of its response as far as they can be foreseen; at least 1.
+pub fn tokens(info: &RequestInfo) -> u64 {
+    let output = info.expected_tokens.unwrap_or(info.max_tokens);
+    (info.prompt_tokens + output.min(info.max_tokens)).max(1)
+}
+
 /// Weight of a shared token: the chance that it is not cached and has to be prefilled again.
 const SHARED_WEIGHT: f64 = 0.1;
 
--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -1,6 +1,7 @@
 //! Forwards one request: admission, queueing, attempts at endpoints with retries, and delivery of
 //! the response.
 
+mod acquire;
 mod admit;
 mod delivery;
 mod progress;
@@ -11,10 +12,12 @@
 use std::time::Duration;
 
 use actix_http::{ResponseHead, StatusCode};
+use agate_queue::Charge;
 use bytes::Bytes;
 use futures_util::future::LocalBoxFuture;
 use tokio::time::{Instant, timeout_at};
 
+use self::acquire::Acquired;
 use self::admit::Call;
 use self::delivery::{Delivery, Transfer};
 use self::progress::Progress;
@@ -41,14 +44,10 @@
 const MAX_IDLE: Duration = Duration::from_secs(3);
 /// `Retry-After` of a refusal because no configuration is known to be current.
 const STALE_RETRY_AFTER: Duration = Duration::from_millis(1000);
-/// `Retry-After` of a refusal because the service has no endpoint.
-const NO_ENDPOINT_RETRY_AFTER: Duration = Duration::from_millis(800);
 /// `Retry-After` of a refusal because the host is stopping: another host can take the request at once.
 const LEAVING_RETRY_AFTER: Duration = Duration::from_millis(50);
 /// Shortest `Retry-After` of a refusal because the service is busy.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(250);
-/// Longest `Retry-After` of callers whose endpoints are paused, as a multiple of the pause.
-const RETURN_SPREAD: f64 = 1.2;
 /// A request with less time than this before its deadline is refused instead of sent.
 const MIN_TIME_LEFT: Duration = Duration::from_millis(20);
 /// Requests that a host may have in flight at one endpoint, as a multiple of an equal share of
@@ -82,62 +81,6 @@
         Self { edge }
     }
 
-    /// Acquires an endpoint, waiting in the service's queue if none has a free slot. Refuses the
-    /// request after half of the route's target latency since its arrival, or at its deadline.
-    async fn acquire(
-        &self,
-        call: &Call,
-        progress: &Progress,
-        record: &mut Record,
-    ) -> Result<Assignment, Refusal> {
-        let queue = self.edge.queue(&call.service);
-        let is_first = progress.sends == 0;
-        if (!is_first || !queue.must_wait(call.tier))
-            && let Some(assignment) = self.try_acquire(call, progress)
-        {
-            return Ok(assignment);
-        }
-        let until = call
-            .deadline
-            .min(call.incoming.arrival + call.route.target / 2);
-        let waiter = queue.push(call.tier, !progress.tried.is_empty());
-        record.waited = true;
-        loop {
-            if let Some(refusal) = self.refuse_paused(call, until) {
-                return Err(refusal);
-            }
-            if timeout_at(until, waiter.woken()).await.is_err() {
-                let balancer = self.edge.board.borrow();
-                let refusal = match balancer.ready_count(&call.service) {
-                    0 => Refusal::retry_after(Reason::NoEndpoint, NO_ENDPOINT_RETRY_AFTER),
-                    _ => Refusal::retry_after(Reason::Full, self.queue_retry_after(call)),
-                };
-                return Err(refusal);
-            }
-            if let Some(assignment) = self.try_acquire(call, progress) {
-                return Ok(assignment);
-            }
-        }
-    }
-
-    /// Returns a refusal if all endpoints of the service have asked for a pause beyond `until`. Callers
-    /// are spread over a part of the wait, so that they do not return at the same moment.
-    fn refuse_paused(&self, call: &Call, until: Instant) -> Option<Refusal> {
-        let now = Instant::now();
-        let opening = self.edge.board.borrow().opening(now, &call.service)?;
-        let wait = (opening - now).mul_f64(rand::random_range(1.0..RETURN_SPREAD));
-        (opening > until).then(|| Refusal::retry_after(Reason::Full, wait))
-    }
-
-    /// Returns the `Retry-After` for a busy service: an estimate of the time until its queue is
-    /// worked off.
-    fn queue_retry_after(&self, call: &Call) -> Duration {
-        let ahead = self.edge.queue(&call.service).len() as u32;
-        let (running, _) = self.edge.board.borrow().running(&call.service);
-        let turn_time = call.route.target / 2;
-        MIN_RETRY_AFTER + turn_time * ahead / running.max(1)
-    }
-
     /// Chooses an endpoint with a free slot for this host; None if there is none.
     fn try_acquire(&self, call: &Call, progress: &Progress) -> Option<Assignment> {
         let hosts = self.edge.sharing_hosts();
@@ -179,7 +122,7 @@
             );
             self.edge.pool.borrow_mut().remove(&assignment.endpoint.id);
         }
-        self.edge.queue(&call.service).wake_first();
+        self.edge.grant(&call.service);
     }
 
     /// Sends the request to one endpoint and reads the head of its response.
@@ -347,8 +290,9 @@
                 return Err(progress.adjust(Refusal::new(Reason::TooLate)));
             }
             let acquired = self.acquire(call, &progress, record).await;
-            let assignment = acquired.map_err(|refusal| progress.adjust(refusal))?;
-            let reservation = Reservation::new(self, call, assignment);
+            let acquired = acquired.map_err(|refusal| progress.adjust(refusal))?;
+            let reservation = Reservation::new(self, call, acquired);
+            let started = Instant::now();
             record.add_attempt(&reservation.assignment().endpoint);
             let id = reservation.assignment().endpoint.id.clone();
             let attempt = self
@@ -359,6 +303,10 @@
                 Attempt::Responded(response) => {
                     let (exchange, head) = *response;
                     let is_failure = head.status.is_server_error();
+                    if head.status.is_success() {
+                        let queue = self.edge.queue(&call.service);
+                        queue.observe(&call.demand(), started.elapsed());
+                    }
                     if is_failure && self.may_retry(call, &progress, "status") {
                         reservation.close(Outcome::Failed);
                         continue;
@@ -484,6 +432,7 @@
     forwarder: &'a Forwarder,
     call: &'a Call,
     assignment: Assignment,
+    charge: Option<Charge>,
     outcome: Outcome,
     /// Whether the outcome says nothing of the endpoint's health: it has asked for a pause, or the
     /// request was withheld.
@@ -491,11 +440,12 @@
 }
 
 impl<'a> Reservation<'a> {
-    fn new(forwarder: &'a Forwarder, call: &'a Call, assignment: Assignment) -> Self {
+    fn new(forwarder: &'a Forwarder, call: &'a Call, acquired: Acquired) -> Self {
         Self {
             forwarder,
             call,
-            assignment,
+            assignment: acquired.assignment,
+            charge: acquired.charge,
             outcome: Outcome::Abandoned,
             is_excused: Cell::new(false),
         }
@@ -528,6 +478,16 @@
             Outcome::Abandoned => "abandoned",
         };
         count(&edge.metrics.attempts, outcome);
+        if let Some(charge) = self.charge.take() {
+            let used = match self.outcome {
+                Outcome::Unreached | Outcome::Full | Outcome::Excused => 0,
+                Outcome::Answered | Outcome::Failed | Outcome::Abandoned => charge.tokens(),
+            };
+            self.forwarder
+                .edge
+                .queue(&self.call.service)
+                .settle(charge, used);
+        }
         self.forwarder
             .release(self.call, &self.assignment, self.outcome);
     }
--- a/crates/edge/src/forward/admit.rs
+++ b/crates/edge/src/forward/admit.rs
@@ -10,6 +10,7 @@
 use super::{Forwarder, LEAVING_RETRY_AFTER, MIN_RETRY_AFTER, STALE_RETRY_AFTER};
 use crate::config::{Account, Config, Route, ServiceId};
 use crate::interface::RequestInfo;
+use crate::queue::Demand;
 use crate::record::Record;
 use crate::refusal::{Reason, Refusal};
 use crate::server::Incoming;
@@ -47,6 +48,26 @@
 }
 
 impl Call {
+    /// Returns what the request asks of the queue.
+    pub(super) fn demand(&self) -> Demand {
+        Demand {
+            account: self.account.as_ref().map(|account| account.id.clone()),
+            tier: self.tier,
+            is_urgent: self.route.tier == 0,
+            target: self.route.target,
+            arrival: self.incoming.arrival,
+            deadline: self.deadline,
+            tokens: estimate::tokens(&self.info),
+            bytes: self.incoming.body.len(),
+        }
+    }
+
+    /// Returns when the request stops to wait for endpoints that are missing, paused or already tried.
+    pub(super) fn patience(&self) -> Instant {
+        self.deadline
+            .min(self.incoming.arrival + self.route.target / 2)
+    }
+
     /// Returns the parts of the prompt that other requests may have too.
     pub(super) fn shared_parts(&self) -> &[PartId] {
         match self.parts.as_slice() {
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -32,6 +32,7 @@
 pub mod relay;
 pub mod removal;
 pub mod response;
+pub mod room;
 pub mod roster;
 pub mod run;
 pub mod sabotage;
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -50,6 +50,13 @@
     pub table: String,
 }
 
+/// Label with the name of a service.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct Service {
+    /// Name of the service.
+    pub service: String,
+}
+
 /// Label with the tier of a request.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct Tier {
@@ -97,6 +104,10 @@
     pub blocked_prompts: Gauge,
     /// Number of requests in flight.
     pub in_flight: Gauge,
+    /// Number of requests in the queue of each service.
+    pub queued: Family<Service, Gauge>,
+    /// Number of requests that were queued, by what became of them: `started`, `full`, `unreachable`.
+    pub queue_ends: Family<Outcome, Counter>,
     /// 1 while this host holds the lease, otherwise 0.
     pub lease_held: Gauge,
     /// Calls to the store by kind and table.
@@ -170,6 +181,12 @@
         observe(&self.latency.wait, tier, latency);
     }
 
+    /// Sets the number of requests that wait for an endpoint of a service.
+    pub fn set_queued(&self, service: &str, waiting: i64) {
+        let service = service.to_owned();
+        self.queued.get_or_create(&Service { service }).set(waiting);
+    }
+
     /// Returns all metrics in the OpenMetrics text format.
     pub fn render(&self) -> String {
         let mut registry = Registry::with_prefix("agate_edge");
@@ -204,6 +221,9 @@
             "Whether the lease is held",
             self.lease_held.clone(),
         );
+        registry.register("queued", "Requests in line", self.queued.clone());
+        let ends = self.queue_ends.clone();
+        registry.register("queue_ends", "Requests that left the line by end", ends);
         let latency = &self.latency;
         let first_byte = latency.first_byte.clone();
         registry.register("first_byte_seconds", "Time to the first byte", first_byte);
--- a/crates/queue/src/scheduler.rs
+++ b/crates/queue/src/scheduler.rs
@@ -6,7 +6,7 @@
 use std::collections::{BTreeSet, HashMap};
 use std::time::{Duration, Instant};
 
-use agate_model::id::{ClassId, TIER_COUNT, Tier};
+use agate_model::id::{ClassId, Tier};
 use agate_model::refusal::Reason;
 use slotmap::SlotMap;
 
@@ -17,6 +17,9 @@
 use crate::rate::Rate;
 use crate::snapshot::{self, Snapshot};
 
+/// Number of tiers that are told apart; less urgent ones count as the last. It exceeds the tiers of
+/// classes, since the tiers of accounts and routes together make more.
+const LEVEL_COUNT: usize = 16;
 /// One start in thousandths, the unit of the reserve credit.
 const START_MILLI: u32 = 1000;
 /// Part of each start, in thousandths, that is reserved for classes other than the one that
@@ -81,7 +84,7 @@
     /// Flows of all classes; idle ones are removed.
     flows: SlotMap<flow::Key, Flow>,
     /// State by tier.
-    levels: [Level; TIER_COUNT],
+    levels: [Level; LEVEL_COUNT],
     /// Classes with queued requests, ranked by their starts from the reserve.
     reserve: Ranking<class::Key>,
     /// Unused part of the reserve in thousandths of a start.
--- a/crates/queue/src/scheduler/accounting.rs
+++ b/crates/queue/src/scheduler/accounting.rs
@@ -1,8 +1,8 @@
 //! Accounting of classes, flows and queued requests.
 
-use agate_model::id::{ClassId, TIER_COUNT};
+use agate_model::id::ClassId;
 
-use super::{Entry, Scheduler};
+use super::{Entry, LEVEL_COUNT, Scheduler};
 use crate::class::{self, Class};
 use crate::flow::{self, Flow};
 use crate::item::{Charge, Item, Ticket};
@@ -15,7 +15,7 @@
             Some(&key) => key,
             None => self.add_class(&item.class),
         };
-        let tier = usize::from(item.tier).min(TIER_COUNT - 1);
+        let tier = usize::from(item.tier).min(LEVEL_COUNT - 1);
         let class = &mut self.classes[key];
         self.capacity += item.queue_limit as usize;
         self.capacity -= class.limit;
--- a/crates/queue/src/scheduler/admission.rs
+++ b/crates/queue/src/scheduler/admission.rs
@@ -20,17 +20,29 @@
     /// its last possible start or its [`Item::start_by`]. False while the rate of starts is
     /// unknown.
     pub(super) fn is_unreachable(&self, now: Instant, key: class::Key, item: &Item) -> bool {
-        let class = &self.classes[key];
-        let Some(rate) = self.levels[class.tier].rate.per_second() else {
+        let Some(wait) = self.wait_in_class(key, item) else {
             return false;
         };
-        let own_rate = rate * self.share_in_tier(key) / STRICT_SHARE;
-        let ahead = self.ahead_in_class(class, item);
-        let wait = Duration::try_from_secs_f64(ahead / own_rate).unwrap_or(Duration::MAX);
         let latest = item.latest_start().min(item.start_by);
         now.checked_add(wait).is_none_or(|start| start > latest)
     }
 
+    /// Returns the time after which a request offered now would start if no lower tier got a start, or
+    /// `None` while the rate of starts is unknown or no request of its class was ever offered.
+    pub fn expected_wait(&self, item: &Item) -> Option<Duration> {
+        let key = self.class_keys.get(&item.class)?;
+        self.wait_in_class(*key, item)
+    }
+
+    /// Returns the expected wait of a new request of a class; `None` while the rate of starts is unknown.
+    fn wait_in_class(&self, key: class::Key, item: &Item) -> Option<Duration> {
+        let class = &self.classes[key];
+        let rate = self.levels[class.tier].rate.per_second()?;
+        let own_rate = rate * self.share_in_tier(key) / STRICT_SHARE;
+        let ahead = self.ahead_in_class(class, item);
+        Some(Duration::try_from_secs_f64(ahead / own_rate).unwrap_or(Duration::MAX))
+    }
+
     /// Returns the share of a class in the starts of its tier, from 0 to 1, by the weights of the
     /// classes with queued requests.
     fn share_in_tier(&self, key: class::Key) -> f64 {
