Memory: one budget of a host for what it holds for callers

Bodies were gathered up to the limit for each connection, and connections had no bound, so callers that stop short of the end, announce or send too much, or send nothing took all memory or descriptors of a host.

crates/memory keeps one account of a process: heads, bodies and responses are taken from it, and connections are admitted by it; its size follows from machine in the settings. When it is short, the largest and slowest incomplete request yields (503 with Retry-After), never one that may have been sent; when there are too many connections, idle ones yield first. An announced length over the limit is refused at its head. A response that finds no room waits instead of counting as a failure of the endpoint, so the limit of 16 MiB for all buffered responses goes.

crates/edge/tests/endless.rs reads the bytes held from the budget, which replaces the counter that it read before; the assertion is the same.

--- a/crates/edge/src/directory.rs
+++ b/crates/edge/src/directory.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use actix_http::StatusCode;
+use agate_memory::Budget;
 use agate_model::id::ZoneId;
 use futures_util::future::LocalBoxFuture;
 use tokio::time::Instant;
@@ -71,6 +72,10 @@
 }
 
 impl Responder for Directory {
+    fn memory(&self) -> Rc<Budget> {
+        self.edge.memory.clone()
+    }
+
     fn respond<'a>(&'a self, incoming: &'a Incoming) -> LocalBoxFuture<'a, Response> {
         let dialect = &self.edge.remote.dialect;
         let page = if let Some(lookup) = dialect.lookup(incoming.request.head()) {
--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -6,6 +6,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use agate_memory::Budget as Memory;
 use agate_model::id::{AccountId, Incarnation, RouteId};
 use agate_store::interface::{Feed, Tables};
 use tokio::sync::{Notify, watch};
@@ -125,8 +126,8 @@
     pub config_outdated: Notify,
     /// Newest known revision of the store, of any table; 0 before the first.
     pub newest_revision: Cell<u64>,
-    /// Bytes of responses of endpoints that are buffered.
-    pub buffered_bytes: Cell<usize>,
+    /// What the connections of all listeners hold of the memory of the process.
+    pub memory: Rc<Memory>,
     /// Estimate of the store's clock from its responses.
     pub store_clock: Cell<StoreClock>,
     config: RefCell<Option<Rc<Config>>>,
@@ -149,6 +150,7 @@
             feed: Rc::new(MeteredFeed::new(remote.feed, metrics.store.clone())),
             ..remote
         };
+        let memory = Memory::new(settings.machine.size());
         Rc::new(Self {
             settings: RefCell::new(settings),
             incarnation: hex::encode(rand::random::<[u8; 8]>()),
@@ -172,7 +174,7 @@
             config_revision: Cell::new(None),
             config_outdated: Notify::new(),
             newest_revision: Cell::new(0),
-            buffered_bytes: Cell::new(0),
+            memory,
             store_clock: Cell::default(),
             config: RefCell::default(),
             evidence: Cell::default(),
--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -11,6 +11,7 @@
 use std::time::Duration;
 
 use actix_http::{ResponseHead, StatusCode};
+use agate_memory::Budget as Memory;
 use bytes::Bytes;
 use futures_util::future::LocalBoxFuture;
 use tokio::time::{Instant, timeout_at};
@@ -578,6 +579,10 @@
             .map_or_else(Limits::default, |config| config.limits)
     }
 
+    fn memory(&self) -> Rc<Memory> {
+        self.edge.memory.clone()
+    }
+
     fn is_closing(&self) -> bool {
         self.edge.is_leaving()
     }
@@ -591,7 +596,11 @@
     }
 
     fn rejected(&self, status: StatusCode, fault: &str) {
-        count(&self.edge.metrics.requests, Reason::Malformed.code());
+        let reason = match status {
+            StatusCode::SERVICE_UNAVAILABLE => Reason::NoMemory,
+            _ => Reason::Malformed,
+        };
+        count(&self.edge.metrics.requests, reason.code());
         tracing::info!(
             event = "request_unreadable",
             status = status.as_u16(),
--- a/crates/edge/src/forward/delivery.rs
+++ b/crates/edge/src/forward/delivery.rs
@@ -1,15 +1,16 @@
 //! Delivers the responses of endpoints to one caller.
 
-use actix_http::header::{CONTENT_TYPE, HeaderValue};
+use actix_http::header::{CONTENT_LENGTH, CONTENT_TYPE, HeaderValue};
 use actix_http::{ResponseHead, StatusCode};
+use agate_memory::Purpose;
 use bytes::{Bytes, BytesMut};
-use tokio::time::timeout_at;
+use tokio::time::error::Elapsed;
+use tokio::time::{Instant, timeout_at};
 
 use super::admit::Call;
 use super::{Forwarder, Reservation};
 use crate::client::{Error, Exchange};
 use crate::config::Kind;
-use crate::edge::Edge;
 use crate::event::{self, Gauge, Splitter};
 use crate::guard::Onset;
 use crate::headers;
@@ -19,8 +20,6 @@
 /// Largest response body that is buffered, in bytes; a longer one counts as a failure of the
 /// endpoint.
 const MAX_BUFFERED: usize = 4 << 20;
-/// Bytes of all responses that are buffered at one time: a part of the memory of the smallest hosts.
-const MAX_ALL_BUFFERED: usize = 16 << 20;
 
 /// Result of passing on the response of one endpoint.
 pub(super) enum Transfer {
@@ -83,6 +82,8 @@
         let is_stream = call.route.kind.is_stream() && head.status == StatusCode::OK;
         record.status = head.status.as_u16();
         record.time_to_first_byte = Some(call.incoming.arrival.elapsed());
+        // An earlier attempt may have left its part.
+        writer.share().give(Purpose::Responses, usize::MAX);
         if is_stream {
             self.stream(forwarder, call, exchange, &head, reservation, writer)
                 .await
@@ -126,6 +127,9 @@
                 Ok(Ok(bytes)) => bytes,
             };
             let Some(bytes) = bytes else { break };
+            if hold(call, writer, bytes.len()).await.is_err() {
+                return Transfer::TimedOut;
+            }
             let events = match self.is_resumable {
                 true => self.splitter.push(&bytes),
                 false => gauge.push(&bytes).map(|()| bytes),
@@ -148,6 +152,7 @@
                 forwarder.edge.record_answer(call.shared_parts());
             }
             if events.is_empty() {
+                // What is kept of an incomplete event stays taken.
                 continue;
             }
             if !writer.is_started() {
@@ -159,6 +164,7 @@
             if writer.chunk(events).await.is_err() {
                 return Transfer::CallerClosed;
             }
+            writer.share().give(Purpose::Responses, usize::MAX);
         }
         // The end of a connection may be the end of a body, but not of an event, nor of a stream that
         // has none.
@@ -212,39 +218,20 @@
     edge.record_unframed_end(&call.info.id, endpoint, &call.parts, call.shared_parts());
 }
 
-/// Bytes of one buffered response; dropping it releases them.
-struct Buffered<'a> {
-    edge: &'a Edge,
-    bytes: usize,
+/// Takes bytes of the memory for a response, and waits for room until the deadline. Nothing is read from the
+/// endpoint meanwhile.
+async fn hold(call: &Call, writer: &ResponseWriter<'_>, bytes: usize) -> Result<(), Elapsed> {
+    let taken = writer
+        .share()
+        .wait(Purpose::Responses, bytes, Instant::now());
+    timeout_at(call.deadline, taken).await
 }
 
-impl<'a> Buffered<'a> {
-    fn new(edge: &'a Edge) -> Self {
-        Self { edge, bytes: 0 }
-    }
-
-    /// Adds bytes, unless the response or all of them together become too long.
-    fn add(&mut self, bytes: usize) -> Result<(), Error> {
-        let (part, limit) = ("body", MAX_BUFFERED);
-        if self.bytes + bytes > limit {
-            return Err(Error::Endless { part, limit });
-        }
-        let all = self.edge.buffered_bytes.get() + bytes;
-        let (part, limit) = ("all_bodies", MAX_ALL_BUFFERED);
-        if all > limit {
-            return Err(Error::Endless { part, limit });
-        }
-        self.bytes += bytes;
-        self.edge.buffered_bytes.set(all);
-        Ok(())
-    }
-}
-
-impl Drop for Buffered<'_> {
-    fn drop(&mut self) {
-        let all = self.edge.buffered_bytes.get();
-        self.edge.buffered_bytes.set(all - self.bytes);
-    }
+/// Returns the length of a response body that its head states, at most [`MAX_BUFFERED`]; 0 without one.
+fn announced_length(head: &ResponseHead) -> usize {
+    let value = head.headers.get(CONTENT_LENGTH);
+    let length = value.and_then(|value| value.to_str().ok()?.trim().parse().ok());
+    length.unwrap_or(0).min(MAX_BUFFERED)
 }
 
 /// Buffers the response of one endpoint and passes it on once it is complete.
@@ -256,17 +243,31 @@
     reservation: &Reservation<'_>,
     writer: &mut ResponseWriter<'_>,
 ) -> Transfer {
-    let mut body = BytesMut::new();
-    let mut buffered = Buffered::new(&forwarder.edge);
+    let announced = announced_length(head);
+    // All of it is taken at once, so that responses do not wait for each other's halves.
+    if hold(call, writer, announced).await.is_err() {
+        return Transfer::TimedOut;
+    }
+    let mut held = announced;
+    let mut body = BytesMut::with_capacity(announced);
     let mut onset = Onset::default();
     loop {
         match timeout_at(call.deadline, exchange.next()).await {
             Err(_) => return Transfer::TimedOut,
             Ok(Ok(Some(bytes))) => {
-                if let Err(err) = buffered.add(bytes.len()) {
+                let length = body.len() + bytes.len();
+                if length > MAX_BUFFERED {
+                    let (part, limit) = ("body", MAX_BUFFERED);
+                    let err = Error::Endless { part, limit };
                     forwarder.attempt_failed(call, reservation, &err, onset.is_settled());
                     return Transfer::EndpointFailed;
                 }
+                if length > held {
+                    if hold(call, writer, length - held).await.is_err() {
+                        return Transfer::TimedOut;
+                    }
+                    held = length;
+                }
                 body.extend_from_slice(&bytes);
                 onset.begin();
             }
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use actix_http::StatusCode;
+use agate_memory::{Budget, Purpose};
 use bytes::Bytes;
 use futures_util::future::LocalBoxFuture;
 use prometheus_client::encoding::{EncodeLabelSet, text};
@@ -57,6 +58,13 @@
     pub tier: u8,
 }
 
+/// Label with what bytes are held for.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct Held {
+    /// Code of the purpose.
+    pub purpose: &'static str,
+}
+
 /// Constructor of histograms with `LATENCY_BUCKETS`.
 #[derive(Clone, Copy, Debug)]
 struct Buckets;
@@ -97,6 +105,12 @@
     pub blocked_prompts: Gauge,
     /// Number of requests in flight.
     pub in_flight: Gauge,
+    /// Bytes held for callers by purpose.
+    pub held_bytes: Family<Held, Gauge>,
+    /// Number of open connections of callers.
+    pub connections: Gauge,
+    /// Number of requests and connections that were refused or closed for lack of room, by cause.
+    pub shortages: Family<Outcome, Counter>,
     /// 1 while this host holds the lease, otherwise 0.
     pub lease_held: Gauge,
     /// Calls to the store by kind and table.
@@ -170,6 +184,27 @@
         observe(&self.latency.wait, tier, latency);
     }
 
+    /// Records what a budget holds and has refused.
+    pub fn observe_memory(&self, memory: &Budget) {
+        for purpose in Purpose::ALL {
+            let held = i64::try_from(memory.held(purpose)).unwrap_or(i64::MAX);
+            let purpose = purpose.code();
+            self.held_bytes.get_or_create(&Held { purpose }).set(held);
+        }
+        let connections = i64::try_from(memory.connections()).unwrap_or(i64::MAX);
+        self.connections.set(connections);
+        let counts = memory.counts();
+        for (outcome, count) in [
+            ("refused_bytes", counts.refused_bytes),
+            ("refused_connection", counts.refused_connections),
+            ("yielded_bytes", counts.yielded_bytes),
+            ("yielded_connection", counts.yielded_connections),
+        ] {
+            let counter = self.shortages.get_or_create(&Outcome { outcome });
+            counter.inc_by(count.saturating_sub(counter.get()));
+        }
+    }
+
     /// Returns all metrics in the OpenMetrics text format.
     pub fn render(&self) -> String {
         let mut registry = Registry::with_prefix("agate_edge");
@@ -204,6 +239,12 @@
             "Whether the lease is held",
             self.lease_held.clone(),
         );
+        let held = self.held_bytes.clone();
+        registry.register("held_bytes", "Bytes held for callers by purpose", held);
+        let connections = self.connections.clone();
+        registry.register("connections", "Open connections of callers", connections);
+        let shortages = self.shortages.clone();
+        registry.register("shortages", "Refused or closed for lack of room", shortages);
         let latency = &self.latency;
         let first_byte = latency.first_byte.clone();
         registry.register("first_byte_seconds", "Time to the first byte", first_byte);
@@ -239,7 +280,12 @@
 }
 
 impl Responder for Exposition {
+    fn memory(&self) -> Rc<Budget> {
+        self.edge.memory.clone()
+    }
+
     fn respond<'a>(&'a self, _incoming: &'a Incoming) -> LocalBoxFuture<'a, Response> {
+        self.edge.metrics.observe_memory(&self.edge.memory);
         let page = Response {
             status: StatusCode::OK,
             headers: headers::content_type("application/openmetrics-text; version=1.0.0"),
--- a/crates/edge/src/refusal.rs
+++ b/crates/edge/src/refusal.rs
@@ -28,6 +28,8 @@
     TooLate,
     /// The prompt has parts that crash endpoints.
     PromptBlocked,
+    /// The process has no memory left for the rest of the request.
+    NoMemory,
     /// The host is stopping, and the request may need more time than is left.
     Leaving,
     /// The endpoint failed, and the request may have run.
@@ -38,7 +40,7 @@
 
 impl Reason {
     /// All reasons, so that their counters can start at zero.
-    pub const ALL: [Reason; 13] = [
+    pub const ALL: [Reason; 14] = [
         Reason::Malformed,
         Reason::NoConfig,
         Reason::Stale,
@@ -49,6 +51,7 @@
         Reason::Declined,
         Reason::TooLate,
         Reason::PromptBlocked,
+        Reason::NoMemory,
         Reason::Leaving,
         Reason::EndpointFailed,
         Reason::TimedOut,
@@ -67,6 +70,7 @@
             Reason::Declined => "declined",
             Reason::TooLate => "too_late",
             Reason::PromptBlocked => "prompt_blocked",
+            Reason::NoMemory => "no_memory",
             Reason::Leaving => "leaving",
             Reason::EndpointFailed => "endpoint_failed",
             Reason::TimedOut => "timed_out",
@@ -89,6 +93,7 @@
             | Reason::Declined
             | Reason::TooLate
             | Reason::PromptBlocked
+            | Reason::NoMemory
             | Reason::Leaving => StatusCode::SERVICE_UNAVAILABLE,
         }
     }
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -12,6 +12,7 @@
 use std::time::Duration;
 
 use actix_http::{Method, StatusCode};
+use agate_memory::Budget;
 use agate_store::interface::{Change, Changes};
 use bytes::Bytes;
 use futures_util::future::LocalBoxFuture;
@@ -410,6 +411,10 @@
 }
 
 impl response::Responder for Server {
+    fn memory(&self) -> Rc<Budget> {
+        self.edge.memory.clone()
+    }
+
     fn respond<'a>(&'a self, incoming: &'a Incoming) -> LocalBoxFuture<'a, response::Response> {
         Box::pin(self.respond(incoming))
     }
--- a/crates/edge/src/response.rs
+++ b/crates/edge/src/response.rs
@@ -1,7 +1,10 @@
 //! Responses of this host's own interfaces: addresses, readiness, metrics, tables for other hosts.
 
+use std::rc::Rc;
+
 use actix_http::StatusCode;
 use actix_http::header::HeaderMap;
+use agate_memory::{Budget, Size};
 use bytes::Bytes;
 use futures_util::future::LocalBoxFuture;
 
@@ -35,6 +38,11 @@
     /// Returns the response to one request.
     fn respond<'a>(&'a self, incoming: &'a Incoming) -> LocalBoxFuture<'a, Response>;
 
+    /// Returns the budget that holds the connections and their bytes; by default one that bounds nothing.
+    fn memory(&self) -> Rc<Budget> {
+        Budget::new(Size::UNBOUNDED)
+    }
+
     /// Returns whether connections are to be closed after the current request.
     fn is_closing(&self) -> bool {
         false
@@ -67,6 +75,10 @@
         Limits::default()
     }
 
+    fn memory(&self) -> Rc<Budget> {
+        self.0.memory()
+    }
+
     fn is_closing(&self) -> bool {
         self.0.is_closing()
     }
--- a/crates/edge/src/run.rs
+++ b/crates/edge/src/run.rs
@@ -94,6 +94,7 @@
                 reason = "needs a restart"
             );
         }
+        self.edge.memory.resize(settings.machine.size());
         let listen = current.listen.clone();
         *current = Settings { listen, ..settings };
     }
--- a/crates/edge/src/server.rs
+++ b/crates/edge/src/server.rs
@@ -1,5 +1,7 @@
 //! HTTP/1.1 server for the connections of callers.
 
+mod writer;
+
 use std::io;
 use std::mem::MaybeUninit;
 use std::net::SocketAddr;
@@ -7,26 +9,30 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use actix_http::body::BodySize;
 use actix_http::h1::{Codec, Message};
-use actix_http::header::HeaderMap;
-use actix_http::{ConnectionType, Request, Response, StatusCode};
+use actix_http::header::{CONTENT_LENGTH, HeaderMap, HeaderValue, RETRY_AFTER};
+use actix_http::{Request, StatusCode};
+use agate_memory::{Budget, Purpose, Share, Shortage, Standing};
 use bytes::{Bytes, BytesMut};
 use futures_util::future::{FutureExt as _, LocalBoxFuture};
-use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
-use tokio::net::tcp::{ReadHalf, WriteHalf};
+use tokio::io::AsyncReadExt as _;
+use tokio::net::tcp::ReadHalf;
 use tokio::net::{TcpListener, TcpStream};
+use tokio::task::yield_now;
 use tokio::time::{Instant, timeout, timeout_at};
-use tokio_util::codec::{Decoder as _, Encoder as _};
+use tokio_util::codec::Decoder as _;
 
 use crate::client::set_socket_options;
 use crate::config::Limits;
 use crate::edge::InFlight;
 
+pub use self::writer::ResponseWriter;
+
 /// Pause after a connection could not be accepted, for example because no file descriptor is left.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
-/// Timeout for writing one part of a response to a caller that does not read.
-const WRITE_TIMEOUT: Duration = Duration::from_secs(10);
+/// `Retry-After` in seconds of a request that was refused for lack of memory: callers that stopped sending are
+/// cut by then.
+const SHORTAGE_RETRY_AFTER: &str = "1.00";
 /// Bytes of pipelined requests that are buffered while one is handled.
 const READ_AHEAD: usize = 64 << 10;
 /// Connections not yet accepted that the kernel queues.
@@ -88,6 +94,9 @@
     /// Returns the limits on size and time of requests.
     fn limits(&self) -> Limits;
 
+    /// Returns the budget that holds the connections of the listener and their bytes.
+    fn memory(&self) -> Rc<Budget>;
+
     /// Returns whether connections are to be closed after the current request.
     fn is_closing(&self) -> bool;
 
@@ -135,104 +144,6 @@
     }
 }
 
-/// Writes the response to one request.
-pub struct ResponseWriter<'a> {
-    writer: WriteHalf<'a>,
-    codec: &'a mut Codec,
-    write_buffer: BytesMut,
-    handler: &'a dyn Handler,
-    /// Whether the connection closes after this response.
-    is_closing: bool,
-    is_started: bool,
-}
-
-impl ResponseWriter<'_> {
-    /// Returns whether a write of the response was started.
-    pub fn is_started(&self) -> bool {
-        self.is_started
-    }
-
-    /// Makes the connection close after this response.
-    pub fn close_after(&mut self) {
-        self.is_closing = true;
-    }
-
-    /// Writes the head of a response whose body follows in chunks. `length` is the length of the
-    /// body, if it is known.
-    pub async fn head(
-        &mut self,
-        status: StatusCode,
-        headers: HeaderMap,
-        length: Option<u64>,
-    ) -> io::Result<()> {
-        let size = length.map_or(BodySize::Stream, BodySize::Sized);
-        self.encode_head(status, headers, size)?;
-        self.flush().await
-    }
-
-    /// Writes a chunk of the body.
-    pub async fn chunk(&mut self, bytes: Bytes) -> io::Result<()> {
-        self.codec
-            .encode(Message::Chunk(Some(bytes)), &mut self.write_buffer)?;
-        self.flush().await
-    }
-
-    /// Ends a body that was written in chunks.
-    pub async fn finish(&mut self) -> io::Result<()> {
-        self.codec
-            .encode(Message::Chunk(None), &mut self.write_buffer)?;
-        self.flush().await
-    }
-
-    /// Writes a complete response.
-    pub async fn send(
-        &mut self,
-        status: StatusCode,
-        headers: HeaderMap,
-        body: Bytes,
-    ) -> io::Result<()> {
-        self.encode_head(status, headers, BodySize::Sized(body.len() as u64))?;
-        if !body.is_empty() {
-            self.codec
-                .encode(Message::Chunk(Some(body)), &mut self.write_buffer)?;
-        }
-        self.codec
-            .encode(Message::Chunk(None), &mut self.write_buffer)?;
-        self.flush().await
-    }
-
-    fn encode_head(
-        &mut self,
-        status: StatusCode,
-        headers: HeaderMap,
-        size: BodySize,
-    ) -> io::Result<()> {
-        let mut response = Response::with_body(status, ());
-        *response.headers_mut() = headers;
-        self.is_closing |= self.handler.is_closing();
-        if self.is_closing {
-            response
-                .head_mut()
-                .set_connection_type(ConnectionType::Close);
-        }
-        self.codec
-            .encode(Message::Item((response, size)), &mut self.write_buffer)
-    }
-
-    async fn flush(&mut self) -> io::Result<()> {
-        if self.write_buffer.is_empty() {
-            return Ok(());
-        }
-        self.is_started = true;
-        let result = timeout(
-            WRITE_TIMEOUT,
-            self.writer.write_all_buf(&mut self.write_buffer),
-        )
-        .await;
-        result.unwrap_or(Err(io::ErrorKind::TimedOut.into()))
-    }
-}
-
 /// Binds a listening socket to an IPv4 address.
 pub fn bind(address: SocketAddr) -> io::Result<TcpListener> {
     let socket = tokio::net::TcpSocket::new_v4()?;
@@ -256,7 +167,13 @@
             accepted = listener.accept() => accepted,
         };
         match accepted {
-            Ok((stream, _)) => spawn(stream, &handler),
+            Ok((stream, _)) => {
+                spawn(stream, &handler);
+                if handler.memory().is_full() {
+                    // A connection that was asked to yield closes before the next one is accepted.
+                    yield_now().await;
+                }
+            }
             Err(err) => {
                 tracing::warn!(event = "accept_failed", error = %err);
                 tokio::time::sleep(ACCEPT_PAUSE).await;
@@ -283,12 +200,17 @@
     Ok(())
 }
 
-/// Starts a task that serves a connection.
+/// Starts a task that serves a connection, or closes it if too many are open.
 fn spawn(stream: TcpStream, handler: &Rc<dyn Handler>) {
+    let Some(share) = handler.memory().admit(Instant::now()) else {
+        tracing::debug!(event = "connection_refused", reason = "too many are open");
+        return;
+    };
     set_socket_options(&stream);
     let handler = handler.clone();
     let in_flight = handler.track();
-    actix_rt::spawn(async move { Connection::new(stream).run(&*handler, in_flight).await });
+    let connection = Connection::new(stream, share);
+    actix_rt::spawn(async move { connection.run(&*handler, in_flight).await });
 }
 
 /// A caller's connection.
@@ -296,6 +218,8 @@
     stream: TcpStream,
     read_buffer: BytesMut,
     codec: Codec,
+    /// What the connection holds of the memory.
+    share: Rc<Share>,
 }
 
 /// Result of reading the next request.
@@ -308,11 +232,12 @@
 }
 
 impl Connection {
-    fn new(stream: TcpStream) -> Self {
+    fn new(stream: TcpStream, share: Share) -> Self {
         Self {
             stream,
             read_buffer: BytesMut::new(),
             codec: Codec::default(),
+            share: Rc::new(share),
         }
     }
 
@@ -322,8 +247,8 @@
         let mut has_request = self.wait_first(handler, connected).await;
         while has_request && self.serve_request(handler).await {
             if self.read_buffer.is_empty() {
-                // Frees the buffer while the connection is idle.
-                self.read_buffer = BytesMut::new();
+                self.free_buffer();
+                self.share.set(Standing::Idle, Instant::now());
                 has_request = self.wait_next(handler, Unanswered::Kept).await;
             }
         }
@@ -333,10 +258,25 @@
     async fn serve_request(&mut self, handler: &dyn Handler) -> bool {
         let _in_flight = handler.track();
         let reading = Reading::new(handler);
-        let next = self.read_request(handler.limits()).await;
+        let share = self.share.clone();
+        share.set(Standing::Reading, Instant::now());
+        let next = tokio::select! {
+            biased;
+            next = self.read_request(handler.limits()) => next,
+            () = share.asked() => {
+                let (status, fault) = short();
+                Next::Refused(status, fault)
+            }
+        };
         reading.close();
         match next {
-            Next::Request(incoming) => self.respond(*incoming, handler).await,
+            Next::Request(incoming) => {
+                share.set(Standing::Running, Instant::now());
+                let is_reusable = self.respond(*incoming, handler).await;
+                share.give(Purpose::Bodies, usize::MAX);
+                share.give(Purpose::Responses, usize::MAX);
+                is_reusable
+            }
             Next::Refused(status, fault) => {
                 handler.rejected(status, &fault);
                 self.reject(handler, status).await;
@@ -349,9 +289,16 @@
     /// Waits for the first byte of the first request. A stop waits as well, while a caller that has just
     /// connected may still be sending it.
     async fn wait_first(&mut self, handler: &dyn Handler, connected: Option<InFlight>) -> bool {
-        let read = self.stream.read_buf(&mut self.read_buffer);
-        if let Ok(read) = timeout(FIRST_BYTE_TIMEOUT, read).await {
-            return matches!(read, Ok(1..));
+        let share = self.share.clone();
+        let read = async {
+            tokio::select! {
+                biased;
+                read = self.stream.read_buf(&mut self.read_buffer) => Some(matches!(read, Ok(1..))),
+                () = share.asked() => None,
+            }
+        };
+        if let Ok(Some(read)) = timeout(FIRST_BYTE_TIMEOUT, read).await {
+            return read;
         }
         drop(connected);
         self.wait_next(handler, Unanswered::Fresh).await
@@ -360,11 +307,13 @@
     /// Waits for the first byte of the next request. Returns false if the connection was closed, was idle
     /// for too long, or is to be closed; `idle` is what it is until then.
     async fn wait_next(&mut self, handler: &dyn Handler, idle: Unanswered) -> bool {
+        let share = self.share.clone();
         let wait = async {
             tokio::select! {
                 biased;
                 read = self.stream.read_buf(&mut self.read_buffer) => return matches!(read, Ok(1..)),
                 () = handler.closing() => {}
+                () = share.asked() => {}
             }
             if has_unread(&self.stream) {
                 let read = self.stream.read_buf(&mut self.read_buffer).await;
@@ -388,7 +337,9 @@
             Err(_) => return Next::Refused(StatusCode::REQUEST_TIMEOUT, "slow head".to_owned()),
         };
         let arrival = Instant::now();
-        match timeout_at(arrival + limits.idle_timeout, self.read_body(limits)).await {
+        let announced = announced_length(&request);
+        let body = self.read_body(limits, announced);
+        match timeout_at(arrival + limits.idle_timeout, body).await {
             Ok(Ok(Some(body))) => Next::Request(Box::new(Incoming {
                 request,
                 body,
@@ -410,26 +361,65 @@
                     let status = StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE;
                     return Err((status, "the head is too long".to_owned()));
                 }
-                Ok(None) => match self.stream.read_buf(&mut self.read_buffer).await {
-                    Ok(1..) => {}
-                    _ => return Ok(None),
-                },
+                Ok(None) => {
+                    if !self.read_more().await? {
+                        return Ok(None);
+                    }
+                }
                 Err(err) => return Err((StatusCode::BAD_REQUEST, err.to_string())),
             }
         }
     }
 
-    async fn read_body(&mut self, limits: Limits) -> Result<Option<Bytes>, (StatusCode, String)> {
-        let mut body = BytesMut::new();
+    /// Reads what has come into the buffer, whose growth is taken from the memory. Returns false if the caller
+    /// closed the connection.
+    async fn read_more(&mut self) -> Result<bool, (StatusCode, String)> {
+        if !matches!(self.stream.read_buf(&mut self.read_buffer).await, Ok(1..)) {
+            return Ok(false);
+        }
+        let taken = take_buffer(&self.share, &self.read_buffer).await;
+        taken.map_err(|Shortage| short())?;
+        Ok(true)
+    }
+
+    /// Frees the buffer of a connection that is idle or rejected.
+    fn free_buffer(&mut self) {
+        self.read_buffer = BytesMut::new();
+        self.share.give(Purpose::Heads, usize::MAX);
+    }
+
+    /// Reads a body; `announced` is its length if the head states one.
+    async fn read_body(
+        &mut self,
+        limits: Limits,
+        announced: Option<usize>,
+    ) -> Result<Option<Bytes>, (StatusCode, String)> {
+        if announced.is_some_and(|length| length > limits.body_bytes) {
+            return Err(too_long());
+        }
+        let mut body = BytesMut::with_capacity(announced.unwrap_or(0));
+        let mut taken = 0;
         if self.codec.message_type() == actix_http::h1::MessageType::None {
             return Ok(Some(Bytes::new()));
         }
         loop {
             match self.codec.decode(&mut self.read_buffer) {
                 Ok(Some(Message::Chunk(Some(bytes)))) => {
-                    if body.len() + bytes.len() > limits.body_bytes {
-                        let status = StatusCode::PAYLOAD_TOO_LARGE;
-                        return Err((status, "the body is too long".to_owned()));
+                    let length = body.len() + bytes.len();
+                    if length > limits.body_bytes {
+                        return Err(too_long());
+                    }
+                    if length > body.capacity() {
+                        let capacity = length.max(2 * body.capacity()).min(limits.body_bytes);
+                        body.reserve(capacity - body.len());
+                    }
+                    // An announced body occupies what has come of it, any other one what is reserved.
+                    let held = announced.map_or(body.capacity(), |_| length);
+                    if held > taken {
+                        let more = held - taken;
+                        let result = self.share.take(Purpose::Bodies, more, Instant::now());
+                        result.await.map_err(|Shortage| short())?;
+                        taken = held;
                     }
                     body.extend_from_slice(&bytes);
                 }
@@ -437,10 +427,11 @@
                 Ok(Some(Message::Item(_))) => {
                     return Err((StatusCode::BAD_REQUEST, "a head within a body".to_owned()));
                 }
-                Ok(None) => match self.stream.read_buf(&mut self.read_buffer).await {
-                    Ok(1..) => {}
-                    _ => return Ok(None),
-                },
+                Ok(None) => {
+                    if !self.read_more().await? {
+                        return Ok(None);
+                    }
+                }
                 Err(err) => return Err((StatusCode::BAD_REQUEST, err.to_string())),
             }
         }
@@ -454,6 +445,7 @@
             codec: &mut self.codec,
             write_buffer: BytesMut::new(),
             handler,
+            share: &self.share,
             is_closing: false,
             is_started: false,
         };
@@ -461,7 +453,7 @@
         let end = tokio::select! {
             biased;
             end = handled => end,
-            () = closed_by_caller(&mut reader, &mut self.read_buffer) => Ok(End::Aborted),
+            () = closed_by_caller(&mut reader, &mut self.read_buffer, &self.share) => Ok(End::Aborted),
         };
         let end = match end {
             Ok(end) => end,
@@ -482,19 +474,55 @@
     }
 
     async fn reject(&mut self, handler: &dyn Handler, status: StatusCode) {
+        // What was read is not needed any more, however long the caller takes to read the response.
+        self.free_buffer();
+        self.share.give(Purpose::Bodies, usize::MAX);
+        let mut headers = HeaderMap::new();
+        if status == StatusCode::SERVICE_UNAVAILABLE {
+            let wait = HeaderValue::from_static(SHORTAGE_RETRY_AFTER);
+            headers.insert(RETRY_AFTER, wait);
+        }
         let (_, writer) = self.stream.split();
         let mut writer = ResponseWriter {
             writer,
             codec: &mut self.codec,
             write_buffer: BytesMut::new(),
             handler,
+            share: &self.share,
             is_closing: true,
             is_started: false,
         };
-        let _ = writer.send(status, HeaderMap::new(), Bytes::new()).await;
+        let _ = writer.send(status, headers, Bytes::new()).await;
     }
 }
 
+/// Takes the growth of a buffer for received bytes from the memory.
+async fn take_buffer(share: &Share, buffer: &BytesMut) -> Result<(), Shortage> {
+    let grown = buffer.capacity().saturating_sub(share.held(Purpose::Heads));
+    if grown == 0 {
+        return Ok(());
+    }
+    share.take(Purpose::Heads, grown, Instant::now()).await
+}
+
+/// Returns the length of a body that its head states.
+fn announced_length(request: &Request) -> Option<usize> {
+    let value = request.head().headers.get(CONTENT_LENGTH)?;
+    value.to_str().ok()?.trim().parse().ok()
+}
+
+/// Returns the refusal of a body beyond the limit.
+fn too_long() -> (StatusCode, String) {
+    let status = StatusCode::PAYLOAD_TOO_LARGE;
+    (status, "the body is too long".to_owned())
+}
+
+/// Returns the refusal of an incomplete request for which no memory is left.
+fn short() -> (StatusCode, String) {
+    let status = StatusCode::SERVICE_UNAVAILABLE;
+    (status, "no memory is left".to_owned())
+}
+
 /// Returns whether the kernel holds bytes of a connection, also if the runtime has not noticed them yet.
 fn has_unread(stream: &TcpStream) -> bool {
     let mut byte = [MaybeUninit::uninit()];
@@ -502,10 +530,11 @@
     matches!(peeked, Ok(1..))
 }
 
-/// Waits until the caller closes its side, and buffers pipelined requests meanwhile.
-async fn closed_by_caller(reader: &mut ReadHalf<'_>, read_buffer: &mut BytesMut) {
+/// Waits until the caller closes its side, and buffers pipelined requests meanwhile as far as the memory goes.
+async fn closed_by_caller(reader: &mut ReadHalf<'_>, read_buffer: &mut BytesMut, share: &Share) {
     loop {
-        if read_buffer.len() >= READ_AHEAD {
+        let is_short = take_buffer(share, read_buffer).await.is_err();
+        if is_short || read_buffer.len() >= READ_AHEAD {
             std::future::pending::<()>().await;
         }
         match reader.read_buf(read_buffer).await {
--- a/crates/edge/src/settings.rs
+++ b/crates/edge/src/settings.rs
@@ -3,6 +3,7 @@
 use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
+use agate_memory::Size;
 use agate_model::finding::Report;
 use agate_model::id::{HostId, ZoneId};
 use agate_settings::file::Check;
@@ -112,6 +113,13 @@
     }
 }
 
+impl Machine {
+    /// Returns the bounds on what connections hold.
+    pub fn size(&self) -> Size {
+        Size::of_machine(self.memory_mb << 20, self.descriptors)
+    }
+}
+
 /// Contents of the settings file.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
--- a/crates/edge/tests/endless.rs
+++ b/crates/edge/tests/endless.rs
@@ -6,6 +6,7 @@
 
 use agate_edge::event::{Gauge, MAX_EVENT_BYTES, Overlong, Splitter};
 use agate_edge::metrics::Outcome;
+use agate_memory::Purpose;
 use rstest::rstest;
 use support::{Harness, Server, Step, request, status};
 use tokio::time::{Instant, sleep};
@@ -65,7 +66,7 @@
     assert!(["502", "200"].contains(&status), "{response:.200}");
     assert!(status == "502" || !support::is_complete(&response));
     assert_eq!(cuts(&harness, part), 1);
-    assert_eq!(harness.program.edge().buffered_bytes.get(), 0);
+    assert_eq!(harness.program.edge().memory.held(Purpose::Responses), 0);
     sleep(Duration::from_millis(100)).await;
     assert!(server.requests.borrow()[0].closed.is_some());
 }
@@ -91,7 +92,7 @@
             "{response:.200}"
         );
     }
-    assert_eq!(harness.program.edge().buffered_bytes.get(), 0);
+    assert_eq!(harness.program.edge().memory.held(Purpose::Responses), 0);
 }
 
 /// A head that grows by a byte now and then ends with the deadline.
