Stop: pipelined and half-sent requests get a response

A host that leaves closed a connection after the response, though it had read another request behind it; that one was dropped. It now closes after the last request of which it has read a part. A request that was still half sent when the time of a stop ran out was cut; it is refused with 503 and Retry-After when requests get their final responses, so that the last heartbeat states the end.

--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -591,12 +591,17 @@
         Box::pin(self.edge.wait_idle_end())
     }
 
+    fn last_call(&self) -> LocalBoxFuture<'_, ()> {
+        Box::pin(self.edge.wait_last_response())
+    }
+
     fn track(&self) -> Option<InFlight> {
         Some(self.edge.track_request())
     }
 
     fn rejected(&self, status: StatusCode, fault: &str) {
         let reason = match status {
+            StatusCode::SERVICE_UNAVAILABLE if self.edge.is_leaving() => Reason::Leaving,
             StatusCode::SERVICE_UNAVAILABLE => Reason::NoMemory,
             _ => Reason::Malformed,
         };
--- a/crates/edge/src/response.rs
+++ b/crates/edge/src/response.rs
@@ -87,6 +87,10 @@
         Box::pin(std::future::pending())
     }
 
+    fn last_call(&self) -> LocalBoxFuture<'_, ()> {
+        Box::pin(std::future::pending())
+    }
+
     fn track(&self) -> Option<InFlight> {
         None
     }
--- a/crates/edge/src/server.rs
+++ b/crates/edge/src/server.rs
@@ -2,6 +2,7 @@
 
 mod writer;
 
+use std::cell::Cell;
 use std::io;
 use std::mem::MaybeUninit;
 use std::net::SocketAddr;
@@ -30,9 +31,9 @@
 
 /// Pause after a connection could not be accepted, for example because no file descriptor is left.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
-/// `Retry-After` in seconds of a request that was refused for lack of memory: callers that stopped sending are
-/// cut by then.
-const SHORTAGE_RETRY_AFTER: &str = "1.00";
+/// `Retry-After` in seconds of a request that was refused before it was complete: the host has memory again by
+/// then, or callers are not sent to it any more.
+const REJECTED_RETRY_AFTER: &str = "1.00";
 /// Bytes of pipelined requests that are buffered while one is handled.
 const READ_AHEAD: usize = 64 << 10;
 /// Connections not yet accepted that the kernel queues.
@@ -103,6 +104,9 @@
     /// Waits until idle connections are to be closed.
     fn closing(&self) -> LocalBoxFuture<'_, ()>;
 
+    /// Waits until requests that are not complete yet are refused.
+    fn last_call(&self) -> LocalBoxFuture<'_, ()>;
+
     /// Counts a request as in flight until the guard is dropped: from the moment at which its caller has
     /// connected, or has begun to send it, to the end of its response. `None` if a stop does not wait for
     /// these requests.
@@ -267,6 +271,10 @@
                 let (status, fault) = short();
                 Next::Refused(status, fault)
             }
+            () = handler.last_call() => {
+                let status = StatusCode::SERVICE_UNAVAILABLE;
+                Next::Refused(status, "the host stops".to_owned())
+            }
         };
         reading.close();
         match next {
@@ -439,6 +447,7 @@
 
     /// Responds to a request. Returns whether the connection can be reused.
     async fn respond(&mut self, incoming: Incoming, handler: &dyn Handler) -> bool {
+        let has_next = Cell::new(!self.read_buffer.is_empty());
         let (mut reader, writer) = self.stream.split();
         let mut writer = ResponseWriter {
             writer,
@@ -446,6 +455,7 @@
             write_buffer: BytesMut::new(),
             handler,
             share: &self.share,
+            has_next: &has_next,
             is_closing: false,
             is_started: false,
         };
@@ -453,7 +463,7 @@
         let end = tokio::select! {
             biased;
             end = handled => end,
-            () = closed_by_caller(&mut reader, &mut self.read_buffer, &self.share) => Ok(End::Aborted),
+            () = closed_by_caller(&mut reader, &mut self.read_buffer, &self.share, &has_next) => Ok(End::Aborted),
         };
         let end = match end {
             Ok(end) => end,
@@ -479,7 +489,7 @@
         self.share.give(Purpose::Bodies, usize::MAX);
         let mut headers = HeaderMap::new();
         if status == StatusCode::SERVICE_UNAVAILABLE {
-            let wait = HeaderValue::from_static(SHORTAGE_RETRY_AFTER);
+            let wait = HeaderValue::from_static(REJECTED_RETRY_AFTER);
             headers.insert(RETRY_AFTER, wait);
         }
         let (_, writer) = self.stream.split();
@@ -489,6 +499,7 @@
             write_buffer: BytesMut::new(),
             handler,
             share: &self.share,
+            has_next: &Cell::new(false),
             is_closing: true,
             is_started: false,
         };
@@ -531,7 +542,12 @@
 }
 
 /// Waits until the caller closes its side, and buffers pipelined requests meanwhile as far as the memory goes.
-async fn closed_by_caller(reader: &mut ReadHalf<'_>, read_buffer: &mut BytesMut, share: &Share) {
+async fn closed_by_caller(
+    reader: &mut ReadHalf<'_>,
+    read_buffer: &mut BytesMut,
+    share: &Share,
+    has_next: &Cell<bool>,
+) {
     loop {
         let is_short = take_buffer(share, read_buffer).await.is_err();
         if is_short || read_buffer.len() >= READ_AHEAD {
@@ -539,7 +555,7 @@
         }
         match reader.read_buf(read_buffer).await {
             Ok(0) | Err(_) => return,
-            Ok(_) => {}
+            Ok(_) => has_next.set(true),
         }
     }
 }
--- a/crates/edge/src/server/writer.rs
+++ b/crates/edge/src/server/writer.rs
@@ -1,5 +1,6 @@
 //! Writes responses to callers.
 
+use std::cell::Cell;
 use std::io;
 use std::time::Duration;
 
@@ -28,6 +29,8 @@
     pub(super) write_buffer: BytesMut,
     pub(super) handler: &'a dyn Handler,
     pub(super) share: &'a Share,
+    /// Whether a part of another request was read behind this one.
+    pub(super) has_next: &'a Cell<bool>,
     /// Whether the connection closes after this response.
     pub(super) is_closing: bool,
     pub(super) is_started: bool,
@@ -107,7 +110,8 @@
     ) -> io::Result<()> {
         let mut response = Response::with_body(status, ());
         *response.headers_mut() = headers;
-        self.is_closing |= self.handler.is_closing();
+        // What was read already gets a response of its own.
+        self.is_closing |= self.handler.is_closing() && !self.has_next.get();
         if self.is_closing {
             response
                 .head_mut()
