--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -19,6 +19,7 @@
 use crate::config::{Config, ServiceId};
 use crate::duty::lease::Lease;
 use crate::estimate;
+use crate::evacuation::Evacuations;
 use crate::evidence::Evidence;
 use crate::guard::Guard;
 use crate::handover::Inbox;
@@ -125,7 +126,9 @@
     /// Revision up to which the configuration in force is the newest one written; `None` before there is
     /// one. It passes the revision that wrote it if the same version, or an older one, is written again.
     pub config_revision: Cell<Option<u64>>,
-    /// Notified when a newer configuration than the one in force is known to exist.
+    /// Evacuated zones as last read from the store or another host.
+    pub evacuations: RefCell<Evacuations>,
+    /// Notified when a newer configuration or evacuation than those in force is known to exist.
     pub config_outdated: Notify,
     /// Newest known revision of the store, of any table; 0 before the first.
     pub newest_revision: Cell<u64>,
@@ -176,6 +179,7 @@
             offers: RefCell::default(),
             lease: Lease::default(),
             config_revision: Cell::new(None),
+            evacuations: RefCell::default(),
             config_outdated: Notify::new(),
             newest_revision: Cell::new(0),
             memory,
@@ -224,11 +228,18 @@
         count(&self.metrics.changes, "config");
         let version = i64::try_from(config.version).unwrap_or(i64::MAX);
         self.metrics.config_version.set(version);
+        let cold_starts = config.services.values().filter_map(|service| {
+            let time = service.cold_start?;
+            Some((service.id.clone(), time))
+        });
+        self.board
+            .borrow_mut()
+            .set_cold_starts(cold_starts.collect());
         *self.config.borrow_mut() = Some(Rc::new(config));
         self.config_revision.set(Some(revision));
     }
 
-    /// Records that the store held no newer configuration at `at`, in time since boot.
+    /// Records that the store held no newer configuration or evacuation at `at`, in time since boot.
     pub fn confirm(&self, at: Duration) {
         let mut evidence = self.evidence.get();
         evidence.confirm(at);
@@ -334,19 +345,17 @@
         self.in_flight.get()
     }
 
+    /// Returns the services for which requests have queued on this host.
+    pub fn queued_services(&self) -> Vec<ServiceId> {
+        self.queues.borrow().keys().cloned().collect()
+    }
+
     /// Returns the queue of requests that wait for an endpoint of a service.
     pub fn queue(&self, service: &ServiceId) -> Rc<Queue> {
         let mut queues = self.queues.borrow_mut();
         queues.entry(service.clone()).or_default().clone()
     }
 
-    /// Wakes the first request of each queue, after endpoints were added or removed.
-    pub fn wake_queues(&self) {
-        for queue in self.queues.borrow().values() {
-            queue.wake_first();
-        }
-    }
-
     /// Applies a change of the list of endpoints to the connection pool, the load board and queues.
     pub fn apply(&self, change: &Change) {
         match change {
@@ -358,11 +367,13 @@
                 zone = endpoint.zone,
                 draining = endpoint.draining,
                 reclaimable = endpoint.reclaimable,
+                cold_ms = endpoint.cold.as_millis(),
             ),
             Change::Updated(endpoint) => tracing::info!(
                 event = "endpoint_updated",
                 endpoint = endpoint.id,
                 draining = endpoint.draining,
+                cold_ms = endpoint.cold.as_millis(),
             ),
             Change::Left(id) => tracing::info!(event = "endpoint_left", endpoint = id),
         }
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -51,6 +51,13 @@
     pub table: String,
 }
 
+/// Label with the name of a service.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct Service {
+    /// Name of the service.
+    pub service: String,
+}
+
 /// Label with the tier of a request.
 #[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
 pub struct Tier {
@@ -99,8 +106,15 @@
     pub changes: Family<Outcome, Counter>,
     /// Version of the configuration in force; 0 before the first.
     pub config_version: Gauge,
+    /// Number of evacuated zones.
+    pub evacuated_zones: Gauge,
     /// Number of notices of endpoints by kind: `leaving`, `paused`, `resumed`, `malformed`.
     pub notices: Family<Outcome, Counter>,
+    /// Work and messages spent on evidence of prompts that crash endpoints, by kind: `evaluated`, `deferred`,
+    /// `learned`, and `heartbeat`, `heartbeat_held`, `read`, `read_held` for what is sent before its time.
+    pub evidence: Family<Outcome, Counter>,
+    /// Time spent on that evidence, in microseconds.
+    pub evidence_micros: Counter,
     /// Number of sets of prompt parts whose requests are refused.
     pub blocked_prompts: Gauge,
     /// Number of requests in flight.
@@ -111,6 +125,10 @@
     pub connections: Gauge,
     /// Number of requests and connections that were refused or closed for lack of room, by cause.
     pub shortages: Family<Outcome, Counter>,
+    /// Number of requests in the queue of each service.
+    pub queued: Family<Service, Gauge>,
+    /// Number of requests that were queued, by what became of them: `started`, `full`, `unreachable`.
+    pub queue_ends: Family<Outcome, Counter>,
     /// 1 while this host holds the lease, otherwise 0.
     pub lease_held: Gauge,
     /// Calls to the store by kind and table.
@@ -205,6 +223,12 @@
         }
     }
 
+    /// Sets the number of requests that wait for an endpoint of a service.
+    pub fn set_queued(&self, service: &str, waiting: i64) {
+        let service = service.to_owned();
+        self.queued.get_or_create(&Service { service }).set(waiting);
+    }
+
     /// Returns all metrics in the OpenMetrics text format.
     pub fn render(&self) -> String {
         let mut registry = Registry::with_prefix("agate_edge");
@@ -229,8 +253,18 @@
         registry.register("changes", "Changes of belief by kind", self.changes.clone());
         let version = self.config_version.clone();
         registry.register("config_version", "Configuration in force", version);
+        let evacuated = self.evacuated_zones.clone();
+        registry.register("evacuated_zones", "Evacuated zones", evacuated);
         let notices = self.notices.clone();
         registry.register("notices", "Notices of endpoints by kind", notices);
+        let evidence = self.evidence.clone();
+        registry.register("evidence", "Work on evidence of crashes by kind", evidence);
+        let micros = self.evidence_micros.clone();
+        registry.register(
+            "evidence_micros",
+            "Time spent on that, in microseconds",
+            micros,
+        );
         let blocked = self.blocked_prompts.clone();
         registry.register("blocked_prompts", "Sets of prompt parts refused", blocked);
         registry.register("running", "Requests being handled", self.in_flight.clone());
@@ -245,6 +279,9 @@
         registry.register("connections", "Open connections of callers", connections);
         let shortages = self.shortages.clone();
         registry.register("shortages", "Refused or closed for lack of room", shortages);
+        registry.register("queued", "Requests in line", self.queued.clone());
+        let ends = self.queue_ends.clone();
+        registry.register("queue_ends", "Requests that left the line by end", ends);
         let latency = &self.latency;
         let first_byte = latency.first_byte.clone();
         registry.register("first_byte_seconds", "Time to the first byte", first_byte);
--- a/crates/edge/src/settings.rs
+++ b/crates/edge/src/settings.rs
@@ -1,5 +1,6 @@
 //! Settings file of an entry host.
 
+use std::collections::BTreeMap;
 use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
@@ -91,6 +92,14 @@
     }
 }
 
+/// Settings of a deployment whose zones the operators evacuate.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Evacuation {
+    /// Zones that may be evacuated, each with its region.
+    pub zones: BTreeMap<ZoneId, String>,
+}
+
 /// Resources of the machine that this host runs on. Each has a default.
 #[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
@@ -138,6 +147,9 @@
     pub remote: Remote,
     /// Time bounds and budgets that this host must meet.
     pub bounds: Bounds,
+    /// Evacuations of zones; without it, hosts do not check for them with each heartbeat.
+    #[serde(default)]
+    pub evacuation: Option<Evacuation>,
     /// Resources of the machine.
     #[serde(default)]
     pub machine: Machine,
