--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use actix_http::StatusCode;
+use agate_memory::{Budget, Purpose};
 use bytes::Bytes;
 use futures_util::future::LocalBoxFuture;
 use prometheus_client::encoding::{EncodeLabelSet, text};
@@ -64,6 +65,13 @@
     pub tier: u8,
 }
 
+/// Label with what bytes are held for.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, EncodeLabelSet)]
+pub struct Held {
+    /// Code of the purpose.
+    pub purpose: &'static str,
+}
+
 /// Constructor of histograms with `LATENCY_BUCKETS`.
 #[derive(Clone, Copy, Debug)]
 struct Buckets;
@@ -113,6 +121,12 @@
     pub blocked_prompts: Gauge,
     /// Number of requests in flight.
     pub in_flight: Gauge,
+    /// Bytes held for callers by purpose.
+    pub held_bytes: Family<Held, Gauge>,
+    /// Number of open connections of callers.
+    pub connections: Gauge,
+    /// Number of requests and connections that were refused or closed for lack of room, by cause.
+    pub shortages: Family<Outcome, Counter>,
     /// Number of requests in the queue of each service.
     pub queued: Family<Service, Gauge>,
     /// Number of requests that were queued, by what became of them: `started`, `full`, `unreachable`.
@@ -190,6 +204,27 @@
         observe(&self.latency.wait, tier, latency);
     }
 
+    /// Records what a budget holds and has refused.
+    pub fn observe_memory(&self, memory: &Budget) {
+        for purpose in Purpose::ALL {
+            let held = i64::try_from(memory.held(purpose)).unwrap_or(i64::MAX);
+            let purpose = purpose.code();
+            self.held_bytes.get_or_create(&Held { purpose }).set(held);
+        }
+        let connections = i64::try_from(memory.connections()).unwrap_or(i64::MAX);
+        self.connections.set(connections);
+        let counts = memory.counts();
+        for (outcome, count) in [
+            ("refused_bytes", counts.refused_bytes),
+            ("refused_connection", counts.refused_connections),
+            ("yielded_bytes", counts.yielded_bytes),
+            ("yielded_connection", counts.yielded_connections),
+        ] {
+            let counter = self.shortages.get_or_create(&Outcome { outcome });
+            counter.inc_by(count.saturating_sub(counter.get()));
+        }
+    }
+
     /// Sets the number of requests that wait for an endpoint of a service.
     pub fn set_queued(&self, service: &str, waiting: i64) {
         let service = service.to_owned();
@@ -242,6 +277,12 @@
             "Whether the lease is held",
             self.lease_held.clone(),
         );
+        let held = self.held_bytes.clone();
+        registry.register("held_bytes", "Bytes held for callers by purpose", held);
+        let connections = self.connections.clone();
+        registry.register("connections", "Open connections of callers", connections);
+        let shortages = self.shortages.clone();
+        registry.register("shortages", "Refused or closed for lack of room", shortages);
         registry.register("queued", "Requests in line", self.queued.clone());
         let ends = self.queue_ends.clone();
         registry.register("queue_ends", "Requests that left the line by end", ends);
@@ -280,7 +321,12 @@
 }
 
 impl Responder for Exposition {
+    fn memory(&self) -> Rc<Budget> {
+        self.edge.memory.clone()
+    }
+
     fn respond<'a>(&'a self, _incoming: &'a Incoming) -> LocalBoxFuture<'a, Response> {
+        self.edge.metrics.observe_memory(&self.edge.memory);
         let page = Response {
             status: StatusCode::OK,
             headers: headers::content_type("application/openmetrics-text; version=1.0.0"),
