--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -12,6 +12,7 @@
 use std::time::Duration;
 
 use actix_http::{ResponseHead, StatusCode};
+use agate_memory::Budget as Memory;
 use agate_queue::Charge;
 use bytes::Bytes;
 use futures_util::future::LocalBoxFuture;
@@ -538,6 +539,10 @@
             .map_or_else(Limits::default, |config| config.limits)
     }
 
+    fn memory(&self) -> Rc<Memory> {
+        self.edge.memory.clone()
+    }
+
     fn is_closing(&self) -> bool {
         self.edge.is_leaving()
     }
@@ -546,12 +551,21 @@
         Box::pin(self.edge.wait_idle_end())
     }
 
+    fn last_call(&self) -> LocalBoxFuture<'_, ()> {
+        Box::pin(self.edge.wait_last_response())
+    }
+
     fn track(&self) -> Option<InFlight> {
         Some(self.edge.track_request())
     }
 
     fn rejected(&self, status: StatusCode, fault: &str) {
-        count(&self.edge.metrics.requests, Reason::Malformed.code());
+        let reason = match status {
+            StatusCode::SERVICE_UNAVAILABLE if self.edge.is_leaving() => Reason::Leaving,
+            StatusCode::SERVICE_UNAVAILABLE => Reason::NoMemory,
+            _ => Reason::Malformed,
+        };
+        count(&self.edge.metrics.requests, reason.code());
         tracing::info!(
             event = "request_unreadable",
             status = status.as_u16(),
