Edge: speed and load of endpoints are learned and shared by all hosts

Cause: a host chose endpoints of a model engine by its own requests alone, a small part of the load, and took all endpoints for equally fast.

Change: the time of each complete stream is compared with the usual one of its service (agate_pick::capacity). Hosts tell requests in flight and responses with each heartbeat; the reader of the zone returns the sums, and readers exchange theirs in their own rows. The choice takes the work of all hosts over the speed; slow endpoints are left out of the light subset. The order of a service's endpoints is kept, not made at each choice.

--- a/crates/edge/src/balancer.rs
+++ b/crates/edge/src/balancer.rs
@@ -6,18 +6,22 @@
 //! popular prompt can't overload it. Work is counted in estimated milliseconds of the engine, not
 //! in requests.
 
+mod rank;
+
 use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
 use std::time::Duration;
 
 use agate_model::id::{EndpointId, ZoneId};
 use agate_notice::Notices;
+use agate_pick::capacity::{Pace, Sample};
 use slotmap::{SlotMap, new_key_type};
 use tokio::time::Instant;
 
 use crate::config::ServiceId;
-use crate::estimate::hash_pair;
+use crate::load::{Figure, Load};
 use crate::roster::{Change, Endpoint, Incarnation};
+use crate::share::{self, News, Tag};
 use crate::subset::Subset;
 
 new_key_type! {
@@ -61,6 +65,8 @@
     pub prefix: Option<u64>,
     /// Estimated work of the request, in milliseconds.
     pub cost: f64,
+    /// Tokens that the request takes in the memory of an endpoint.
+    pub tokens: f64,
     /// Part of the endpoints that is preferred; None for all of them.
     pub subset: Option<Subset>,
     /// Number of hosts that share the endpoints.
@@ -100,6 +106,8 @@
     running: u32,
     /// Estimated work of those requests, in milliseconds.
     work: f64,
+    /// Tokens of those requests in the memory of the endpoint.
+    tokens: f64,
     /// Consecutive failures since the last success or ejection.
     failures: u32,
     /// Moving average of the share of requests that failed, between 0 and 1.
@@ -111,13 +119,10 @@
     is_leaving: bool,
     /// When the pause ends that the endpoint has asked for, as in the notices.
     paused_until: Option<Instant>,
+    /// Load of other hosts, and the endpoint's speed.
+    load: Load,
 }
 
-/// Least number of open endpoints in the host's zone, as a fraction of an equal share per zone, at
-/// which the zone serves its requests alone.
-const LOCAL_SHARE: f64 = 0.8;
-/// Least absolute number of open endpoints in the zone for the same.
-const LOCAL_MIN: usize = 4;
 /// Weight of one request in the moving average of failures.
 const FAILURE_RATE_WEIGHT: f64 = 0.15;
 /// Moving average of failures above which an endpoint is ejected.
@@ -129,6 +134,7 @@
     key: Key,
     incarnation: Rc<Incarnation>,
     work: f64,
+    tokens: f64,
     /// Endpoint that the request was assigned to.
     pub endpoint: Rc<Endpoint>,
 }
@@ -139,7 +145,14 @@
     tuning: Tuning,
     entries: SlotMap<Key, Entry>,
     by_id: HashMap<EndpointId, Key>,
+    /// Endpoints of each service in an order that all hosts share, see [`Balancer::sort`].
     by_service: HashMap<ServiceId, Vec<Key>>,
+    /// Usual times of the responses of services that are observed.
+    paces: HashMap<ServiceId, Pace>,
+    /// Endpoints by the short form of their ids.
+    by_tag: HashMap<Tag, Key>,
+    /// When this host last learned what others have at the endpoints; `None` before that.
+    learned_at: Option<Instant>,
     /// What endpoints asked for, also those that are not listed any more.
     notices: Notices<Rc<Incarnation>>,
 }
@@ -175,14 +188,36 @@
             is_listed: true,
             running: 0,
             work: 0.0,
+            tokens: 0.0,
             failures: 0,
             failure_rate: 0.0,
             ejections: 0,
             ejected_until: None,
+            load: Load::default(),
         });
         self.by_id.insert(endpoint.id.clone(), key);
+        self.by_tag.insert(share::tag(&endpoint.id), key);
         let keys = self.by_service.entry(endpoint.service.clone()).or_default();
         keys.push(key);
+        self.sort(&endpoint.service);
+    }
+
+    /// Sorts the endpoints of a service by their fitness for requests that must not be disturbed: those
+    /// that are not slow, then those that are not reclaimable, and so are not taken away, come first, then
+    /// the id decides. Hosts that know the same of the endpoints have the same order.
+    fn sort(&mut self, service: &str) {
+        let entries = &self.entries;
+        let order = |left: &Key, right: &Key| {
+            let rank = |key: &Key| {
+                let entry = &entries[*key];
+                let endpoint = &entry.endpoint;
+                (entry.load.is_slow(), endpoint.reclaimable, &endpoint.id)
+            };
+            rank(left).cmp(&rank(right))
+        };
+        if let Some(keys) = self.by_service.get_mut(service) {
+            keys.sort_by(order);
+        }
     }
 
     fn update(&mut self, endpoint: &Rc<Endpoint>) {
@@ -190,7 +225,11 @@
         let entry = key.and_then(|key| self.entries.get_mut(*key));
         match entry {
             Some(entry) if entry.endpoint.service == endpoint.service => {
+                let is_moved = entry.endpoint.reclaimable != endpoint.reclaimable;
                 entry.endpoint = endpoint.clone();
+                if is_moved {
+                    self.sort(&endpoint.service);
+                }
             }
             _ => self.join(endpoint),
         }
@@ -200,6 +239,7 @@
         let Some(key) = self.by_id.remove(id) else {
             return;
         };
+        self.by_tag.remove(&share::tag(id));
         if let Some(entry) = self.entries.get_mut(key) {
             entry.is_listed = false;
             if let Some(keys) = self.by_service.get_mut(&entry.endpoint.service) {
@@ -230,67 +270,22 @@
         let open = self.in_subset(open, criteria, limit);
         let is_light = criteria.subset.is_some_and(|subset| subset.is_light);
         let key = match criteria.prefix {
-            Some(prefix) if !is_light => self.by_prefix(&open, prefix, criteria),
-            _ => self.least_loaded(&self.in_zone(&open, criteria)),
+            Some(prefix) if !is_light => self.by_prefix(now, &open, prefix, criteria),
+            _ => self.least_loaded(now, &self.in_zone(&open, criteria), criteria),
         }?;
         let entry = &mut self.entries[key];
         entry.running += 1;
         entry.work += criteria.cost;
+        entry.tokens += criteria.tokens;
         Some(Assignment {
             key,
             incarnation: entry.incarnation.clone(),
             work: criteria.cost,
+            tokens: criteria.tokens,
             endpoint: entry.endpoint.clone(),
         })
     }
 
-    /// Returns the open endpoints of the request's subset, or all open ones if it has none. The
-    /// light subset is the first part of an order that all hosts share: endpoints that are not
-    /// reclaimable, and so are not taken away, come first, then the id decides. Light requests
-    /// spill over to the other endpoints once those of their subset are at half of `limit`.
-    fn in_subset(&self, open: Vec<Key>, criteria: &Criteria<'_>, limit: u32) -> Vec<Key> {
-        let Some(subset) = criteria.subset else {
-            return open;
-        };
-        let mut ready: Vec<Key> = self.ready(criteria.service).collect();
-        ready.sort_by(|left, right| {
-            let order = |key: &Key| {
-                let endpoint = &self.entries[*key].endpoint;
-                (endpoint.reclaimable, endpoint.id.clone())
-            };
-            order(left).cmp(&order(right))
-        });
-        let count = subset.light_count(ready.len());
-        let (light, heavy) = ready.split_at(count);
-        let is_member = |key: &Key| match subset.is_light {
-            true => light.contains(key) && self.entries[*key].running < limit.div_ceil(2),
-            false => heavy.contains(key),
-        };
-        let preferred: Vec<Key> = open.iter().copied().filter(is_member).collect();
-        if preferred.is_empty() {
-            open
-        } else {
-            preferred
-        }
-    }
-
-    /// Returns the open endpoints of this host's zone if they are about as many as in other zones,
-    /// otherwise all open ones.
-    fn in_zone(&self, open: &[Key], criteria: &Criteria<'_>) -> Vec<Key> {
-        let zone = |key: &Key| &self.entries[*key].endpoint.zone;
-        let zones: HashSet<&ZoneId> = open.iter().map(zone).collect();
-        let local = open
-            .iter()
-            .filter(|key| zone(key) == criteria.zone)
-            .copied();
-        let local: Vec<Key> = local.collect();
-        let share = open.len() as f64 / zones.len().max(1) as f64;
-        if local.len() >= LOCAL_MIN && local.len() as f64 >= share * LOCAL_SHARE {
-            return local;
-        }
-        open.to_vec()
-    }
-
     /// Returns the endpoints of a service that are not draining and did not say that they are leaving.
     fn ready(&self, service: &str) -> impl Iterator<Item = Key> {
         let keys = self.by_service.get(service).map_or(&[][..], Vec::as_slice);
@@ -373,38 +368,76 @@
         ready.filter_map(|key| self.entries[key].paused_until).min()
     }
 
-    /// Returns the endpoint with the fewest requests in flight, then the least work; a random one
-    /// of several.
-    fn least_loaded(&self, open: &[Key]) -> Option<Key> {
-        let offset = rand::random_range(0..open.len().max(1));
-        let rotated = open.iter().cycle().skip(offset).take(open.len());
-        rotated.copied().min_by(|left, right| {
-            let load = |key: Key| (self.entries[key].running, self.entries[key].work);
-            load(*left)
-                .partial_cmp(&load(*right))
-                .unwrap_or(std::cmp::Ordering::Equal)
-        })
+    /// Records a complete response to this host. Returns whether the endpoint became slow or recovered.
+    pub fn observe(&mut self, now: Instant, assignment: &Assignment, sample: &Sample) -> bool {
+        let Some(entry) = self.entries.get_mut(assignment.key) else {
+            return false;
+        };
+        let service = entry.endpoint.service.clone();
+        let pace = self.paces.entry(service.clone()).or_default();
+        let Some(slowness) = pace.observe(now.into_std(), sample) else {
+            return false;
+        };
+        let has_changed = entry.load.observe(now, slowness);
+        if has_changed {
+            self.sort(&service);
+        }
+        has_changed
     }
 
-    /// Returns the endpoint of the highest rank for `prefix` whose work is below the bound, or the
-    /// least loaded one if none is.
-    fn by_prefix(&self, open: &[Key], prefix: u64, criteria: &Criteria<'_>) -> Option<Key> {
-        let work = criteria.cost;
-        let total: f64 = open.iter().map(|key| self.entries[*key].work).sum();
-        let mean = (total + work) / open.len().max(1) as f64;
-        let slack = self.tuning.slack / criteria.hosts.max(1) as f64;
-        let limit = mean * self.tuning.balance_factor + slack;
-        let mut ranked: Vec<(u64, Key)> = open
-            .iter()
-            .map(|key| (hash_pair(prefix, &self.entries[*key].endpoint.id), *key))
-            .collect();
-        ranked.sort_unstable_by_key(|(rank, _)| std::cmp::Reverse(*rank));
-        let found = ranked
-            .iter()
-            .find(|(_, key)| self.entries[*key].work + work <= limit.max(work));
-        found
-            .map(|(_, key)| *key)
-            .or_else(|| self.least_loaded(open))
+    /// Returns this host's requests in flight at the endpoints of services that are observed, and the
+    /// responses that other hosts don't know yet, which count as known from now on.
+    pub fn take_news(&mut self) -> News {
+        let mut news = News::new();
+        for service in self.paces.keys() {
+            for key in self.by_service.get(service).into_iter().flatten() {
+                let Some(entry) = self.entries.get_mut(*key) else {
+                    continue;
+                };
+                let (responses, slowness) = entry.load.take_untold();
+                if entry.running == 0 && responses == 0.0 {
+                    continue;
+                }
+                let figure = Figure {
+                    running: f64::from(entry.running),
+                    work: entry.work,
+                    tokens: entry.tokens,
+                    responses,
+                    slowness,
+                };
+                news.insert(share::tag(&entry.endpoint.id), figure);
+            }
+        }
+        share::select(news, share::MAX_PART)
+    }
+
+    /// Learns the sums of all hosts, to which this host has contributed `own`. Returns the endpoints that
+    /// became slow or recovered.
+    pub fn learn(&mut self, now: Instant, totals: &News, own: &News) -> Vec<EndpointId> {
+        self.learned_at = Some(now);
+        let mut services = HashSet::new();
+        let mut changed = Vec::new();
+        for (tag, total) in totals {
+            let key = self.by_tag.get(tag);
+            let Some(entry) = key.and_then(|key| self.entries.get_mut(*key)) else {
+                continue;
+            };
+            let own = own.get(tag).copied().unwrap_or_default();
+            if entry.load.learn(now, total, &own) {
+                services.insert(entry.endpoint.service.clone());
+                changed.push(entry.endpoint.id.clone());
+            }
+        }
+        for service in services {
+            self.sort(&service);
+        }
+        changed
+    }
+
+    /// Returns the load and speed of an endpoint; `None` if it is not listed.
+    pub fn load(&self, id: &str) -> Option<&Load> {
+        let key = self.by_id.get(id)?;
+        Some(&self.entries[*key].load)
     }
 
     /// Releases a request and records its outcome. Returns whether this ejects the endpoint.
@@ -415,8 +448,10 @@
         };
         entry.running = entry.running.saturating_sub(1);
         entry.work = (entry.work - assignment.work).max(0.0);
+        entry.tokens = (entry.tokens - assignment.tokens).max(0.0);
         if entry.running == 0 {
             entry.work = 0.0;
+            entry.tokens = 0.0;
             if !entry.is_listed {
                 self.entries.remove(assignment.key);
                 return false;
--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -33,6 +33,7 @@
 use crate::roster::{Change, Roster};
 use crate::sabotage::{self, Variant};
 use crate::settings::Settings;
+use crate::share::{self, Digest, News};
 use crate::stop::Stop;
 use crate::subset::{Profile, Recent, Subset, Sums};
 use crate::usage::Counters;
@@ -108,6 +109,8 @@
     pub inbox: Inbox,
     /// Recent requests of the hosts for which this one reads, including this host.
     pub recent: RefCell<Recent>,
+    /// Load of the endpoints from the hosts for which this one reads and from other readers.
+    pub shared: RefCell<share::Pool>,
     /// Usage and demand of all hosts; filled only while this host holds the lease.
     pub ledger: RefCell<Ledger>,
     /// Whether the store is unreachable from this host.
@@ -164,6 +167,7 @@
             mirrors: Mirrors::default(),
             inbox: Inbox::default(),
             recent: RefCell::default(),
+            shared: RefCell::default(),
             ledger: RefCell::default(),
             outage: Outage::default(),
             usage: RefCell::default(),
@@ -412,6 +416,44 @@
         }
     }
 
+    /// Takes over the load of the endpoints from all hosts, to which this one has contributed `own`.
+    pub fn learn_endpoints(&self, totals: &Digest, own: &Digest) {
+        let decoded = share::decode(totals, "reader").zip(share::decode(own, "self"));
+        let Some((totals, own)) = decoded else {
+            return;
+        };
+        self.learn_totals(&totals, &own);
+    }
+
+    /// Takes over the load of the endpoints from all hosts, to which this one has contributed `own`.
+    pub fn learn_totals(&self, totals: &News, own: &News) {
+        let now = Instant::now();
+        let changed = self.board.borrow_mut().learn(now, totals, own);
+        for id in changed {
+            self.report_speed(now, &id);
+        }
+    }
+
+    /// Logs and counts that an endpoint became slow or recovered.
+    pub fn report_speed(&self, now: Instant, id: &str) {
+        let board = self.board.borrow();
+        let Some(load) = board.load(id) else {
+            return;
+        };
+        let is_slow = load.is_slow();
+        tracing::info!(
+            event = "endpoint_speed",
+            endpoint = id,
+            is_slow,
+            speed = load.speed(now),
+            responses = load.responses(now),
+            running = load.others(now).running,
+            age_ms = load.age(now).map(|age| age.as_millis()),
+        );
+        let change = if is_slow { "slow" } else { "recovered" };
+        count(&self.metrics.endpoint_speeds, change);
+    }
+
     /// Takes one retry from the budget of a service; returns whether it was granted.
     pub fn may_retry(&self, service: &ServiceId) -> bool {
         let now = Instant::now();
--- a/crates/edge/src/estimate.rs
+++ b/crates/edge/src/estimate.rs
@@ -16,9 +16,9 @@
 /// estimate.
 const OUTPUT_SHARE: f64 = 0.5;
 
-/// Returns the estimated work of a request, in milliseconds. The last part of the prompt is its
+/// Returns the tokens of the prompt that an endpoint has to read. The last part of the prompt is its
 /// own; the others are usually cached, since requests are routed to the endpoint that holds them.
-pub fn cost(info: &RequestInfo) -> f64 {
+pub fn prefill_tokens(info: &RequestInfo) -> f64 {
     let shared: u64 = info
         .prompt
         .iter()
@@ -26,15 +26,26 @@
         .skip(1)
         .map(|part| part.tokens)
         .sum();
-    let prefilled =
-        info.prompt_tokens.saturating_sub(shared) as f64 + shared as f64 * SHARED_WEIGHT;
+    info.prompt_tokens.saturating_sub(shared) as f64 + shared as f64 * SHARED_WEIGHT
+}
+
+/// Returns the estimated tokens of the response.
+fn output_tokens(info: &RequestInfo) -> f64 {
     let max_tokens = info.max_tokens as f64;
-    let output = info
-        .expected_tokens
+    info.expected_tokens
         .map_or(max_tokens * OUTPUT_SHARE, |tokens| {
             (tokens as f64).min(max_tokens)
-        });
-    BASE + prefilled * PER_PROMPT_TOKEN + output * PER_OUTPUT_TOKEN
+        })
+}
+
+/// Returns the tokens that a request takes in the memory of an endpoint when it ends.
+pub fn memory_tokens(info: &RequestInfo) -> f64 {
+    info.prompt_tokens as f64 + output_tokens(info)
+}
+
+/// Returns the estimated work of a request, in milliseconds.
+pub fn cost(info: &RequestInfo) -> f64 {
+    BASE + prefill_tokens(info) * PER_PROMPT_TOKEN + output_tokens(info) * PER_OUTPUT_TOKEN
 }
 
 /// Weight of a shared token: the chance that it is not cached and has to be prefilled again.
--- a/crates/edge/src/event.rs
+++ b/crates/edge/src/event.rs
@@ -109,6 +109,15 @@
 /// Bytes of the longest boundary between two events.
 const BOUNDARY_BYTES: usize = 4;
 
+/// Returns the number of events that end in these bytes.
+pub fn count(bytes: &[u8]) -> usize {
+    let ends = |boundary: &[u8]| {
+        let windows = bytes.windows(boundary.len());
+        windows.filter(|window| *window == boundary).count()
+    };
+    ends(b"\n\n") + ends(b"\r\n\r\n")
+}
+
 /// Returns the offset after the last complete event.
 fn last_boundary(bytes: &[u8]) -> Option<usize> {
     let lf = bytes
--- a/crates/edge/src/follow/hosts.rs
+++ b/crates/edge/src/follow/hosts.rs
@@ -11,6 +11,7 @@
 use crate::edge::Edge;
 use crate::hosts::{self, Row};
 use crate::relay::Relayed;
+use crate::share;
 
 /// Interval between two reads of the host rows. They change all the time, so a long poll would
 /// return at once.
@@ -49,6 +50,17 @@
         }
     }
 
+    /// Takes over the load of the endpoints from another reader.
+    fn learn_endpoints(edge: &Edge, row: &Row) {
+        if row.endpoints.is_empty() || row.incarnation == edge.incarnation {
+            return;
+        }
+        if let Some(sums) = share::decode(&row.endpoints, &row.host) {
+            let mut shared = edge.shared.borrow_mut();
+            shared.record_zone(Instant::now(), &row.key(), sums);
+        }
+    }
+
     fn apply(edge: &Edge, change: &Change) {
         if change.key == hosts::LEASE_KEY {
             edge.lease.observe_row(change);
@@ -61,6 +73,7 @@
         match serde_json::from_slice::<Row>(value) {
             Ok(row) => {
                 Self::learn(edge, &row);
+                Self::learn_endpoints(edge, &row);
                 edge.hosts.borrow_mut().insert(row);
             }
             Err(err) => tracing::warn!(event = "host_malformed", row = change.key, error = %err),
--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -4,13 +4,14 @@
 mod admit;
 mod delivery;
 mod progress;
+mod reservation;
 
-use std::cell::Cell;
 use std::io::ErrorKind;
 use std::rc::Rc;
 use std::time::Duration;
 
 use actix_http::{ResponseHead, StatusCode};
+use agate_pick::capacity::Sample;
 use bytes::Bytes;
 use futures_util::future::LocalBoxFuture;
 use tokio::time::{Instant, timeout_at};
@@ -18,6 +19,7 @@
 use self::admit::Call;
 use self::delivery::{Delivery, Transfer};
 use self::progress::Progress;
+use self::reservation::Reservation;
 use crate::balancer::{Assignment, Criteria, Outcome};
 use crate::client::{self, Error, Exchange, Outgoing};
 use crate::config::Limits;
@@ -147,6 +149,7 @@
             service: &call.service,
             prefix: call.prefix,
             cost: call.cost,
+            tokens: call.tokens,
             subset: call.subset,
             hosts,
             excluded: &progress.tried,
@@ -182,6 +185,18 @@
         self.edge.queue(&call.service).wake_first();
     }
 
+    /// Records the times of a complete response of a model engine.
+    fn observe(&self, assignment: &Assignment, sample: &Sample) {
+        let now = Instant::now();
+        let has_changed = {
+            let mut balancer = self.edge.board.borrow_mut();
+            balancer.observe(now, assignment, sample)
+        };
+        if has_changed {
+            self.edge.report_speed(now, &assignment.endpoint.id);
+        }
+    }
+
     /// Sends the request to one endpoint and reads the head of its response.
     async fn attempt(
         &self,
@@ -478,61 +493,6 @@
     )
 }
 
-/// A slot held at an endpoint. Dropping it releases the slot; without a call of `close` the
-/// attempt counts as abandoned by the caller.
-struct Reservation<'a> {
-    forwarder: &'a Forwarder,
-    call: &'a Call,
-    assignment: Assignment,
-    outcome: Outcome,
-    /// Whether the outcome says nothing of the endpoint's health: it has asked for a pause, or the
-    /// request was withheld.
-    is_excused: Cell<bool>,
-}
-
-impl<'a> Reservation<'a> {
-    fn new(forwarder: &'a Forwarder, call: &'a Call, assignment: Assignment) -> Self {
-        Self {
-            forwarder,
-            call,
-            assignment,
-            outcome: Outcome::Abandoned,
-            is_excused: Cell::new(false),
-        }
-    }
-
-    fn assignment(&self) -> &Assignment {
-        &self.assignment
-    }
-
-    /// Releases the slot with this outcome.
-    fn close(mut self, outcome: Outcome) {
-        self.outcome = match outcome {
-            Outcome::Full | Outcome::Failed | Outcome::Unreached if self.is_excused.get() => {
-                Outcome::Excused
-            }
-            outcome => outcome,
-        };
-    }
-}
-
-impl Drop for Reservation<'_> {
-    fn drop(&mut self) {
-        let edge = &self.forwarder.edge;
-        let outcome = match self.outcome {
-            Outcome::Answered => "answered",
-            Outcome::Failed => "failed",
-            Outcome::Unreached => "unreached",
-            Outcome::Full => "full",
-            Outcome::Excused => "excused",
-            Outcome::Abandoned => "abandoned",
-        };
-        count(&edge.metrics.attempts, outcome);
-        self.forwarder
-            .release(self.call, &self.assignment, self.outcome);
-    }
-}
-
 impl Handler for Forwarder {
     fn handle<'a>(
         &'a self,
--- a/crates/edge/src/forward/admit.rs
+++ b/crates/edge/src/forward/admit.rs
@@ -38,6 +38,10 @@
     pub(super) deadline: Instant,
     /// Estimated work of the request, in milliseconds.
     pub(super) cost: f64,
+    /// Tokens that the request takes in the memory of an endpoint.
+    pub(super) tokens: f64,
+    /// Tokens of the prompt that an endpoint has to read.
+    pub(super) prefill_tokens: f64,
     /// Hash of the longest prompt part that other requests share; None without a prompt.
     pub(super) prefix: Option<u64>,
     /// Parts of the prompt as evidence of crashes; the same part is another one at another service.
@@ -101,6 +105,8 @@
             account,
             deadline: incoming.arrival + timeout,
             cost,
+            tokens: estimate::memory_tokens(&info),
+            prefill_tokens: estimate::prefill_tokens(&info),
             prefix: estimate::prefix(&info),
             parts: parts(&info, &service),
             service,
--- a/crates/edge/src/forward/delivery.rs
+++ b/crates/edge/src/forward/delivery.rs
@@ -2,11 +2,13 @@
 
 use actix_http::header::{CONTENT_TYPE, HeaderValue};
 use actix_http::{ResponseHead, StatusCode};
+use agate_pick::capacity::Sample;
 use bytes::{Bytes, BytesMut};
-use tokio::time::timeout_at;
+use tokio::time::{Instant, timeout_at};
 
+use super::Forwarder;
 use super::admit::Call;
-use super::{Forwarder, Reservation};
+use super::reservation::Reservation;
 use crate::client::{Error, Exchange};
 use crate::config::Kind;
 use crate::edge::Edge;
@@ -114,6 +116,7 @@
         self.content_type = content_type.cloned();
         let mut gauge = Gauge::default();
         let mut onset = Onset::default();
+        let mut timing = Timing::default();
         let mut is_recorded = false;
         loop {
             let next = timeout_at(call.deadline, exchange.next()).await;
@@ -143,6 +146,7 @@
             };
             if has_event {
                 onset.begin();
+                timing.record(Instant::now(), &events);
             }
             if onset.is_settled() && !std::mem::replace(&mut is_recorded, true) {
                 forwarder.edge.record_answer(call.shared_parts());
@@ -174,6 +178,11 @@
         if onset.has_begun() {
             record_end(forwarder, call, reservation, &exchange, onset);
         }
+        if call.is_engine
+            && let Some(sample) = timing.sample(reservation.created_at, call.prefill_tokens)
+        {
+            forwarder.observe(reservation.assignment(), &sample);
+        }
         exchange.close(
             &mut forwarder.edge.pool.borrow_mut(),
             &reservation.assignment().endpoint,
@@ -194,6 +203,38 @@
     }
 }
 
+/// Times at which the events of one stream arrive.
+#[derive(Default)]
+struct Timing {
+    first: Option<Instant>,
+    last: Option<Instant>,
+    /// Number of events after the first arrival.
+    events: u32,
+}
+
+impl Timing {
+    /// Records the arrival of bytes that complete one or more events.
+    fn record(&mut self, now: Instant, bytes: &[u8]) {
+        if self.first.is_none() {
+            self.first = Some(now);
+        } else {
+            self.events += u32::try_from(event::count(bytes)).unwrap_or(u32::MAX);
+        }
+        self.last = Some(now);
+    }
+
+    /// Returns the times of the whole stream; `None` without an event.
+    fn sample(&self, sent_at: Instant, prompt_tokens: f64) -> Option<Sample> {
+        let (first, last) = self.first.zip(self.last)?;
+        Some(Sample {
+            first: first.saturating_duration_since(sent_at),
+            prompt_tokens,
+            rest: last.saturating_duration_since(first),
+            events: self.events,
+        })
+    }
+}
+
 /// Records that an endpoint has answered a request. The end of a response without a length may be that of
 /// the endpoint, so it counts once the endpoint has survived it.
 fn record_end(
--- a/crates/edge/src/handover.rs
+++ b/crates/edge/src/handover.rs
@@ -17,6 +17,7 @@
 use crate::clock;
 use crate::edge::Edge;
 use crate::peer::{Client, Error, MAX_READERS, Request};
+use crate::share::{self, Digest};
 use crate::subset::Sums;
 use crate::{hosts, ledger};
 
@@ -38,6 +39,9 @@
     /// Requests that the host has observed since its start.
     #[serde(default)]
     pub sums: Sums,
+    /// This host's part of the load of the endpoints.
+    #[serde(default)]
+    pub endpoints: Digest,
 }
 
 /// Evidence of a reader that its configuration is the newest.
@@ -71,6 +75,9 @@
     /// Recent requests of all hosts of the reader.
     #[serde(default)]
     pub sums: Sums,
+    /// Load of the endpoints from all hosts.
+    #[serde(default)]
+    pub endpoints: Digest,
 }
 
 /// Last heartbeat of one incarnation.
@@ -150,12 +157,19 @@
     if edge.learn_evidence(vec![heartbeat.host.evidence.clone()]) {
         edge.guard.hurry();
     }
+    let now = Instant::now();
     let mut recent = edge.recent.borrow_mut();
-    recent.record(Instant::now(), &heartbeat.ledger.run, &heartbeat.sums);
+    recent.record(now, &heartbeat.ledger.run, &heartbeat.sums);
+    let mut shared = edge.shared.borrow_mut();
+    if let Some(part) = share::decode(&heartbeat.endpoints, &heartbeat.ledger.run) {
+        shared.record(now, &heartbeat.ledger.run, part);
+    }
+    let totals = share::select(shared.totals(now), share::MAX_TOTALS);
     Some(Receipt {
         written: edge.inbox.put(heartbeat),
         newest: Evidence::of(edge),
         sums: recent.sums().clone(),
+        endpoints: Digest::from(&totals),
     })
 }
 
@@ -181,6 +195,7 @@
         if let Ok(receipt) = &outcome {
             edge.outage.dispel(Instant::now());
             edge.learn(&receipt.sums);
+            edge.learn_endpoints(&receipt.endpoints, &heartbeat.endpoints);
             if let Some(newest) = &receipt.newest {
                 confirm(edge, sent_at, newest);
             }
--- a/crates/edge/src/heartbeat.rs
+++ b/crates/edge/src/heartbeat.rs
@@ -12,6 +12,7 @@
 use crate::handover::{self, Heartbeat, Receipt};
 use crate::metrics::count;
 use crate::peer::{self, Client};
+use crate::share::{self, Digest};
 use crate::{hosts, ledger};
 
 /// Interval between two writes to the store by a host that writes for itself or for its zone. Even
@@ -96,7 +97,7 @@
     let mut delay = HANDOVER_INTERVAL.mul_f64(rand::random_range(0.1..0.6));
     loop {
         let wake = wait(&edge, delay).await;
-        let own = heartbeat(&edge, false);
+        let mut own = heartbeat(&edge, false);
         let receipt = handover::deliver(&edge, &link, &own).await;
         publisher.record(receipt.as_ref().ok());
         // The readers probe the store already.
@@ -110,6 +111,9 @@
             recent.record(Instant::now(), &own.ledger.run, &own.sums);
             edge.learn(recent.sums());
         }
+        if edge.is_reader() {
+            own.host.endpoints = share_endpoints(&edge, &own);
+        }
         let write_age = publisher.last_write.map(|at| at.elapsed());
         let write_interval = match wake {
             Wake::Urgent => URGENT_INTERVAL,
@@ -144,6 +148,18 @@
     }
 }
 
+/// Adds this host's part of the load of the endpoints to those of the hosts for which it reads, and
+/// learns the sums of all. Returns those of its own hosts, for other readers.
+fn share_endpoints(edge: &Edge, own: &Heartbeat) -> Digest {
+    let now = Instant::now();
+    let mut shared = edge.shared.borrow_mut();
+    if let Some(part) = share::decode(&own.endpoints, "self") {
+        shared.record(now, &own.ledger.run, part.clone());
+        edge.learn_totals(&shared.totals(now), &part);
+    }
+    Digest::from(&shared.zone(now))
+}
+
 /// Why a heartbeat is sent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Wake {
@@ -344,6 +360,7 @@
         offset: store.map(|store| clock::wall_millis() - store),
         at,
         evidence: edge.evidence_report(),
+        endpoints: Digest::default(),
     };
     let ledger = ledger::Row {
         run: host.key(),
@@ -356,5 +373,6 @@
         host,
         ledger,
         sums: edge.request_sums(),
+        endpoints: Digest::from(&edge.board.borrow_mut().take_news()),
     }
 }
--- a/crates/edge/src/hosts.rs
+++ b/crates/edge/src/hosts.rs
@@ -14,6 +14,7 @@
 use crate::clock;
 use crate::outage::RECOVERY_TIME;
 use crate::relay;
+use crate::share::Digest;
 
 /// Table of the host rows.
 pub const TABLE: &str = "hosts";
@@ -52,6 +53,10 @@
     /// What the host knows of prompts that crash endpoints.
     #[serde(default, skip_serializing_if = "Report::is_empty")]
     pub evidence: Report,
+    /// Load of the endpoints from the hosts for which this one reads. Only readers use it, so it is not
+    /// handed on.
+    #[serde(default, skip_serializing_if = "Digest::is_empty")]
+    pub endpoints: Digest,
 }
 
 impl Row {
@@ -70,6 +75,7 @@
         let row = Self {
             at,
             offset,
+            endpoints: other.endpoints.clone(),
             ..self.clone()
         };
         is_near && row == *other
@@ -176,7 +182,11 @@
             if known.is_some_and(|known| row.is_like(&known)) {
                 return None;
             }
-            let value = serde_json::to_vec(row)
+            let row = Row {
+                endpoints: Digest::default(),
+                ..row.clone()
+            };
+            let value = serde_json::to_vec(&row)
                 .inspect_err(|err| tracing::error!(event = "host_not_published", error = %err));
             Some((key, Some(Bytes::from(value.ok()?))))
         });
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -77,6 +77,8 @@
     pub unanswered: Family<Outcome, Counter>,
     /// Number of attempts at endpoints by outcome.
     pub attempts: Family<Outcome, Counter>,
+    /// Number of endpoints that were found to be slow, or to have recovered.
+    pub endpoint_speeds: Family<Outcome, Counter>,
     /// Number of retries by reason.
     pub retries: Family<Outcome, Counter>,
     /// Number of responses that were cut since a part of them exceeded its limit, by part.
@@ -177,6 +179,8 @@
         let unanswered = self.unanswered.clone();
         registry.register("unanswered", "Connections ended unanswered", unanswered);
         registry.register("attempts", "Attempts by outcome", self.attempts.clone());
+        let help = "Endpoints that became slow or recovered";
+        registry.register("endpoint_speeds", help, self.endpoint_speeds.clone());
         registry.register("repeats", "Repeats by reason", self.retries.clone());
         let endless = self.endless.clone();
         registry.register("endless", "Responses cut for their length by part", endless);
--- a/crates/edge/tests/hosts.rs
+++ b/crates/edge/tests/hosts.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use agate_edge::hosts::{Hosts, Row};
+use agate_edge::share::Digest;
 use agate_poison::report::Report;
 use agate_store::interface::Change;
 use bytes::Bytes;
@@ -22,6 +23,7 @@
         weight: 1.0,
         offset: None,
         evidence: Report::default(),
+        endpoints: Digest::default(),
         at,
     }
 }
@@ -139,6 +141,7 @@
                 reader.insert(Row {
                     offset: Some(1_700_000_000_000 + jitter),
                     evidence: Report::default(),
+                    endpoints: Digest::default(),
                     ..row(&name, incarnation, clock)
                 });
             }
@@ -166,6 +169,7 @@
     let offset = |offset| Row {
         offset: Some(offset),
         evidence: Report::default(),
+        endpoints: Digest::default(),
         ..row("one", "x", 10_000)
     };
     reader.insert(offset(5_000));
--- a/crates/edge/tests/subset.rs
+++ b/crates/edge/tests/subset.rs
@@ -1,6 +1,9 @@
 //! Choice of endpoints for a service with two routes: `dossier` has long prompts, `question` short
 //! ones.
 
+#[path = "support/endpoints.rs"]
+mod endpoints;
+
 use std::collections::HashSet;
 use std::rc::Rc;
 use std::sync::LazyLock;
@@ -12,28 +15,7 @@
 use rstest::rstest;
 use tokio::time::Instant;
 
-const SERVICE: &str = "model";
-
-fn endpoint(n: usize, reclaimable: bool) -> Endpoint {
-    Endpoint {
-        id: format!("e{n:02}"),
-        born: None,
-        service: SERVICE.to_owned(),
-        address: "127.0.0.1:1".parse().expect("an address"),
-        zone: "a".to_owned(),
-        slots: 16,
-        draining: false,
-        reclaimable,
-    }
-}
-
-fn balancer(count: usize) -> Balancer {
-    let mut balancer = Balancer::new(Tuning::default());
-    for n in 0..count {
-        balancer.apply(&Change::Joined(Rc::new(endpoint(n, n % 3 != 0))));
-    }
-    balancer
-}
+use self::endpoints::{SERVICE, balancer, endpoint};
 
 fn criteria(service: &String, prefix: Option<u64>, subset: Option<Subset>) -> Criteria<'_> {
     static ZONE: LazyLock<String> = LazyLock::new(|| "a".to_owned());
@@ -42,6 +24,7 @@
         service,
         prefix,
         cost: 50.0,
+        tokens: 1_000.0,
         subset,
         hosts: 1,
         excluded: &[],
@@ -69,7 +52,7 @@
     assert!(
         light.is_some_and(|subset| subset.is_light) && heavy.is_some_and(|subset| !subset.is_light)
     );
-    let mut balancer = balancer(12);
+    let mut balancer = balancer(12, |n| n % 3 != 0);
     let now = Instant::now();
     let mut short = Vec::new();
     let mut long = Vec::new();
@@ -93,7 +76,7 @@
 fn light_requests_prefer_endpoints_that_are_not_reclaimable() {
     let service = SERVICE.to_owned();
     let (light, _) = profile();
-    let mut balancer = balancer(12);
+    let mut balancer = balancer(12, |n| n % 3 != 0);
     let mut used = std::collections::BTreeSet::new();
     for _ in 0..10 {
         let assignment = balancer.choose(Instant::now(), &criteria(&service, None, light), 16);
@@ -108,7 +91,7 @@
 fn a_burst_of_light_requests_spills_over_to_the_other_endpoints() {
     let service = SERVICE.to_owned();
     let (light, _) = profile();
-    let mut balancer = balancer(6);
+    let mut balancer = balancer(6, |n| n % 3 != 0);
     let now = Instant::now();
     let mut used = std::collections::BTreeSet::new();
     for _ in 0..60 {
@@ -133,7 +116,7 @@
         balancer.finish(now, &assignment, Outcome::Answered);
         id
     };
-    let (mut first, mut second) = (balancer(9), balancer(9));
+    let (mut first, mut second) = (balancer(9, |n| n % 3 != 0), balancer(9, |n| n % 3 != 0));
     for prefix in 0..50 {
         assert_eq!(chosen(&mut first, prefix), chosen(&mut second, prefix));
     }
@@ -150,7 +133,7 @@
     let mut counts = std::collections::HashMap::new();
     let mut total = 0;
     for host in 0..HOSTS as u64 {
-        let mut balancer = balancer(8);
+        let mut balancer = balancer(8, |n| n % 3 != 0);
         for n in 0..160_u64 {
             let prefix = if n % 4 == 0 { 7 } else { 1000 * host + n };
             let criteria = Criteria {
--- a/crates/edge/tests/transfer.rs
+++ b/crates/edge/tests/transfer.rs
@@ -6,6 +6,7 @@
 
 use agate_edge::hosts;
 use agate_edge::settings::Settings;
+use agate_edge::share::Digest;
 use agate_poison::report::Report;
 use support::link::Link;
 use support::{Connection, Harness, KEY, Server, Step, request, settings, status};
@@ -86,6 +87,7 @@
         weight: 10.0,
         offset: None,
         evidence: Report::default(),
+        endpoints: Digest::default(),
         at: 1 << 40,
     };
     let row = serde_json::to_string(&reader).expect("a row");
--- a/crates/pick/src/lib.rs
+++ b/crates/pick/src/lib.rs
@@ -4,8 +4,9 @@
 //! random and takes the one with the lower expected response time, which it computes from the
 //! requests that this host has in flight and from load reports weighted by their age. The
 //! endpoint whose prefix cache probably holds the prompt is preferred to both unless it is
-//! overloaded.
+//! overloaded. [`capacity`] holds what is learned of the speed of endpoints.
 
+pub mod capacity;
 mod endpoint;
 mod health;
 mod picker;
