--- a/crates/edge/src/balancer.rs
+++ b/crates/edge/src/balancer.rs
@@ -18,6 +18,7 @@
 use slotmap::{SlotMap, new_key_type};
 use tokio::time::Instant;
 
+use crate::cold::Cold;
 use crate::config::ServiceId;
 use crate::load::{Figure, Load};
 use crate::roster::{Change, Endpoint, Incarnation};
@@ -121,6 +122,8 @@
     paused_until: Option<Instant>,
     /// Load of other hosts, and the endpoint's speed.
     load: Load,
+    /// For how long the endpoint is cold.
+    cold: Cold,
 }
 
 /// Weight of one request in the moving average of failures.
@@ -153,6 +156,10 @@
     by_tag: HashMap<Tag, Key>,
     /// When this host last learned what others have at the endpoints; `None` before that.
     learned_at: Option<Instant>,
+    /// Zones whose endpoints get no requests.
+    evacuated: HashSet<ZoneId>,
+    /// Services whose cold endpoints get no requests, with the time for which they are cold.
+    cold_starts: HashMap<ServiceId, Duration>,
     /// What endpoints asked for, also those that are not listed any more.
     notices: Notices<Rc<Incarnation>>,
 }
@@ -178,8 +185,10 @@
     fn join(&mut self, endpoint: &Rc<Endpoint>) {
         self.leave(&endpoint.id);
         let incarnation = Rc::new(Incarnation::from(&**endpoint));
-        let now = Instant::now().into_std();
-        let paused_until = self.notices.paused_until(now, &incarnation);
+        let now = Instant::now();
+        let paused_until = self.notices.paused_until(now.into_std(), &incarnation);
+        let mut cold = Cold::default();
+        cold.observe(now, endpoint.cold);
         let key = self.entries.insert(Entry {
             endpoint: endpoint.clone(),
             is_leaving: self.notices.is_leaving(&incarnation),
@@ -194,6 +203,7 @@
             ejections: 0,
             ejected_until: None,
             load: Load::default(),
+            cold,
         });
         self.by_id.insert(endpoint.id.clone(), key);
         self.by_tag.insert(share::tag(&endpoint.id), key);
@@ -227,6 +237,7 @@
             Some(entry) if entry.endpoint.service == endpoint.service => {
                 let is_moved = entry.endpoint.reclaimable != endpoint.reclaimable;
                 entry.endpoint = endpoint.clone();
+                entry.cold.observe(Instant::now(), endpoint.cold);
                 if is_moved {
                     self.sort(&endpoint.service);
                 }
@@ -286,21 +297,50 @@
         })
     }
 
-    /// Returns the endpoints of a service that are not draining and did not say that they are leaving.
+    /// Sets the zones whose endpoints get no requests. Those of zones that are taken back are presumed
+    /// cold, since their rows may not tell it yet.
+    pub fn evacuate(&mut self, now: Instant, zones: HashSet<ZoneId>) {
+        let before = std::mem::replace(&mut self.evacuated, zones);
+        for entry in self.entries.values_mut() {
+            let zone = &entry.endpoint.zone;
+            if before.contains(zone)
+                && !self.evacuated.contains(zone)
+                && let Some(time) = self.cold_starts.get(&entry.endpoint.service)
+            {
+                entry.cold.presume(now + *time);
+            }
+        }
+    }
+
+    /// Sets the services whose cold endpoints get no requests, with the time for which they are cold.
+    pub fn set_cold_starts(&mut self, cold_starts: HashMap<ServiceId, Duration>) {
+        self.cold_starts = cold_starts;
+    }
+
+    /// Returns until when an endpoint gets no requests since it is cold; `None` if it gets them.
+    fn cold_until(&self, now: Instant, entry: &Entry) -> Option<Instant> {
+        let is_spared = self.cold_starts.contains_key(&entry.endpoint.service);
+        entry.cold.until(now).filter(|_| is_spared)
+    }
+
+    /// Returns the endpoints of a service that are not draining, did not say that they are leaving, and
+    /// are in no evacuated zone.
     fn ready(&self, service: &str) -> impl Iterator<Item = Key> {
         let keys = self.by_service.get(service).map_or(&[][..], Vec::as_slice);
         let all = keys.iter().copied();
         all.filter(|key| {
             let entry = &self.entries[*key];
-            !entry.endpoint.draining && !entry.is_leaving
+            let is_evacuated = self.evacuated.contains(&entry.endpoint.zone);
+            !entry.endpoint.draining && !entry.is_leaving && !is_evacuated
         })
     }
 
-    /// Returns the ready endpoints that did not ask for a pause.
+    /// Returns the ready endpoints that did not ask for a pause and are not cold.
     fn open(&self, now: Instant, service: &str) -> impl Iterator<Item = Key> {
         self.ready(service).filter(move |key| {
-            let until = self.entries[*key].paused_until;
-            until.is_none_or(|until| until <= now)
+            let entry = &self.entries[*key];
+            let is_paused = entry.paused_until.is_some_and(|until| until > now);
+            !is_paused && self.cold_until(now, entry).is_none()
         })
     }
 
@@ -355,17 +395,28 @@
 
     /// Returns whether the endpoint of an assignment may still get the request.
     pub fn is_open(&self, now: Instant, assignment: &Assignment) -> bool {
-        self.notices
-            .is_open(now.into_std(), &assignment.incarnation)
+        let entry = self.by_id.get(&assignment.endpoint.id);
+        let entry = entry.and_then(|key| self.entries.get(*key));
+        let entry = entry.filter(|entry| entry.incarnation == assignment.incarnation);
+        !self.evacuated.contains(&assignment.endpoint.zone)
+            && entry.is_none_or(|entry| self.cold_until(now, entry).is_none())
+            && self
+                .notices
+                .is_open(now.into_std(), &assignment.incarnation)
     }
 
-    /// Returns when the first pause ends if all endpoints of a service are paused, otherwise `None`.
+    /// Returns when the first endpoint of a service ends its pause or is warm if all are paused or cold,
+    /// otherwise `None`.
     pub fn opening(&self, now: Instant, service: &str) -> Option<Instant> {
         if self.open(now, service).next().is_some() {
             return None;
         }
         let ready = self.ready(service);
-        ready.filter_map(|key| self.entries[key].paused_until).min()
+        let end = |key: Key| {
+            let entry = &self.entries[key];
+            entry.paused_until.max(self.cold_until(now, entry))
+        };
+        ready.filter_map(end).min()
     }
 
     /// Records a complete response to this host. Returns whether the endpoint became slow or recovered.
--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -8,7 +8,7 @@
 
 use agate_model::id::{AccountId, Incarnation, RouteId};
 use agate_store::interface::{Feed, Tables};
-use tokio::sync::{Notify, watch};
+use tokio::sync::{Mutex, Notify, watch};
 use tokio::time::{Instant, sleep_until, timeout_at};
 
 use crate::balancer::{Balancer, Tuning};
@@ -18,6 +18,7 @@
 use crate::config::{Config, ServiceId};
 use crate::duty::lease::Lease;
 use crate::estimate;
+use crate::evacuation::Evacuations;
 use crate::evidence::Evidence;
 use crate::guard::Guard;
 use crate::handover::Inbox;
@@ -107,6 +108,9 @@
     pub mirrors: Mirrors,
     /// Heartbeats that other hosts handed over to be written by this host.
     pub inbox: Inbox,
+    /// Held while rows are written: the store may apply two writes in either order, and the last one of a
+    /// process must not be overtaken by the one before it.
+    pub row_write: Mutex<()>,
     /// Recent requests of the hosts for which this one reads, including this host.
     pub recent: RefCell<Recent>,
     /// Load of the endpoints from the hosts for which this one reads and from other readers.
@@ -124,7 +128,9 @@
     /// Revision up to which the configuration in force is the newest one written; `None` before there is
     /// one. It passes the revision that wrote it if the same version, or an older one, is written again.
     pub config_revision: Cell<Option<u64>>,
-    /// Notified when a newer configuration than the one in force is known to exist.
+    /// Evacuated zones as last read from the store or another host.
+    pub evacuations: RefCell<Evacuations>,
+    /// Notified when a newer configuration or evacuation than those in force is known to exist.
     pub config_outdated: Notify,
     /// Newest known revision of the store, of any table; 0 before the first.
     pub newest_revision: Cell<u64>,
@@ -166,6 +172,7 @@
             hosts: RefCell::default(),
             mirrors: Mirrors::default(),
             inbox: Inbox::default(),
+            row_write: Mutex::default(),
             recent: RefCell::default(),
             shared: RefCell::default(),
             ledger: RefCell::default(),
@@ -174,6 +181,7 @@
             offers: RefCell::default(),
             lease: Lease::default(),
             config_revision: Cell::new(None),
+            evacuations: RefCell::default(),
             config_outdated: Notify::new(),
             newest_revision: Cell::new(0),
             buffered_bytes: Cell::new(0),
@@ -222,11 +230,18 @@
         count(&self.metrics.changes, "config");
         let version = i64::try_from(config.version).unwrap_or(i64::MAX);
         self.metrics.config_version.set(version);
+        let cold_starts = config.services.values().filter_map(|service| {
+            let time = service.cold_start?;
+            Some((service.id.clone(), time))
+        });
+        self.board
+            .borrow_mut()
+            .set_cold_starts(cold_starts.collect());
         *self.config.borrow_mut() = Some(Rc::new(config));
         self.config_revision.set(Some(revision));
     }
 
-    /// Records that the store held no newer configuration at `at`, in time since boot.
+    /// Records that the store held no newer configuration or evacuation at `at`, in time since boot.
     pub fn confirm(&self, at: Duration) {
         let mut evidence = self.evidence.get();
         evidence.confirm(at);
@@ -356,11 +371,13 @@
                 zone = endpoint.zone,
                 draining = endpoint.draining,
                 reclaimable = endpoint.reclaimable,
+                cold_ms = endpoint.cold.as_millis(),
             ),
             Change::Updated(endpoint) => tracing::info!(
                 event = "endpoint_updated",
                 endpoint = endpoint.id,
                 draining = endpoint.draining,
+                cold_ms = endpoint.cold.as_millis(),
             ),
             Change::Left(id) => tracing::info!(event = "endpoint_left", endpoint = id),
         }
--- a/crates/edge/tests/choice.rs
+++ b/crates/edge/tests/choice.rs
@@ -26,6 +26,7 @@
             slots: 16,
             draining: false,
             reclaimable: false,
+            cold: Duration::ZERO,
         })));
     }
     balancer
--- a/crates/edge/tests/support/endpoints.rs
+++ b/crates/edge/tests/support/endpoints.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code, unreachable_pub, reason = "each test file uses a part")]
 
 use std::rc::Rc;
+use std::time::Duration;
 
 use agate_edge::balancer::{Balancer, Tuning};
 use agate_edge::roster::{Change, Endpoint};
@@ -21,6 +22,7 @@
         slots: 16,
         draining: false,
         reclaimable,
+        cold: Duration::ZERO,
     }
 }
 
