--- a/crates/edge/src/forward/reservation.rs
+++ b/crates/edge/src/forward/reservation.rs
@@ -2,9 +2,11 @@
 
 use std::cell::Cell;
 
+use agate_queue::Charge;
 use tokio::time::Instant;
 
 use super::Forwarder;
+use super::acquire::Acquired;
 use super::admit::Call;
 use crate::balancer::{Assignment, Outcome};
 use crate::metrics::count;
@@ -15,6 +17,7 @@
     forwarder: &'a Forwarder,
     call: &'a Call,
     assignment: Assignment,
+    charge: Option<Charge>,
     outcome: Outcome,
     /// Whether the outcome says nothing of the endpoint's health: it has asked for a pause, or the
     /// request was withheld.
@@ -24,11 +27,12 @@
 }
 
 impl<'a> Reservation<'a> {
-    pub(super) fn new(forwarder: &'a Forwarder, call: &'a Call, assignment: Assignment) -> Self {
+    pub(super) fn new(forwarder: &'a Forwarder, call: &'a Call, acquired: Acquired) -> Self {
         Self {
             forwarder,
             call,
-            assignment,
+            assignment: acquired.assignment,
+            charge: acquired.charge,
             outcome: Outcome::Abandoned,
             is_excused: Cell::new(false),
             created_at: Instant::now(),
@@ -62,6 +66,16 @@
             Outcome::Abandoned => "abandoned",
         };
         count(&edge.metrics.attempts, outcome);
+        if let Some(charge) = self.charge.take() {
+            let used = match self.outcome {
+                Outcome::Unreached | Outcome::Full | Outcome::Excused => 0,
+                Outcome::Answered | Outcome::Failed | Outcome::Abandoned => charge.tokens(),
+            };
+            self.forwarder
+                .edge
+                .queue(&self.call.service)
+                .settle(charge, used);
+        }
         self.forwarder
             .release(self.call, &self.assignment, self.outcome);
     }
