Poison: an answer is reported by the host that has seen it

Cause: an answer that another host had reported before the loss was known counted as this host's own, so each host that learned of the loss afterwards reported the part again (found in review).

Change: the last answer to a part says who has seen it.

The new detector test was not run on the former code.

--- a/crates/poison/src/detector.rs
+++ b/crates/poison/src/detector.rs
@@ -6,13 +6,14 @@
 use crate::evidence::{self, Crash, Suspect};
 use crate::pace::Pace;
 use crate::report::{self, Report};
-use crate::suspects::{Contest, Suspects};
+use crate::suspects::{Answer, Contest, Suspects};
 use crate::{Block, Loss, PartId, Time};
 
 /// Evaluations of all evidence that may follow one another at once: a prompt that crashes endpoints is
 /// refused with the third crash, and a few losses of each are told one by one.
 const EVALUATION_BURST: u32 = 8;
-/// Interval of the further ones. Evidence waits no longer than its way to other hosts takes.
+/// Interval of the further ones. Evidence that was left out waits for the next call after it, which is at the
+/// latest that of the next heartbeat.
 const EVALUATION_INTERVAL: Duration = Duration::from_millis(250);
 /// Losses and answers that a host reports, however many hosts share what all keep: a crash that a part
 /// causes again needs one of each.
@@ -93,7 +94,7 @@
     /// Parts of all losses.
     suspects: Suspects,
     /// Last answer to each part.
-    answered: HashMap<PartId, Time>,
+    answered: HashMap<PartId, Answer>,
     blocks: Vec<Block>,
     /// Parts in blocks of other hosts that were answered since.
     contested: BTreeMap<PartId, Contest>,
@@ -170,7 +171,11 @@
     pub fn answer(&mut self, now: Time, parts: impl IntoIterator<Item = PartId>) -> Vec<Verdict> {
         let mut is_suspect = false;
         for part in parts {
-            self.answered.insert(part, now);
+            let answer = Answer {
+                at: now,
+                is_own: true,
+            };
+            self.answered.insert(part, answer);
             self.is_outdated |= self.suspects.answer(part, now);
             is_suspect |= self.blocks.iter().any(|block| block.parts.contains(&part));
         }
@@ -185,11 +190,11 @@
 
     /// Removes the older half of the answers.
     fn forget_answers(&mut self) {
-        let mut times: Vec<Time> = self.answered.values().copied().collect();
+        let mut times: Vec<Time> = self.answered.values().map(|answer| answer.at).collect();
         let middle = times.len() / 2;
         let (_, median, _) = times.select_nth_unstable(middle);
         let median = *median;
-        self.answered.retain(|_, at| *at > median);
+        self.answered.retain(|_, answer| answer.at > median);
     }
 
     /// Takes over the evidence and decisions of other hosts. Times in the future are as good as now.
@@ -209,8 +214,9 @@
             }
             for (part, at) in report.sound.into_iter().take(self.tuning.max_sound) {
                 let at = Duration::from_millis(at).min(now);
-                if self.answered.get(&part).is_none_or(|known| *known < at) {
-                    self.answered.insert(part, at);
+                if self.answered.get(&part).is_none_or(|known| known.at < at) {
+                    let is_own = false;
+                    self.answered.insert(part, Answer { at, is_own });
                 }
                 self.is_outdated |= self.suspects.hear(part, at);
             }
@@ -265,7 +271,7 @@
     /// Records the parts of a block that were answered since its first crash, to tell other hosts.
     fn contest(&mut self, now: Time, block: &Block) {
         for part in &block.parts {
-            let answer = self.answered.get(part).copied();
+            let answer = self.answered.get(part).map(|answer| answer.at);
             let Some(answered) = answer.filter(|at| *at > block.since) else {
                 continue;
             };
@@ -291,7 +297,9 @@
     }
 
     fn is_cleared(&self, part: PartId, since: Time) -> bool {
-        self.answered.get(&part).is_some_and(|at| *at > since)
+        self.answered
+            .get(&part)
+            .is_some_and(|answer| answer.at > since)
     }
 
     /// Adds a block, unless one with fewer parts already refuses the same requests.
--- a/crates/poison/src/suspects.rs
+++ b/crates/poison/src/suspects.rs
@@ -39,11 +39,16 @@
 
 impl Suspects {
     /// Adds the parts of a loss. `answered` returns the last answer to a part.
-    pub(crate) fn insert(&mut self, loss: &Loss, answered: impl Fn(PartId) -> Option<Time>) {
+    pub(crate) fn insert(&mut self, loss: &Loss, answered: impl Fn(PartId) -> Option<Answer>) {
         for part in &loss.parts {
-            let suspect = self.0.entry(*part).or_insert_with(|| Suspect {
-                answered: answered(*part).unwrap_or_default(),
-                ..Suspect::default()
+            let suspect = self.0.entry(*part).or_insert_with(|| {
+                let mut suspect = Suspect::default();
+                match answered(*part) {
+                    Some(Answer { at, is_own: true }) => suspect.answered = at,
+                    Some(Answer { at, .. }) => suspect.heard = at,
+                    None => {}
+                }
+                suspect
             });
             suspect.losses += 1;
             suspect.latest = suspect.latest.max(loss.at);
@@ -111,6 +116,14 @@
     }
 }
 
+/// Last answer to a part.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Answer {
+    pub(crate) at: Time,
+    /// Whether this host has seen it; otherwise another one has reported it.
+    pub(crate) is_own: bool,
+}
+
 /// Answer to a part that another host refuses.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Contest {
--- a/crates/poison/tests/detector.rs
+++ b/crates/poison/tests/detector.rs
@@ -244,6 +244,23 @@
     assert_eq!(wrong.blocked(now, &[RARE, 4]), None);
 }
 
+// Guards against: all hosts repeat an answer that one of them has seen.
+#[test]
+fn an_answer_is_reported_by_the_host_that_has_seen_it() {
+    let losses: [(u64, u16, &[PartId]); 2] = [(0, 1, &[COMMON, 10]), (500, 2, &[COMMON, 11])];
+    let mut first = detector(&losses);
+    first.answer(at(700), [COMMON]);
+    let sound = Report {
+        losses: Vec::new(),
+        ..sent(&first, at(800))
+    };
+    assert!(!sound.sound.is_empty());
+    let mut other = Detector::default();
+    other.learn(at(800), [sound]);
+    other.learn(at(900), [sent(&detector(&losses), at(900))]);
+    assert!(sent(&other, at(900)).sound.is_empty());
+}
+
 // Guards against: a part is refused for ever, or crashes as many endpoints after each hold as at first.
 #[test]
 fn after_a_hold_one_crash_refuses_again_for_twice_as_long() {
