--- a/crates/edge/src/balancer.rs
+++ b/crates/edge/src/balancer.rs
@@ -6,6 +6,7 @@
 //! popular prompt can't overload it. Work is counted in estimated milliseconds of the engine, not
 //! in requests.
 
+mod learn;
 mod rank;
 
 use std::collections::{HashMap, HashSet};
@@ -14,15 +15,15 @@
 
 use agate_model::id::{EndpointId, ZoneId};
 use agate_notice::Notices;
-use agate_pick::capacity::{Pace, Sample};
+use agate_pick::capacity::Pace;
 use slotmap::{SlotMap, new_key_type};
 use tokio::time::Instant;
 
 use crate::cold::Cold;
 use crate::config::ServiceId;
-use crate::load::{Figure, Load};
+use crate::load::Load;
 use crate::roster::{Change, Endpoint, Incarnation};
-use crate::share::{self, News, Tag};
+use crate::share::{self, Tag};
 use crate::subset::Subset;
 
 new_key_type! {
@@ -138,6 +139,8 @@
     incarnation: Rc<Incarnation>,
     work: f64,
     tokens: f64,
+    /// Whether the endpoint was chosen although it is cold.
+    is_cold: bool,
     /// Endpoint that the request was assigned to.
     pub endpoint: Rc<Endpoint>,
 }
@@ -158,7 +161,7 @@
     learned_at: Option<Instant>,
     /// Zones whose endpoints get no requests.
     evacuated: HashSet<ZoneId>,
-    /// Services whose cold endpoints get no requests, with the time for which they are cold.
+    /// Services whose cold endpoints get only a share of requests, with the time for which they are cold.
     cold_starts: HashMap<ServiceId, Duration>,
     /// What endpoints asked for, also those that are not listed any more.
     notices: Notices<Rc<Incarnation>>,
@@ -270,6 +273,13 @@
         criteria: &Criteria<'_>,
         limit: u32,
     ) -> Option<Assignment> {
+        let is_light = criteria.subset.is_some_and(|subset| subset.is_light);
+        // Light requests have the shortest targets, which a cold endpoint misses.
+        let cold = self.admitted_cold(now, criteria, limit);
+        if let Some(key) = cold.filter(|_| !is_light) {
+            self.entries[key].cold.take(now);
+            return Some(self.assign(key, criteria, true));
+        }
         let usable = self.usable(now, criteria.service);
         let open: Vec<Key> = usable
             .into_iter()
@@ -278,23 +288,61 @@
                 entry.running < limit && !criteria.excluded.contains(&entry.endpoint.id)
             })
             .collect();
-        let open = self.in_subset(open, criteria, limit);
-        let is_light = criteria.subset.is_some_and(|subset| subset.is_light);
+        let open = self.in_subset(now, open, criteria, limit);
         let key = match criteria.prefix {
             Some(prefix) if !is_light => self.by_prefix(now, &open, prefix, criteria),
             _ => self.least_loaded(now, &self.in_zone(&open, criteria), criteria),
         }?;
+        Some(self.assign(key, criteria, false))
+    }
+
+    /// Counts a request at an endpoint.
+    fn assign(&mut self, key: Key, criteria: &Criteria<'_>, is_cold: bool) -> Assignment {
         let entry = &mut self.entries[key];
         entry.running += 1;
         entry.work += criteria.cost;
         entry.tokens += criteria.tokens;
-        Some(Assignment {
+        Assignment {
             key,
             incarnation: entry.incarnation.clone(),
             work: criteria.cost,
             tokens: criteria.tokens,
+            is_cold,
             endpoint: entry.endpoint.clone(),
-        })
+        }
+    }
+
+    /// Returns a cold endpoint to which this host may send the request: the one with the fewest requests
+    /// in flight.
+    fn admitted_cold(&self, now: Instant, criteria: &Criteria<'_>, limit: u32) -> Option<Key> {
+        self.cold_starts.get(criteria.service)?;
+        let admitted = self.ready(criteria.service).filter(|key| {
+            let entry = &self.entries[*key];
+            let is_paused = entry.paused_until.is_some_and(|until| until > now);
+            let is_ejected = entry.ejected_until.is_some_and(|until| until > now);
+            let is_free = entry.running < limit && !is_paused && !is_ejected;
+            is_free
+                && entry.cold.until(now).is_some()
+                && entry.cold.admits(now)
+                && !criteria.excluded.contains(&entry.endpoint.id)
+        });
+        admitted.min_by_key(|key| self.entries[*key].running)
+    }
+
+    /// Returns the endpoints that get only a share of requests since they are cold, with their services.
+    pub fn cold_endpoints(&self, now: Instant) -> Vec<(EndpointId, ServiceId)> {
+        let entries = self.entries.values().filter(|entry| entry.is_listed);
+        let cold = entries.filter(|entry| self.cold_until(now, entry).is_some());
+        cold.map(|entry| (entry.endpoint.id.clone(), entry.endpoint.service.clone()))
+            .collect()
+    }
+
+    /// Sets the rate at which this host may send to a cold endpoint, in requests per second. Returns
+    /// whether it may send there from now on.
+    pub fn set_cold_rate(&mut self, now: Instant, id: &EndpointId, rate: f64) -> bool {
+        let key = self.by_id.get(id);
+        let entry = key.and_then(|key| self.entries.get_mut(*key));
+        entry.is_some_and(|entry| entry.cold.set_rate(now, rate))
     }
 
     /// Sets the zones whose endpoints get no requests. Those of zones that are taken back are presumed
@@ -312,12 +360,13 @@
         }
     }
 
-    /// Sets the services whose cold endpoints get no requests, with the time for which they are cold.
+    /// Sets the services whose cold endpoints get only a share of requests, with the time for which they are cold.
     pub fn set_cold_starts(&mut self, cold_starts: HashMap<ServiceId, Duration>) {
         self.cold_starts = cold_starts;
     }
 
-    /// Returns until when an endpoint gets no requests since it is cold; `None` if it gets them.
+    /// Returns until when an endpoint gets only a share of requests since it is cold; `None` if it gets them
+    /// like others.
     fn cold_until(&self, now: Instant, entry: &Entry) -> Option<Instant> {
         let is_spared = self.cold_starts.contains_key(&entry.endpoint.service);
         entry.cold.until(now).filter(|_| is_spared)
@@ -399,7 +448,8 @@
         let entry = entry.and_then(|key| self.entries.get(*key));
         let entry = entry.filter(|entry| entry.incarnation == assignment.incarnation);
         !self.evacuated.contains(&assignment.endpoint.zone)
-            && entry.is_none_or(|entry| self.cold_until(now, entry).is_none())
+            && (assignment.is_cold
+                || entry.is_none_or(|entry| self.cold_until(now, entry).is_none()))
             && self
                 .notices
                 .is_open(now.into_std(), &assignment.incarnation)
@@ -419,78 +469,6 @@
         ready.filter_map(end).min()
     }
 
-    /// Records a complete response to this host. Returns whether the endpoint became slow or recovered.
-    pub fn observe(&mut self, now: Instant, assignment: &Assignment, sample: &Sample) -> bool {
-        let Some(entry) = self.entries.get_mut(assignment.key) else {
-            return false;
-        };
-        let service = entry.endpoint.service.clone();
-        let pace = self.paces.entry(service.clone()).or_default();
-        let Some(slowness) = pace.observe(now.into_std(), sample) else {
-            return false;
-        };
-        let has_changed = entry.load.observe(now, slowness);
-        if has_changed {
-            self.sort(&service);
-        }
-        has_changed
-    }
-
-    /// Returns this host's requests in flight at the endpoints of services that are observed, and the
-    /// responses that other hosts don't know yet, which count as known from now on.
-    pub fn take_news(&mut self) -> News {
-        let mut news = News::new();
-        for service in self.paces.keys() {
-            for key in self.by_service.get(service).into_iter().flatten() {
-                let Some(entry) = self.entries.get_mut(*key) else {
-                    continue;
-                };
-                let (responses, slowness) = entry.load.take_untold();
-                if entry.running == 0 && responses == 0.0 {
-                    continue;
-                }
-                let figure = Figure {
-                    running: f64::from(entry.running),
-                    work: entry.work,
-                    tokens: entry.tokens,
-                    responses,
-                    slowness,
-                };
-                news.insert(share::tag(&entry.endpoint.id), figure);
-            }
-        }
-        share::select(news, share::MAX_PART)
-    }
-
-    /// Learns the sums of all hosts, to which this host has contributed `own`. Returns the endpoints that
-    /// became slow or recovered.
-    pub fn learn(&mut self, now: Instant, totals: &News, own: &News) -> Vec<EndpointId> {
-        self.learned_at = Some(now);
-        let mut services = HashSet::new();
-        let mut changed = Vec::new();
-        for (tag, total) in totals {
-            let key = self.by_tag.get(tag);
-            let Some(entry) = key.and_then(|key| self.entries.get_mut(*key)) else {
-                continue;
-            };
-            let own = own.get(tag).copied().unwrap_or_default();
-            if entry.load.learn(now, total, &own) {
-                services.insert(entry.endpoint.service.clone());
-                changed.push(entry.endpoint.id.clone());
-            }
-        }
-        for service in services {
-            self.sort(&service);
-        }
-        changed
-    }
-
-    /// Returns the load and speed of an endpoint; `None` if it is not listed.
-    pub fn load(&self, id: &str) -> Option<&Load> {
-        let key = self.by_id.get(id)?;
-        Some(&self.entries[*key].load)
-    }
-
     /// Releases a request and records its outcome. Returns whether this ejects the endpoint.
     pub fn finish(&mut self, now: Instant, assignment: &Assignment, outcome: Outcome) -> bool {
         let tuning = self.tuning;
--- a/crates/edge/src/balancer/rank.rs
+++ b/crates/edge/src/balancer/rank.rs
@@ -26,10 +26,11 @@
 
 impl Balancer {
     /// Returns the open endpoints of the request's subset, or all open ones if it has none. The
-    /// light subset is the first part of an order that all hosts share. Light requests
+    /// light subset is the first part of an order of the warm ones that all hosts share. Light requests
     /// spill over to the other endpoints once those of their subset are at half of `limit`.
     pub(super) fn in_subset(
         &self,
+        now: Instant,
         open: Vec<Key>,
         criteria: &Criteria<'_>,
         limit: u32,
@@ -37,19 +38,22 @@
         let Some(subset) = criteria.subset else {
             return open;
         };
-        let light_count = subset.light_count(self.ready_count(criteria.service));
+        let ready = || {
+            let ready = self.ready(criteria.service);
+            ready.filter(|key| self.cold_until(now, &self.entries[*key]).is_none())
+        };
+        let light_count = subset.light_count(ready().count());
         // Both have the order of the service's endpoints.
         let mut rest = open.iter().copied().peekable();
         let mut is_open = |key: &Key| rest.next_if_eq(key).is_some();
-        let ready = self.ready(criteria.service);
         let preferred: Vec<Key> = if subset.is_light {
-            let light = ready.take(light_count).filter(&mut is_open);
+            let light = ready().take(light_count).filter(&mut is_open);
             let max_running = limit.div_ceil(2);
             light
                 .filter(|key| self.entries[*key].running < max_running)
                 .collect()
         } else {
-            let light = ready.take(light_count).filter(&mut is_open).count();
+            let light = ready().take(light_count).filter(&mut is_open).count();
             open[light..].to_vec()
         };
         if preferred.is_empty() {
