--- a/crates/edge/tests/evacuation.rs
+++ b/crates/edge/tests/evacuation.rs
@@ -76,6 +76,7 @@
         service: &service,
         prefix: Some(7),
         cost: 1.0,
+        tokens: 1_000.0,
         subset: None,
         hosts: 1,
         excluded: &[],
