--- a/crates/edge/tests/cold.rs
+++ b/crates/edge/tests/cold.rs
@@ -49,6 +49,7 @@
         service: &service,
         prefix: None,
         cost: 1.0,
+        tokens: 1_000.0,
         subset: None,
         hosts: 1,
         excluded: &[],
