Memory: findings of a review of the budget

A taker that waited for a connection which then no longer yielded slept until something else was freed; it now asks the next one (test: a_taker_asks_the_next_one..., which does not end without the change). The host's own listeners have connections of their own, so that callers with running requests do not hide a host from readiness checks and other hosts. Waiting responses are no longer counted as refusals, giving nothing back wakes nobody, responses without a body reserve nothing, what a stream keeps of an incomplete event stays taken, and a listener uses one budget.

crates/edge/tests/endless.rs: the limit for all endless bodies is again one that they reach (a host of 48 MB), and the test looks at the peak, not only at the end.

--- a/crates/edge/src/event.rs
+++ b/crates/edge/src/event.rs
@@ -50,6 +50,11 @@
         !self.partial.is_empty()
     }
 
+    /// Returns the bytes of the partial event.
+    pub fn partial_bytes(&self) -> usize {
+        self.partial.len()
+    }
+
     /// Discards the partial event, since the next endpoint sends it again.
     pub fn discard_partial(&mut self) {
         self.partial.clear();
--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -12,7 +12,7 @@
 use std::time::Duration;
 
 use actix_http::{ResponseHead, StatusCode};
-use agate_memory::Budget as Memory;
+use agate_memory::{Budget as Memory, Listener};
 use agate_queue::Charge;
 use bytes::Bytes;
 use futures_util::future::LocalBoxFuture;
@@ -543,6 +543,10 @@
         self.edge.memory.clone()
     }
 
+    fn listener(&self) -> Listener {
+        Listener::Callers
+    }
+
     fn is_closing(&self) -> bool {
         self.edge.is_leaving()
     }
--- a/crates/edge/src/forward/delivery.rs
+++ b/crates/edge/src/forward/delivery.rs
@@ -1,7 +1,7 @@
 //! Delivers the responses of endpoints to one caller.
 
 use actix_http::header::{CONTENT_LENGTH, CONTENT_TYPE, HeaderValue};
-use actix_http::{ResponseHead, StatusCode};
+use actix_http::{Method, ResponseHead, StatusCode};
 use agate_memory::Purpose;
 use bytes::{Bytes, BytesMut};
 use tokio::time::error::Elapsed;
@@ -164,7 +164,10 @@
             if writer.chunk(events).await.is_err() {
                 return Transfer::CallerClosed;
             }
-            writer.share().give(Purpose::Responses, usize::MAX);
+            let share = writer.share();
+            let kept = self.splitter.partial_bytes();
+            let done = share.held(Purpose::Responses).saturating_sub(kept);
+            share.give(Purpose::Responses, done);
         }
         // The end of a connection may be the end of a body, but not of an event, nor of a stream that
         // has none.
@@ -227,8 +230,13 @@
     timeout_at(call.deadline, taken).await
 }
 
-/// Returns the length of a response body that its head states, at most [`MAX_BUFFERED`]; 0 without one.
-fn announced_length(head: &ResponseHead) -> usize {
+/// Returns the length of a response body that its head states, at most [`MAX_BUFFERED`]; 0 without one, or if
+/// the length is that of a body which is not sent.
+fn announced_length(call: &Call, head: &ResponseHead) -> usize {
+    let is_bodiless = [StatusCode::NO_CONTENT, StatusCode::NOT_MODIFIED].contains(&head.status);
+    if is_bodiless || call.incoming.request.method() == Method::HEAD {
+        return 0;
+    }
     let value = head.headers.get(CONTENT_LENGTH);
     let length = value.and_then(|value| value.to_str().ok()?.trim().parse().ok());
     length.unwrap_or(0).min(MAX_BUFFERED)
@@ -243,7 +251,7 @@
     reservation: &Reservation<'_>,
     writer: &mut ResponseWriter<'_>,
 ) -> Transfer {
-    let announced = announced_length(head);
+    let announced = announced_length(call, head);
     // All of it is taken at once, so that responses do not wait for each other's halves.
     if hold(call, writer, announced).await.is_err() {
         return Transfer::TimedOut;
--- a/crates/edge/src/response.rs
+++ b/crates/edge/src/response.rs
@@ -4,7 +4,7 @@
 
 use actix_http::StatusCode;
 use actix_http::header::HeaderMap;
-use agate_memory::{Budget, Size};
+use agate_memory::{Budget, Listener, Size};
 use bytes::Bytes;
 use futures_util::future::LocalBoxFuture;
 
@@ -79,6 +79,10 @@
         self.0.memory()
     }
 
+    fn listener(&self) -> Listener {
+        Listener::Own
+    }
+
     fn is_closing(&self) -> bool {
         self.0.is_closing()
     }
--- a/crates/edge/src/server.rs
+++ b/crates/edge/src/server.rs
@@ -13,7 +13,7 @@
 use actix_http::h1::{Codec, Message};
 use actix_http::header::{CONTENT_LENGTH, HeaderMap, HeaderValue, RETRY_AFTER};
 use actix_http::{Request, StatusCode};
-use agate_memory::{Budget, Purpose, Share, Shortage, Standing};
+use agate_memory::{Budget, Listener, Purpose, Share, Shortage, Standing};
 use bytes::{Bytes, BytesMut};
 use futures_util::future::{FutureExt as _, LocalBoxFuture};
 use tokio::io::AsyncReadExt as _;
@@ -98,6 +98,9 @@
     /// Returns the budget that holds the connections of the listener and their bytes.
     fn memory(&self) -> Rc<Budget>;
 
+    /// Returns whose connections the listener accepts.
+    fn listener(&self) -> Listener;
+
     /// Returns whether connections are to be closed after the current request.
     fn is_closing(&self) -> bool;
 
@@ -164,6 +167,7 @@
     stop: impl Future<Output = ()>,
 ) {
     tokio::pin!(stop);
+    let memory = handler.memory();
     loop {
         let accepted = tokio::select! {
             biased;
@@ -172,8 +176,8 @@
         };
         match accepted {
             Ok((stream, _)) => {
-                spawn(stream, &handler);
-                if handler.memory().is_full() {
+                spawn(stream, &handler, &memory);
+                if memory.is_full(handler.listener()) {
                     // A connection that was asked to yield closes before the next one is accepted.
                     yield_now().await;
                 }
@@ -184,13 +188,17 @@
             }
         }
     }
-    if let Err(err) = accept_queued(listener, &handler) {
+    if let Err(err) = accept_queued(listener, &handler, &memory) {
         tracing::warn!(event = "accept_failed", error = %err);
     }
 }
 
 /// Accepts the connections that the kernel has queued, since it resets them when the listener is closed.
-fn accept_queued(listener: TcpListener, handler: &Rc<dyn Handler>) -> io::Result<()> {
+fn accept_queued(
+    listener: TcpListener,
+    handler: &Rc<dyn Handler>,
+    memory: &Rc<Budget>,
+) -> io::Result<()> {
     let listener = listener.into_std()?;
     for _ in 0..BACKLOG {
         let stream = match listener.accept() {
@@ -199,14 +207,14 @@
             Err(err) => return Err(err),
         };
         stream.set_nonblocking(true)?;
-        spawn(TcpStream::from_std(stream)?, handler);
+        spawn(TcpStream::from_std(stream)?, handler, memory);
     }
     Ok(())
 }
 
 /// Starts a task that serves a connection, or closes it if too many are open.
-fn spawn(stream: TcpStream, handler: &Rc<dyn Handler>) {
-    let Some(share) = handler.memory().admit(Instant::now()) else {
+fn spawn(stream: TcpStream, handler: &Rc<dyn Handler>, memory: &Rc<Budget>) {
+    let Some(share) = memory.admit(handler.listener(), Instant::now()) else {
         tracing::debug!(event = "connection_refused", reason = "too many are open");
         return;
     };
--- a/crates/edge/tests/endless.rs
+++ b/crates/edge/tests/endless.rs
@@ -8,7 +8,7 @@
 use agate_edge::metrics::Outcome;
 use agate_memory::Purpose;
 use rstest::rstest;
-use support::{Harness, Server, Step, request, status};
+use support::{Harness, Server, Step, request, settings, status};
 use tokio::time::{Instant, sleep};
 
 const OK: &str = "HTTP/1.1 200 OK\r\nx-id: {id}\r\nx-signed: 1\r\ncontent-length: 4\r\n\r\nfine";
@@ -79,20 +79,35 @@
         Step::Flood(CHUNK, Duration::from_millis(1)),
     ];
     let server = Server::start(vec![script]).await;
-    let harness = Harness::start(&[&server]).await;
+    let mut settings = settings().await;
+    settings.machine.memory_mb = 48;
+    let limit = settings.machine.size().bytes;
+    let harness = Harness::with_duties(Harness::store(&[&server]), settings, None).await;
     let calls = (0..8).map(|n| {
         let request = request("book", &format!("r{n}"), "body");
         let harness = &harness;
         async move { harness.call(&request).await }
     });
-    let responses = futures_util::future::join_all(calls).await;
+    let held = || harness.program.edge().memory.held(Purpose::Responses);
+    let peak = async {
+        let mut peak = 0;
+        loop {
+            peak = held().max(peak);
+            assert!(peak <= limit, "{peak} of {limit} bytes");
+            sleep(Duration::from_millis(1)).await;
+        }
+    };
+    let responses = tokio::select! {
+        responses = futures_util::future::join_all(calls) => responses,
+        () = peak => unreachable!("the look at the peak has no end"),
+    };
     for response in responses {
         assert!(
             ["502", "503", "504"].contains(&status(&response)),
             "{response:.200}"
         );
     }
-    assert_eq!(harness.program.edge().memory.held(Purpose::Responses), 0);
+    assert_eq!(held(), 0);
 }
 
 /// A head that grows by a byte now and then ends with the deadline.
--- a/crates/memory/src/budget.rs
+++ b/crates/memory/src/budget.rs
@@ -7,7 +7,7 @@
 use tokio::time::Instant;
 
 use crate::size::Size;
-use crate::state::{Key, Purpose, Scarce, Standing, State};
+use crate::state::{Key, Listener, Purpose, Scarce, Standing, State};
 
 /// A shortage ends when less than this part of the bytes is held, in quarters.
 const CALM_QUARTERS: usize = 3;
@@ -62,34 +62,36 @@
         self.state.borrow().entries.len()
     }
 
-    /// Returns whether no further connection fits beside the open ones.
-    pub fn is_full(&self) -> bool {
+    /// Returns whether no further connection of a listener fits beside the open ones.
+    pub fn is_full(&self, listener: Listener) -> bool {
         let state = self.state.borrow();
-        state.entries.len() >= state.size.connections
+        state.staying(listener) >= state.size.connections(listener)
     }
 
     /// Returns the counters.
     pub fn counts(&self) -> Counts {
         let state = self.state.borrow();
+        let [refused_bytes, refused_connections] = state.refused;
+        let [yielded_bytes, yielded_connections] = state.yielded;
         Counts {
-            refused_bytes: state.refused[Scarce::Bytes as usize],
-            refused_connections: state.refused[Scarce::Connections as usize],
-            yielded_bytes: state.yielded[Scarce::Bytes as usize],
-            yielded_connections: state.yielded[Scarce::Connections as usize],
+            refused_bytes,
+            refused_connections,
+            yielded_bytes,
+            yielded_connections,
         }
     }
 
-    /// Admits a connection that was just accepted. If there are too many, the one that yields first is asked to;
-    /// `None` if none does.
-    pub fn admit(self: &Rc<Self>, now: Instant) -> Option<Share> {
+    /// Admits a connection that a listener has accepted. If it has too many, the one that yields first is asked
+    /// to; `None` if none does.
+    pub fn admit(self: &Rc<Self>, listener: Listener, now: Instant) -> Option<Share> {
         let mut state = self.state.borrow_mut();
-        if state.staying() >= state.size.connections
-            && !ask_next(&mut state, Scarce::Connections, None, now)
-        {
-            state.refused[Scarce::Connections as usize] += 1;
+        let scarce = Scarce::Connections(listener);
+        let is_full = state.staying(listener) >= state.size.connections(listener);
+        if is_full && !ask_next(&mut state, scarce, None, now) {
+            state.refused[scarce.index()] += 1;
             return None;
         }
-        let (key, asked) = state.insert(now);
+        let (key, asked) = state.insert(listener, now);
         Some(Share {
             budget: self.clone(),
             key,
@@ -112,7 +114,7 @@
     let Some(key) = state.next(scarce, now).filter(|key| Some(*key) != own) else {
         return false;
     };
-    state.yielded[scarce as usize] += 1;
+    state.yielded[scarce.index()] += 1;
     state.ask(key);
     true
 }
@@ -128,7 +130,11 @@
 impl Share {
     /// Records where the connection stands since `now`.
     pub fn set(&self, standing: Standing, now: Instant) {
-        self.budget.state.borrow_mut().set(self.key, standing, now);
+        let is_spared = self.budget.state.borrow_mut().set(self.key, standing, now);
+        if is_spared {
+            // Who waits for its bytes asks the next one.
+            self.budget.freed.notify_waiters();
+        }
     }
 
     /// Returns the bytes that the connection holds for a purpose.
@@ -151,6 +157,20 @@
     /// Takes bytes, and waits for connections that yield them. Fails if none does, or this one is the next to
     /// yield.
     pub async fn take(&self, purpose: Purpose, bytes: usize, now: Instant) -> Result<(), Shortage> {
+        let taken = self.make_room(purpose, bytes, now).await;
+        if taken.is_err() {
+            let mut state = self.budget.state.borrow_mut();
+            state.refused[Scarce::Bytes.index()] += 1;
+        }
+        taken
+    }
+
+    async fn make_room(
+        &self,
+        purpose: Purpose,
+        bytes: usize,
+        now: Instant,
+    ) -> Result<(), Shortage> {
         loop {
             if self.try_take(purpose, bytes) {
                 return Ok(());
@@ -162,7 +182,6 @@
                     && (state.is_yielding()
                         || ask_next(&mut state, Scarce::Bytes, Some(self.key), now));
                 if !will_fit {
-                    state.refused[Scarce::Bytes as usize] += 1;
                     return Err(Shortage);
                 }
             }
@@ -175,7 +194,7 @@
 
     /// Takes bytes as [`Share::take`] does, and waits for as long as there is no room.
     pub async fn wait(&self, purpose: Purpose, bytes: usize, now: Instant) {
-        while self.take(purpose, bytes, now).await.is_err() {
+        while self.make_room(purpose, bytes, now).await.is_err() {
             self.budget.freed.notified().await;
         }
     }
@@ -201,9 +220,11 @@
 
     /// Gives back bytes of one purpose, at most what is held.
     pub fn give(&self, purpose: Purpose, bytes: usize) {
-        self.budget.state.borrow_mut().sub(self.key, purpose, bytes);
-        self.budget.freed.notify_waiters();
-        self.budget.end_shortage();
+        let is_freed = self.budget.state.borrow_mut().sub(self.key, purpose, bytes);
+        if is_freed {
+            self.budget.freed.notify_waiters();
+            self.budget.end_shortage();
+        }
     }
 
     /// Gives everything back.
--- a/crates/memory/src/lib.rs
+++ b/crates/memory/src/lib.rs
@@ -9,4 +9,4 @@
 
 pub use budget::{Budget, Share, Shortage};
 pub use size::Size;
-pub use state::{Purpose, Standing};
+pub use state::{Listener, Purpose, Standing};
--- a/crates/memory/src/state.rs
+++ b/crates/memory/src/state.rs
@@ -36,6 +36,16 @@
     }
 }
 
+/// Whose connections a listener accepts. Each has a number of connections of its own, so that neither crowds
+/// the other out.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Listener {
+    /// Requests of callers.
+    Callers,
+    /// Questions of callers, operators and other hosts to the host itself.
+    Own,
+}
+
 /// Where a connection stands.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Standing {
@@ -56,11 +66,22 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum Scarce {
     Bytes,
-    Connections,
+    Connections(Listener),
+}
+
+impl Scarce {
+    /// Returns the index of its counters.
+    pub(crate) fn index(self) -> usize {
+        match self {
+            Scarce::Bytes => 0,
+            Scarce::Connections(_) => 1,
+        }
+    }
 }
 
 #[derive(Debug)]
 pub(crate) struct Entry {
+    listener: Listener,
     pub(crate) standing: Standing,
     since: Instant,
     held: [usize; Purpose::ALL.len()],
@@ -82,7 +103,10 @@
     /// not. The largest and slowest comes first: that with the most bytes times the time for which it has
     /// not completed its request.
     fn rank(&self, scarce: Scarce, now: Instant) -> Option<(Standing, u128)> {
-        let is_useful = scarce == Scarce::Connections || self.bytes() > 0;
+        let is_useful = match scarce {
+            Scarce::Bytes => self.bytes() > 0,
+            Scarce::Connections(listener) => self.listener == listener,
+        };
         if self.standing == Standing::Running || self.yields || !is_useful {
             return None;
         }
@@ -100,8 +124,8 @@
     pub(crate) size: Size,
     pub(crate) entries: SlotMap<Key, Entry>,
     held: [usize; Purpose::ALL.len()],
-    /// Connections that were asked to yield and are still open.
-    yielding: usize,
+    /// Open connections that were not asked to yield, by listener.
+    staying: [usize; 2],
     /// Whether the process is short, from the first taker that found no room.
     pub(crate) is_short: bool,
     /// Requests refused and connections asked to yield, by what was scarce.
@@ -115,16 +139,18 @@
             size,
             entries: SlotMap::with_key(),
             held: [0; Purpose::ALL.len()],
-            yielding: 0,
+            staying: [0; 2],
             is_short: false,
             refused: [0; 2],
             yielded: [0; 2],
         }
     }
 
-    pub(crate) fn insert(&mut self, now: Instant) -> (Key, Rc<Notify>) {
+    pub(crate) fn insert(&mut self, listener: Listener, now: Instant) -> (Key, Rc<Notify>) {
         let asked = Rc::new(Notify::new());
+        self.staying[listener as usize] += 1;
         let key = self.entries.insert(Entry {
+            listener,
             standing: Standing::Idle,
             since: now,
             held: [0; Purpose::ALL.len()],
@@ -134,13 +160,14 @@
         (key, asked)
     }
 
-    pub(crate) fn set(&mut self, key: Key, standing: Standing, now: Instant) {
+    /// Records where a connection stands. Returns whether it was asked to yield and no longer is.
+    pub(crate) fn set(&mut self, key: Key, standing: Standing, now: Instant) -> bool {
         let entry = &mut self.entries[key];
         (entry.standing, entry.since) = (standing, now);
         // A request has come on an idle connection before it was closed, or is complete.
-        if std::mem::take(&mut entry.yields) {
-            self.yielding -= 1;
-        }
+        let is_spared = std::mem::take(&mut entry.yields);
+        self.staying[entry.listener as usize] += usize::from(is_spared);
+        is_spared
     }
 
     pub(crate) fn held(&self, purpose: Purpose) -> usize {
@@ -172,16 +199,18 @@
     }
 
     /// Gives back bytes of one purpose, at most what the connection holds.
-    pub(crate) fn sub(&mut self, key: Key, purpose: Purpose, bytes: usize) {
+    /// Returns whether it held any.
+    pub(crate) fn sub(&mut self, key: Key, purpose: Purpose, bytes: usize) -> bool {
         let held = &mut self.entries[key].held[purpose as usize];
         let bytes = bytes.min(*held);
         *held -= bytes;
         self.held[purpose as usize] -= bytes;
+        bytes > 0
     }
 
     pub(crate) fn remove(&mut self, key: Key) {
         if let Some(entry) = self.entries.remove(key) {
-            self.yielding -= usize::from(entry.yields);
+            self.staying[entry.listener as usize] -= usize::from(!entry.yields);
             for (all, held) in self.held.iter_mut().zip(entry.held) {
                 *all -= held;
             }
@@ -189,8 +218,8 @@
     }
 
     /// Returns the connections that are open and were not asked to yield.
-    pub(crate) fn staying(&self) -> usize {
-        self.entries.len() - self.yielding
+    pub(crate) fn staying(&self, listener: Listener) -> usize {
+        self.staying[listener as usize]
     }
 
     /// Marks a connection as asked to yield, and wakes it.
@@ -198,7 +227,7 @@
         let entry = &mut self.entries[key];
         entry.yields = true;
         entry.asked.notify_waiters();
-        self.yielding += 1;
+        self.staying[entry.listener as usize] -= 1;
     }
 
     /// Returns whether a connection was asked to yield and still holds bytes.
--- a/crates/memory/tests/budget.rs
+++ b/crates/memory/tests/budget.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use agate_memory::{Budget, Purpose, Share, Shortage, Size, Standing};
+use agate_memory::{Budget, Listener, Purpose, Share, Shortage, Size, Standing};
 use rstest::rstest;
 use tokio::task::yield_now;
 use tokio::time::Instant;
@@ -11,6 +11,7 @@
 const SIZE: Size = Size {
     bytes: 300,
     connections: 3,
+    own_connections: 1,
 };
 
 fn after(start: Instant, seconds: u64) -> Instant {
@@ -19,7 +20,9 @@
 
 /// Returns a share in this standing that holds bytes of a body since `at`.
 async fn holder(budget: &Rc<Budget>, standing: Standing, bytes: usize, at: Instant) -> Share {
-    let share = budget.admit(at).expect("a connection is free");
+    let share = budget
+        .admit(Listener::Callers, at)
+        .expect("a connection is free");
     share.set(standing, at);
     share.take(Purpose::Bodies, bytes, at).await.expect("room");
     share
@@ -108,7 +111,7 @@
         holder(&budget, second, 10, after(start, 100 - second_age)).await,
         holder(&budget, second, 10, after(start, 100 - second_age)).await,
     ];
-    let new = budget.admit(now);
+    let new = budget.admit(Listener::Callers, now);
     assert!(new.is_some() && yielding.yields());
     assert!(staying.iter().all(|share| !share.yields()));
 }
@@ -121,9 +124,45 @@
     for _ in 0..SIZE.connections {
         running.push(holder(&budget, Standing::Running, 0, start).await);
     }
-    assert!(budget.admit(start).is_none());
+    assert!(budget.admit(Listener::Callers, start).is_none());
     running.pop();
-    assert!(budget.admit(start).is_some());
+    assert!(budget.admit(Listener::Callers, start).is_some());
+}
+
+// Load: a taker waits for a connection to yield, whose request is complete just then.
+#[actix_rt::test]
+async fn a_taker_asks_the_next_one_if_the_first_no_longer_yields() {
+    let (budget, start) = (Budget::new(SIZE), Instant::now());
+    let first = holder(&budget, Standing::Reading, 100, start).await;
+    let second = holder(&budget, Standing::Reading, 100, after(start, 1)).await;
+    let now = after(start, 9);
+    let new = holder(&budget, Standing::Reading, 0, now).await;
+    let yielding = async {
+        first.asked().await;
+        first.set(Standing::Running, now);
+        second.asked().await;
+        second.close();
+    };
+    let (taken, ()) = tokio::join!(new.take(Purpose::Bodies, 50, now), yielding);
+    assert_eq!(taken, Ok(()));
+    assert!(!first.yields());
+    assert_eq!(budget.held(Purpose::Bodies), 150);
+}
+
+// Load: callers with running requests have all their connections, and another host asks this one.
+#[actix_rt::test]
+async fn callers_leave_connections_to_the_listeners_of_the_host() {
+    let (budget, start) = (Budget::new(SIZE), Instant::now());
+    let mut running = Vec::new();
+    for _ in 0..SIZE.connections {
+        running.push(holder(&budget, Standing::Running, 0, start).await);
+    }
+    let own = budget.admit(Listener::Own, start);
+    assert!(own.is_some());
+    // An idle one yields to the next of the same kind, not to a caller.
+    assert!(budget.admit(Listener::Callers, start).is_none());
+    assert!(budget.admit(Listener::Own, start).is_some());
+    assert!(own.is_some_and(|share| share.yields()));
 }
 
 // A host of the smallest class serves the largest body and its response at once.
