Orders: standard endpoints for the foreseen load, room after the loss of a zone

Cause: standard endpoints ordered for a burst while zones refuse were kept for the peak of 15 s; the need grew past what the zones allow (357 of 180) and the share of standard ones with it; the plan did not look at what remains when the zone with the most reclaimable endpoints loses them.

Change: standard endpoints beyond the plan are kept for the highest load of two boots, or for growth that six observations show; the need ends at the room of all zones; the plan adds endpoints until the minimum remains after the loss of a zone, in the kind that is cheaper for that.

--- a/crates/edge/src/duty/fleet.rs
+++ b/crates/edge/src/duty/fleet.rs
@@ -9,6 +9,7 @@
 use tokio::time::{Instant, sleep};
 
 use super::checkpoint::Checkpoint;
+use super::demand::{Capability, Demand};
 use super::plan::{Inputs, Plan, Size, plan, retain_standard};
 use super::{CALL_TIMEOUT, lease};
 use crate::clock;
@@ -38,7 +39,7 @@
     /// Groups that refused an order, with the time until which they count as exhausted.
     exhausted: HashMap<Group, Instant>,
     /// Observed demand by service.
-    demand: HashMap<ServiceId, super::demand::Demand>,
+    demand: HashMap<ServiceId, Demand>,
     /// When the last checkpoint was written or tried; `None` before the first.
     saved_at: Option<Instant>,
 }
@@ -121,6 +122,7 @@
     let now = Instant::now();
     let listed = listed_plan(edge, &service.id);
     let demand = state.demand.entry(service.id.clone()).or_default();
+    demand.set_bounds(Capability::default(), scale);
     {
         let live: HashSet<String> = edge
             .hosts
@@ -163,7 +165,7 @@
     let min_remaining = if needed.is_provisional {
         u32::MAX
     } else {
-        needed.minimum
+        needed.present
     };
     retain_standard(
         &mut plan,
@@ -171,6 +173,10 @@
         &ordered_plan(state, &service.id, now),
         min_remaining,
     );
+    let planned: u32 = plan
+        .values()
+        .map(|size| size.standard + size.reclaimable)
+        .sum();
     for order in orders(service, &plan) {
         let group = (order.service.clone(), order.zone.clone(), order.reclaimable);
         let listed_count = count_in(&listed, &order.zone, order.reclaimable);
@@ -193,6 +199,8 @@
                     count = order.count,
                     listed = listed_count,
                     needed = needed.total,
+                    planned,
+                    present = needed.present,
                     base = needed.base,
                     load = needed.load,
                 );
@@ -228,7 +236,7 @@
         let is_evacuated = evacuations.contains(&endpoint.zone);
         if endpoint.service == service && !endpoint.draining && !is_evacuated {
             let size = listed.entry(endpoint.zone.clone()).or_default();
-            *count_mut(size, endpoint.reclaimable) += 1;
+            *size.count_mut(endpoint.reclaimable) += 1;
         }
     }
     listed
@@ -239,20 +247,13 @@
     let mut plan = Plan::new();
     for ((id, zone, reclaimable), (count, at)) in &state.ordered {
         if id == service && now.saturating_duration_since(*at) < REORDER_AFTER {
-            *count_mut(plan.entry(zone.clone()).or_default(), *reclaimable) = *count;
+            let size = plan.entry(zone.clone()).or_default();
+            *size.count_mut(*reclaimable) = *count;
         }
     }
     plan
 }
 
-/// Returns the count of one kind of endpoints, to be changed.
-fn count_mut(size: &mut Size, reclaimable: bool) -> &mut u32 {
-    match reclaimable {
-        true => &mut size.reclaimable,
-        false => &mut size.standard,
-    }
-}
-
 /// Returns the number of endpoints of one kind in a zone; 0 if the plan lacks the zone.
 fn count_in(plan: &Plan, zone: &str, reclaimable: bool) -> u32 {
     let size = plan.get(zone).copied().unwrap_or_default();
--- a/crates/edge/src/duty/plan.rs
+++ b/crates/edge/src/duty/plan.rs
@@ -15,6 +15,16 @@
     pub reclaimable: u32,
 }
 
+impl Size {
+    /// Returns the count of one kind of endpoints, to be changed.
+    pub fn count_mut(&mut self, reclaimable: bool) -> &mut u32 {
+        match reclaimable {
+            true => &mut self.reclaimable,
+            false => &mut self.standard,
+        }
+    }
+}
+
 /// Number of endpoints of one service by zone.
 pub type Plan = BTreeMap<ZoneId, Size>;
 
@@ -25,8 +35,8 @@
     pub scale: &'a Scale,
     /// Endpoints of both kinds that the work needs, including the reserve for bursts.
     pub needed: u32,
-    /// Endpoints that the work needs without the reserve; standard ones fill in if reclaimable ones
-    /// are not available.
+    /// Endpoints that the work needs without the reserve: as many remain if a zone loses its reclaimable
+    /// ones, and standard ones fill in if those are not available.
     pub minimum: u32,
     /// Number of standard endpoints, which remain if all reclaimable ones are taken away.
     pub base: u32,
@@ -59,13 +69,11 @@
         &mut size.standard
     });
     let mut rest = inputs.needed - base;
-    let mut placed = 0;
     if is_split {
         for (zone, listed) in inputs.exhausted {
             let size = plan.entry(zone.clone()).or_default();
             size.reclaimable = (*listed).min(rest).min(scale.max - size.standard);
             rest -= size.reclaimable;
-            placed += size.reclaimable;
         }
     }
     let available: Vec<(&ZoneId, f64)> = zones
@@ -73,10 +81,17 @@
         .copied()
         .filter(|(zone, _)| is_split && !inputs.exhausted.contains_key(*zone))
         .collect();
-    placed += fill(&mut plan, &available, rest, scale.max, |size| {
+    fill(&mut plan, &available, rest, scale.max, |size| {
         &mut size.reclaimable
     });
-    let shortfall = inputs.minimum.saturating_sub(base + placed);
+    if is_split {
+        reserve(&mut plan, &zones, &available, inputs);
+    }
+    let planned: u32 = plan
+        .values()
+        .map(|size| size.standard + size.reclaimable)
+        .sum();
+    let shortfall = inputs.minimum.saturating_sub(planned);
     fill(&mut plan, &zones, shortfall, scale.max, |size| {
         &mut size.standard
     });
@@ -91,6 +106,47 @@
     plan
 }
 
+/// Adds endpoints until as many as `minimum` remain if the zone with the most reclaimable ones loses them
+/// all: reclaimable ones in `available` zones, or standard ones where those cost less for the same room.
+fn reserve(
+    plan: &mut Plan,
+    zones: &[(&ZoneId, f64)],
+    available: &[(&ZoneId, f64)],
+    inputs: &Inputs<'_>,
+) {
+    let price = inputs.scale.reclaimable_price.unwrap_or(1.0);
+    // With k zones alike, k reclaimable endpoints leave room for k - 1; with one they leave none.
+    let count = available.len() as f64;
+    let is_cheaper = count > 1.0 && price * count / (count - 1.0) <= 1.0;
+    loop {
+        let most = plan.values().map(|size| size.reclaimable).max();
+        let all: u32 = plan
+            .values()
+            .map(|size| size.standard + size.reclaimable)
+            .sum();
+        let missing = inputs.minimum.saturating_sub(all - most.unwrap_or(0));
+        let places = if is_cheaper { available } else { zones };
+        if missing == 0 || !fill_least(plan, places, inputs.scale.max, is_cheaper) {
+            return;
+        }
+    }
+}
+
+/// Adds an endpoint of one kind to the zone that has the fewest of them and fewer than `max` of both.
+/// Returns whether there is such a zone.
+fn fill_least(plan: &mut Plan, zones: &[(&ZoneId, f64)], max: u32, reclaimable: bool) -> bool {
+    let places = plan.iter_mut().filter(|(zone, size)| {
+        let is_full = size.standard + size.reclaimable >= max;
+        !is_full && zones.iter().any(|(allowed, _)| allowed == zone)
+    });
+    let counts = places.map(|(_, size)| size.count_mut(reclaimable));
+    let Some(least) = counts.min_by_key(|count| **count) else {
+        return false;
+    };
+    *least += 1;
+    true
+}
+
 /// Adds up to `count` endpoints of one kind to the zones in turn, up to `max` of both kinds in
 /// each. Returns the number added.
 fn fill(
