edge: looser shares of slots, shorter waits at a host

Cause: with a share of 1.25 a host with more callers than others made them wait, and refused them, while endpoints had room for other hosts; late ones were held until their deadline.

Change: a share is 3 times an equal part (4.5 for the most urgent kind), so that it binds only when all hosts together exceed the slots by far. A request waits for at most half of its caller's time; a refusal after that leaves time for another host. A turn without an endpoint is tried again after a growing interval.

--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -29,7 +29,7 @@
 use crate::interface::Context;
 use crate::metrics::{self, count};
 use crate::record::Record;
-use crate::refusal::{Reason, Refusal};
+use crate::refusal::{MIN_RETRY_AFTER, Reason, Refusal};
 use crate::sabotage::{self, Variant};
 use crate::server::{End, Handler, Incoming, ResponseWriter, Unanswered};
 
@@ -46,8 +46,6 @@
 const STALE_RETRY_AFTER: Duration = Duration::from_millis(1000);
 /// `Retry-After` of a refusal because the host is stopping: another host can take the request at once.
 const LEAVING_RETRY_AFTER: Duration = Duration::from_millis(50);
-/// Shortest `Retry-After` of a refusal because the service is busy.
-const MIN_RETRY_AFTER: Duration = Duration::from_millis(250);
 /// A request with less time than this before its deadline is refused instead of sent.
 const MIN_TIME_LEFT: Duration = Duration::from_millis(20);
 /// Requests that a host may have in flight at one endpoint, as a multiple of an equal share of
--- a/crates/edge/src/forward/acquire.rs
+++ b/crates/edge/src/forward/acquire.rs
@@ -8,22 +8,20 @@
 
 use super::admit::Call;
 use super::progress::Progress;
-use super::{Forwarder, MIN_RETRY_AFTER, MIN_TIME_LEFT};
+use super::{Forwarder, MIN_TIME_LEFT};
 use crate::balancer::Assignment;
 use crate::metrics::count;
 use crate::queue::{Crowded, Turn};
 use crate::record::Record;
-use crate::refusal::{Reason, Refusal};
+use crate::refusal::{self, Reason, Refusal};
 
 /// `Retry-After` of a refusal because the service has no endpoint.
 const NO_ENDPOINT_RETRY_AFTER: Duration = Duration::from_millis(800);
-/// Longest `Retry-After` by the length of the queue. The queue may soon be shorter.
-const MAX_RETRY_AFTER: Duration = Duration::from_secs(2);
-/// Time after which a request that found no endpoint in its turn tries again, unless a slot is released
-/// before.
-const TURN_INTERVAL: Duration = Duration::from_millis(20);
-/// Longest `Retry-After` of callers whose endpoints are paused, as a multiple of the pause.
-const RETURN_SPREAD: f64 = 1.2;
+/// Time after which a request that found no endpoint in its turn first tries again, unless a slot is
+/// released before. It doubles with each try.
+const MIN_TURN_INTERVAL: Duration = Duration::from_millis(20);
+/// Longest such time: many requests may wait while all endpoints are paused.
+const MAX_TURN_INTERVAL: Duration = Duration::from_millis(160);
 
 /// An endpoint with the tokens that the account was charged with in the queue.
 pub(super) struct Acquired {
@@ -51,6 +49,7 @@
         let offered = queue.offer(Instant::now(), call.demand());
         let waiter = offered.map_err(|crowded| self.refuse_crowded(call, crowded))?;
         self.edge.grant(&call.service);
+        let mut interval = MIN_TURN_INTERVAL;
         loop {
             let mut until = call.deadline;
             match waiter.turn(Instant::now()) {
@@ -61,7 +60,8 @@
                         return Ok(Acquired { assignment, charge });
                     }
                     waiter.put_back();
-                    until = Instant::now() + TURN_INTERVAL;
+                    until = Instant::now() + interval;
+                    interval = MAX_TURN_INTERVAL.min(interval * 2);
                 }
                 Turn::Waiting => {}
                 Turn::Lost(crowded) => return Err(self.refuse_crowded(call, crowded)),
@@ -146,16 +146,14 @@
     fn refuse_paused(&self, call: &Call, until: Instant) -> Option<Refusal> {
         let now = Instant::now();
         let opening = self.edge.board.borrow().opening(now, &call.service)?;
-        let wait = (opening - now).mul_f64(rand::random_range(1.0..RETURN_SPREAD));
+        let wait = refusal::spread(opening - now, rand::random());
         (opening > until).then(|| Refusal::retry_after(Reason::Full, wait))
     }
 
-    /// Returns the `Retry-After` for a busy service: the time until the requests that wait now have started.
-    /// Callers are spread, so that they do not return at the same moment.
+    /// Returns the `Retry-After` for a busy service.
     pub(super) fn queue_retry_after(&self, call: &Call) -> Duration {
         let queue = self.edge.queue(&call.service);
         let wait = queue.expected_wait(&call.demand()).unwrap_or_default();
-        let wait = wait.clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER);
-        wait.mul_f64(rand::random_range(1.0..RETURN_SPREAD))
+        refusal::busy_retry_after(wait, rand::random())
     }
 }
--- a/crates/edge/src/forward/admit.rs
+++ b/crates/edge/src/forward/admit.rs
@@ -7,12 +7,12 @@
 use agate_poison::PartId;
 use tokio::time::Instant;
 
-use super::{Forwarder, LEAVING_RETRY_AFTER, MIN_RETRY_AFTER, STALE_RETRY_AFTER};
+use super::{Forwarder, LEAVING_RETRY_AFTER, STALE_RETRY_AFTER};
 use crate::config::{Account, Config, Route, ServiceId};
 use crate::interface::RequestInfo;
 use crate::queue::Demand;
 use crate::record::Record;
-use crate::refusal::{Reason, Refusal};
+use crate::refusal::{MIN_RETRY_AFTER, Reason, Refusal};
 use crate::server::Incoming;
 use crate::stop::Stop;
 use crate::subset::Subset;
--- a/crates/edge/src/queue.rs
+++ b/crates/edge/src/queue.rs
@@ -26,6 +26,10 @@
 /// Part of its target that a request may wait however late first bytes are.
 const MIN_WAIT: f64 = 0.1;
 
+/// Part of its caller's time that a request may wait. A refusal leaves the caller time to try another
+/// host.
+const MAX_WAIT: f64 = 0.5;
+
 /// Tier and sequence number, in the order in which retries are served.
 type Position = (Tier, u64);
 
@@ -168,6 +172,7 @@
             .saturating_sub(work)
             .max(demand.target.mul_f64(MIN_WAIT));
         let arrival = demand.arrival.into_std();
+        let timeout = demand.deadline.saturating_duration_since(demand.arrival);
         Item {
             account: demand.account.clone(),
             class: match is_on_time {
@@ -179,7 +184,7 @@
             account_weight: 1,
             queue_limit: MAX_QUEUED,
             arrival,
-            deadline: demand.deadline.into_std(),
+            deadline: arrival + timeout.mul_f64(MAX_WAIT),
             start_by: arrival + on_time,
             work,
             tokens: demand.tokens,
--- a/crates/edge/src/refusal.rs
+++ b/crates/edge/src/refusal.rs
@@ -5,6 +5,24 @@
 use actix_http::StatusCode;
 use actix_http::header::{HeaderMap, HeaderValue, RETRY_AFTER};
 
+/// Shortest `Retry-After` of a refusal because the service is busy.
+pub const MIN_RETRY_AFTER: Duration = Duration::from_millis(250);
+/// Longest `Retry-After` by the length of a queue, which may be shorter soon.
+const MAX_RETRY_AFTER: Duration = Duration::from_secs(2);
+/// Longest `Retry-After` of callers who are refused at the same moment, as a multiple of the shortest.
+const RETURN_SPREAD: f64 = 1.2;
+
+/// Returns the `Retry-After` where `wait` is the time until the requests that wait now have started.
+/// `draw` is evenly distributed between 0 and 1.
+pub fn busy_retry_after(wait: Duration, draw: f64) -> Duration {
+    spread(wait.clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER), draw)
+}
+
+/// Lengthens a wait by a random part, so that callers do not return at the same moment.
+pub fn spread(wait: Duration, draw: f64) -> Duration {
+    wait.mul_f64(1.0 + (RETURN_SPREAD - 1.0) * draw)
+}
+
 /// Why this host responds itself instead of passing on an endpoint's response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub enum Reason {
--- a/crates/edge/src/room.rs
+++ b/crates/edge/src/room.rs
@@ -11,9 +11,9 @@
 
 /// Requests that a host may have in flight at a service, as a multiple of an equal share of all slots
 /// among the hosts. Hosts do not get the same number of requests at any moment.
-const MAX_SHARE: f64 = 1.25;
+const MAX_SHARE: f64 = 3.0;
 /// The same for urgent requests. Endpoints run them first, so they need not wait at the host.
-const MAX_URGENT_SHARE: f64 = 1.75;
+const MAX_URGENT_SHARE: f64 = 4.5;
 /// Requests that a host may always have in flight at a service: an equal share of few slots is less than
 /// one request.
 const MIN_SHARE: f64 = 8.0;
