--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -6,6 +6,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use agate_memory::Budget as Memory;
 use agate_model::id::{AccountId, Incarnation, RouteId};
 use agate_store::interface::{Feed, Tables};
 use tokio::sync::{Mutex, Notify, watch};
@@ -34,6 +35,7 @@
 use crate::roster::{Change, Roster};
 use crate::sabotage::{self, Variant};
 use crate::settings::Settings;
+use crate::share::{self, Digest, News};
 use crate::stop::Stop;
 use crate::subset::{Profile, Recent, Subset, Sums};
 use crate::usage::Counters;
@@ -112,6 +114,8 @@
     pub row_write: Mutex<()>,
     /// Recent requests of the hosts for which this one reads, including this host.
     pub recent: RefCell<Recent>,
+    /// Load of the endpoints from the hosts for which this one reads and from other readers.
+    pub shared: RefCell<share::Pool>,
     /// Usage and demand of all hosts; filled only while this host holds the lease.
     pub ledger: RefCell<Ledger>,
     /// Whether the store is unreachable from this host.
@@ -131,8 +135,8 @@
     pub config_outdated: Notify,
     /// Newest known revision of the store, of any table; 0 before the first.
     pub newest_revision: Cell<u64>,
-    /// Bytes of responses of endpoints that are buffered.
-    pub buffered_bytes: Cell<usize>,
+    /// What the connections of all listeners hold of the memory of the process.
+    pub memory: Rc<Memory>,
     /// Estimate of the store's clock from its responses.
     pub store_clock: Cell<StoreClock>,
     config: RefCell<Option<Rc<Config>>>,
@@ -155,6 +159,7 @@
             feed: Rc::new(MeteredFeed::new(remote.feed, metrics.store.clone())),
             ..remote
         };
+        let memory = Memory::new(settings.machine.size());
         Rc::new(Self {
             settings: RefCell::new(settings),
             incarnation: hex::encode(rand::random::<[u8; 8]>()),
@@ -171,6 +176,7 @@
             inbox: Inbox::default(),
             row_write: Mutex::default(),
             recent: RefCell::default(),
+            shared: RefCell::default(),
             ledger: RefCell::default(),
             outage: Outage::default(),
             usage: RefCell::default(),
@@ -180,7 +186,7 @@
             evacuations: RefCell::default(),
             config_outdated: Notify::new(),
             newest_revision: Cell::new(0),
-            buffered_bytes: Cell::new(0),
+            memory,
             store_clock: Cell::default(),
             config: RefCell::default(),
             evidence: Cell::default(),
@@ -227,8 +233,8 @@
         let version = i64::try_from(config.version).unwrap_or(i64::MAX);
         self.metrics.config_version.set(version);
         let cold_starts = config.services.values().filter_map(|service| {
-            let time = service.cold_start?;
-            Some((service.id.clone(), time))
+            let bounds = service.cold?;
+            Some((service.id.clone(), bounds.time))
         });
         self.board
             .borrow_mut()
@@ -427,6 +433,44 @@
         }
     }
 
+    /// Takes over the load of the endpoints from all hosts, to which this one has contributed `own`.
+    pub fn learn_endpoints(&self, totals: &Digest, own: &Digest) {
+        let decoded = share::decode(totals, "reader").zip(share::decode(own, "self"));
+        let Some((totals, own)) = decoded else {
+            return;
+        };
+        self.learn_totals(&totals, &own);
+    }
+
+    /// Takes over the load of the endpoints from all hosts, to which this one has contributed `own`.
+    pub fn learn_totals(&self, totals: &News, own: &News) {
+        let now = Instant::now();
+        let changed = self.board.borrow_mut().learn(now, totals, own);
+        for id in changed {
+            self.report_speed(now, &id);
+        }
+    }
+
+    /// Logs and counts that an endpoint became slow or recovered.
+    pub fn report_speed(&self, now: Instant, id: &str) {
+        let board = self.board.borrow();
+        let Some(load) = board.load(id) else {
+            return;
+        };
+        let is_slow = load.is_slow();
+        tracing::info!(
+            event = "endpoint_speed",
+            endpoint = id,
+            is_slow,
+            speed = load.speed(now),
+            responses = load.responses(now),
+            running = load.others(now).running,
+            age_ms = load.age(now).map(|age| age.as_millis()),
+        );
+        let change = if is_slow { "slow" } else { "recovered" };
+        count(&self.metrics.endpoint_speeds, change);
+    }
+
     /// Takes one retry from the budget of a service; returns whether it was granted.
     pub fn may_retry(&self, service: &ServiceId) -> bool {
         let now = Instant::now();
