Docs: two links to private constants

Cause: public documentation linked to private constants, which the documentation check refuses. Change: plain names. Result: cargo doc passes.

--- a/crates/edge/src/load.rs
+++ b/crates/edge/src/load.rs
@@ -131,7 +131,7 @@
         self.rate.sums(now.into_std()).0
     }
 
-    /// Returns the speed in steps of [`SPEED_STEP`], at least one step.
+    /// Returns the speed in steps of `SPEED_STEP`, at least one step.
     pub fn speed_step(&self, now: Instant) -> f64 {
         (self.speed(now) / SPEED_STEP).round().max(1.0) * SPEED_STEP
     }
--- a/crates/edge/src/share.rs
+++ b/crates/edge/src/share.rs
@@ -204,7 +204,7 @@
         select(sums, MAX_ZONE)
     }
 
-    /// Returns the sums of all hosts, with responses that may be [`SUM_INTERVAL`] old.
+    /// Returns the sums of all hosts, with responses that may be `SUM_INTERVAL` old.
     pub fn totals(&mut self, now: Instant) -> News {
         let is_recent = |at: &Instant| now.saturating_duration_since(*at) < SUM_INTERVAL;
         match &self.totals {
