--- a/crates/edge/src/balancer/rank.rs
+++ b/crates/edge/src/balancer/rank.rs
@@ -20,9 +20,6 @@
 /// load. All hosts know the same, so each looks at its own random few: otherwise all would choose the
 /// same endpoint until the next news.
 const MIN_DRAWN: usize = 3;
-/// Work of all hosts at one endpoint that is allowed above the multiple of the mean when it is known, in
-/// milliseconds: a few requests, so that a prompt leaves the endpoint that holds it only for a reason.
-const SHARED_SLACK: f64 = 500.0;
 /// Multiple of this host's own slack while the load of other hosts is known and bounded: what is left of the bound
 /// on its own work is for the time until they know of a surge.
 const INFORMED_SLACK: f64 = 2.0;
@@ -147,17 +144,17 @@
             false => bound(own_total, own_slack),
         };
         let others = |key: &Key| self.entries[*key].load.others(now).work;
-        let limit = match is_informed {
-            true => bound(
-                own_total + open.iter().map(others).sum::<f64>(),
-                SHARED_SLACK,
-            ),
+        let shared_limit = match is_informed {
+            true => bound(own_total + open.iter().map(others).sum::<f64>(), 0.0),
             false => f64::INFINITY,
         };
         let is_below = |key: &&Key| {
             let entry = &self.entries[**key];
             let speed = entry.load.speed(now).min(1.0);
             let own = entry.work + work;
+            // What it runs at once: below that, to disturb each other costs less than to read a prompt again.
+            let slack = f64::from(entry.endpoint.slots) * work;
+            let limit = shared_limit + slack;
             let is_below = own <= (own_limit * speed).max(work);
             is_below && (!is_informed || own + others(key) <= (limit * speed).max(work))
         };
--- a/crates/edge/tests/share.rs
+++ b/crates/edge/tests/share.rs
@@ -4,16 +4,18 @@
 mod endpoints;
 
 use std::collections::HashMap;
+use std::rc::Rc;
 use std::time::Duration;
 
 use agate_edge::balancer::{Assignment, Balancer, Criteria, Outcome};
 use agate_edge::load::Figure;
+use agate_edge::roster::{Change, Endpoint};
 use agate_edge::share::{self, Digest, MAX_PART, MAX_TOTALS, Malformed, News, Pool};
 use agate_pick::capacity::Sample;
 use rstest::rstest;
 use tokio::time::Instant;
 
-use self::endpoints::{SERVICE, balancer};
+use self::endpoints::{SERVICE, balancer, endpoint};
 
 fn choose(balancer: &mut Balancer, now: Instant, prefix: Option<u64>, hosts: usize) -> Assignment {
     let (service, zone) = (SERVICE.to_owned(), "a".to_owned());
@@ -112,6 +114,33 @@
     }
 }
 
+/// Load: other hosts run a quarter of the slots of the endpoint that holds a prompt, at an engine with many. Guards
+/// against a bound that fits engines with few slots: shared parts were read again half as often again on such engines.
+#[test]
+fn a_prompt_stays_where_others_take_a_quarter_of_the_slots() {
+    let now = Instant::now();
+    let mut host = balancer(12, |_| false);
+    for n in 0..12 {
+        let large = Endpoint {
+            slots: 64,
+            ..endpoint(n, false)
+        };
+        host.apply(&Change::Joined(Rc::new(large)));
+    }
+    observe(&mut host, now, 33);
+    let home = choose(&mut host, now, Some(7), 33);
+    let quarter = Figure {
+        running: 16.0,
+        work: 1_500.0,
+        tokens: 100_000.0,
+        ..Figure::default()
+    };
+    let totals = News::from([(share::tag(&home.endpoint.id), quarter)]);
+    host.learn(now, &totals, &News::new());
+    let next = choose(&mut host, now, Some(7), 33);
+    assert_eq!(next.endpoint.id, home.endpoint.id);
+}
+
 /// Load: other hosts fill the endpoint that holds a prompt. The prompt goes elsewhere, and returns when they
 /// are done or nothing is heard of them any more.
 #[test]
