review: a reload keeps the former address of the store

The settings of three hosts name another address of the store, each host gets SIGHUP, and the former address is closed ten seconds later. The hosts log that they have reloaded, but never reach the store again, and run the requests of a public route at the old service after a newer version.

Cause: the clients of the store and of the receiver are made once, at the start.

The stand-ins take ports below those that the kernel gives to clients, since a host did not start in one trial whose port was taken.

--- a/review/stand-2/platform.rs
+++ b/review/stand-2/platform.rs
@@ -3,9 +3,10 @@
 use std::collections::BTreeMap;
 use std::fs::File;
 use std::io::{self, BufRead, BufReader, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -247,6 +248,26 @@
     })
 }
 
+/// Returns free addresses below the ports that the kernel gives to clients, so that a process finds them free again
+/// when it is started once more.
+fn free_addresses() -> io::Result<[SocketAddr; 5]> {
+    static NEXT: AtomicU32 = AtomicU32::new(0);
+    let mut found = Vec::new();
+    let seed = std::process::id().wrapping_mul(97);
+    for _ in 0..10_000 {
+        let step = NEXT.fetch_add(1, Ordering::Relaxed);
+        let port = 20_000 + (seed.wrapping_add(step) % 10_000) as u16;
+        let address = SocketAddr::from(([127, 0, 0, 1], port));
+        if TcpListener::bind(address).is_ok() {
+            found.push(address);
+        }
+        if let Ok(addresses) = <[SocketAddr; 5]>::try_from(found.as_slice()) {
+            return Ok(addresses);
+        }
+    }
+    Err(io::ErrorKind::AddrInUse.into())
+}
+
 /// Size of a machine as its settings state it.
 #[derive(Clone, Copy)]
 pub struct Machine {
@@ -257,6 +278,8 @@
 /// A host: its settings, its addresses and its process.
 pub struct Host {
     pub name: String,
+    addresses: [SocketAddr; 5],
+    machine: Machine,
     pub front: SocketAddr,
     ready: SocketAddr,
     settings: PathBuf,
@@ -265,11 +288,21 @@
 }
 
 impl Host {
-    /// Writes the settings of a host as the template of the deploy file has them.
+    /// Chooses the addresses of a host and writes its settings.
     pub fn new(folder: &Path, name: &str, machine: Machine, store: SocketAddr, duties: SocketAddr) -> io::Result<Self> {
-        let free = || TcpListener::bind("127.0.0.1:0").and_then(|listener| listener.local_addr());
-        let addresses = [free()?, free()?, free()?, free()?, free()?];
-        let [front, ready, directory, relay, metrics] = addresses;
+        let addresses = free_addresses()?;
+        let (front, ready) = (addresses[0], addresses[1]);
+        let settings = folder.join(format!("{name}.yaml"));
+        let log = folder.join(format!("{name}.log"));
+        let host = Self { name: name.to_owned(), addresses, machine, front, ready, settings, log, child: None };
+        host.write_settings(store, duties)?;
+        Ok(host)
+    }
+
+    /// Writes the settings file as the template of the deploy file has it.
+    pub fn write_settings(&self, store: SocketAddr, duties: SocketAddr) -> io::Result<()> {
+        let [front, ready, directory, relay, metrics] = self.addresses;
+        let (name, machine) = (&self.name, self.machine);
         let text = format!(
             "host: \"{name}\"\nzone: \"hal-noord\"\nip: \"127.0.0.1\"\nweight: 0.25\nlisten:\n  front: \"{front}\"\n  \
              ready: \"{ready}\"\n  directory: \"{directory}\"\n  relay: \"{relay}\"\n  metrics: \"{metrics}\"\nremote:\n  \
@@ -279,10 +312,13 @@
              link_mbps: 1000.0\nlog: info\n",
             machine.memory_mb, machine.descriptors
         );
-        let settings = folder.join(format!("{name}.yaml"));
-        std::fs::write(&settings, text)?;
-        let log = folder.join(format!("{name}.log"));
-        Ok(Self { name: name.to_owned(), front, ready, settings, log, child: None })
+        std::fs::write(&self.settings, text)
+    }
+
+    /// Sends the process a signal by its name.
+    pub fn signal(&self, signal: &str) -> io::Result<()> {
+        let Some(child) = &self.child else { return Ok(()) };
+        Command::new("kill").args([format!("-{signal}"), child.id().to_string()]).status().map(drop)
     }
 
     /// Starts the process with the command of the deploy file.
@@ -349,3 +385,51 @@
         self.kill();
     }
 }
+
+/// An address that passes connections on to another one until it is closed.
+pub struct Forwarder {
+    pub address: SocketAddr,
+    is_closed: Arc<AtomicBool>,
+    streams: Arc<Mutex<Vec<TcpStream>>>,
+}
+
+impl Forwarder {
+    pub fn start(target: SocketAddr) -> io::Result<Self> {
+        let listener = TcpListener::bind("127.0.0.1:0")?;
+        listener.set_nonblocking(true)?;
+        let forwarder = Self { address: listener.local_addr()?, is_closed: Arc::default(), streams: Arc::default() };
+        let (is_closed, streams) = (forwarder.is_closed.clone(), forwarder.streams.clone());
+        thread::spawn(move || {
+            while !is_closed.load(Ordering::Relaxed) {
+                let Ok((near, _)) = listener.accept() else {
+                    thread::sleep(Duration::from_millis(2));
+                    continue;
+                };
+                let _ = near.set_nonblocking(false);
+                let _ = join(near, target, &streams);
+            }
+        });
+        Ok(forwarder)
+    }
+
+    /// Ends all connections; further ones are refused.
+    pub fn close(&self) {
+        self.is_closed.store(true, Ordering::Relaxed);
+        for stream in self.streams.lock().unwrap().drain(..) {
+            let _ = stream.shutdown(Shutdown::Both);
+        }
+    }
+}
+
+fn join(near: TcpStream, target: SocketAddr, streams: &Mutex<Vec<TcpStream>>) -> io::Result<()> {
+    let far = TcpStream::connect(target)?;
+    let _ = (near.set_nodelay(true), far.set_nodelay(true));
+    streams.lock().unwrap().extend([near.try_clone()?, far.try_clone()?]);
+    for (mut from, mut to) in [(near.try_clone()?, far.try_clone()?), (far, near)] {
+        thread::spawn(move || {
+            let _ = io::copy(&mut from, &mut to);
+            let _ = to.shutdown(Shutdown::Write);
+        });
+    }
+    Ok(())
+}
