review: hosts keep an old configuration while their reader is cut off

One host of eight, from which the others of the only zone read, is cut off from the store in silence 0.1 s before a new version is acknowledged; others run requests at the old service for longer than the bound of 2 s.

The sources of the stand-ins are formatted as the project's, without a change.

--- a/review/stand-2/crowd.rs
+++ b/review/stand-2/crowd.rs
@@ -13,7 +13,10 @@
 use crate::platform::{Host, Machine, Store, listen, read_request, start_receiver};
 
 /// Size of the machines of the site.
-const MACHINE: Machine = Machine { memory_mb: 110, descriptors: 4100 };
+const MACHINE: Machine = Machine {
+    memory_mb: 110,
+    descriptors: 4100,
+};
 /// Connections of the crowd at one host, of the 4,100 descriptors that it has.
 const CROWD: usize = 2900;
 /// Headers of a request beside the five that it needs; the head has about 900 bytes of the 16,384 allowed.
@@ -49,12 +52,18 @@
 
 /// Answers each request after the work of the sheet, 60 ms, as a sound server.
 fn serve(stream: TcpStream, runs: &AtomicUsize) {
-    let Ok(mut writer) = stream.try_clone() else { return };
+    let Ok(mut writer) = stream.try_clone() else {
+        return;
+    };
     let mut reader = BufReader::new(stream);
     while let Some(request) = read_request(&mut reader) {
         runs.fetch_add(1, Ordering::Relaxed);
         thread::sleep(Duration::from_millis(60));
-        let id = request.headers.get("agatebridge-request-id").cloned().unwrap_or_default();
+        let id = request
+            .headers
+            .get("agatebridge-request-id")
+            .cloned()
+            .unwrap_or_default();
         let answer = format!(
             "HTTP/1.1 200 OK\r\nAgatebridge-Request-Id: {id}\r\nAgatebridge-Server-Stamp: s\r\nContent-Length: 2\r\n\r\nok"
         );
@@ -76,7 +85,11 @@
         stream.write_all(request.as_bytes())?;
         let mut answer = String::new();
         BufReader::new(stream).read_to_string(&mut answer)?;
-        Ok(answer.split(' ').nth(1).unwrap_or("closed without an answer").to_owned())
+        Ok(answer
+            .split(' ')
+            .nth(1)
+            .unwrap_or("closed without an answer")
+            .to_owned())
     };
     ask().unwrap_or_else(|err| format!("no answer: {err}"))
 }
@@ -87,8 +100,12 @@
     let address: SocketAddr = address.parse().map_err(|err| format!("{err}"))?;
     let mut crowd = Vec::new();
     for number in 0..CROWD {
-        let Ok(stream) = TcpStream::connect(address) else { break };
-        stream.set_nonblocking(true).map_err(|err| err.to_string())?;
+        let Ok(stream) = TcpStream::connect(address) else {
+            break;
+        };
+        stream
+            .set_nonblocking(true)
+            .map_err(|err| err.to_string())?;
         let mut text = format!(
             "POST /booking/a HTTP/1.1\r\nHost: h.example\r\nAgatebridge-Request-Id: crowd-{number}\r\n\
              Agatebridge-Deadline-Ms: 4000\r\nAuthorization: Token key-of-the-workshop\r\nTransfer-Encoding: chunked\r\n"
@@ -148,11 +165,20 @@
 
 /// Plays one host's platform until the run is over: starts its process, ends it when it exceeds the memory of its
 /// machine, starts it again. Returns how often it ended.
-fn play(mut host: Host, has_crowd: bool, record: &Record, started: Instant, over: &AtomicBool, ends: &[AtomicUsize; 2], index: usize) -> Result<(), String> {
+fn play(
+    mut host: Host,
+    has_crowd: bool,
+    record: &Record,
+    started: Instant,
+    over: &AtomicBool,
+    ends: &[AtomicUsize; 2],
+    index: usize,
+) -> Result<(), String> {
     let limit = MACHINE.memory_mb << 10;
     let mut peak = 0;
     while !over.load(Ordering::Relaxed) {
-        host.start().map_err(|err| format!("agate-site does not start: {err}"))?;
+        host.start()
+            .map_err(|err| format!("agate-site does not start: {err}"))?;
         if !host.wait_ready(Duration::from_secs(20)) {
             return Err(format!("{} is not ready", host.name));
         }
@@ -178,7 +204,10 @@
             if resident > limit {
                 host.kill();
                 ends[index].fetch_add(1, Ordering::Relaxed);
-                let line = format!("{} exceeds {limit} KiB with {resident} KiB resident and is killed", host.name);
+                let line = format!(
+                    "{} exceeds {limit} KiB with {resident} KiB resident and is killed",
+                    host.name
+                );
                 note(record, started, &line);
                 break;
             }
@@ -192,7 +221,11 @@
         drop(crowd);
         thread::sleep(RESTART_DELAY);
     }
-    note(record, started, &format!("{}: peak {peak} KiB of {limit} KiB", host.name));
+    note(
+        record,
+        started,
+        &format!("{}: peak {peak} KiB of {limit} KiB", host.name),
+    );
     Ok(())
 }
 
@@ -200,7 +233,9 @@
 pub fn run(folder: &str, record: &str) -> Result<bool, String> {
     let has_crowd = std::env::var("TROUBLE").as_deref() != Ok("0");
     let started = Instant::now();
-    let record: Record = Arc::new(Mutex::new(File::create(record).map_err(|err| err.to_string())?));
+    let record: Record = Arc::new(Mutex::new(
+        File::create(record).map_err(|err| err.to_string())?,
+    ));
     let store = Store::start().map_err(|err| err.to_string())?;
     let duties = start_receiver().map_err(|err| err.to_string())?;
     let runs = Arc::new(AtomicUsize::new(0));
@@ -224,9 +259,12 @@
     let mut players = Vec::new();
     for (index, host) in hosts.into_iter().enumerate() {
         let (front, name) = (host.front, host.name.clone());
-        let (record, over, ends, answers) = (record.clone(), over.clone(), ends.clone(), answers.clone());
+        let (record, over, ends, answers) =
+            (record.clone(), over.clone(), ends.clone(), answers.clone());
         let (clients_over, clients_record) = (over.clone(), record.clone());
-        players.push(thread::spawn(move || play(host, has_crowd, &record, started, &over, &ends, index)));
+        players.push(thread::spawn(move || {
+            play(host, has_crowd, &record, started, &over, &ends, index)
+        }));
         thread::spawn(move || {
             let mut number = 0;
             while !clients_over.load(Ordering::Relaxed) {
@@ -243,19 +281,40 @@
         });
     }
     let longest = if has_crowd { LONGEST } else { CALM };
-    let is_broken = || ends.iter().all(|count| count.load(Ordering::Relaxed) >= ENDS);
-    while started.elapsed() < longest && !is_broken() && !players.iter().any(|player| player.is_finished()) {
+    let is_broken = || {
+        ends.iter()
+            .all(|count| count.load(Ordering::Relaxed) >= ENDS)
+    };
+    while started.elapsed() < longest
+        && !is_broken()
+        && !players.iter().any(|player| player.is_finished())
+    {
         thread::sleep(Duration::from_millis(20));
     }
     over.store(true, Ordering::Relaxed);
     for player in players {
-        player.join().map_err(|_| "a part of the case failed".to_owned())??;
+        player
+            .join()
+            .map_err(|_| "a part of the case failed".to_owned())??;
     }
-    let counts: Vec<usize> = ends.iter().map(|count| count.load(Ordering::Relaxed)).collect();
-    let line = format!("ends of the two processes: {counts:?}; ordinary requests: {:?}; runs: {}", answers.lock().unwrap(), runs.load(Ordering::Relaxed));
+    let counts: Vec<usize> = ends
+        .iter()
+        .map(|count| count.load(Ordering::Relaxed))
+        .collect();
+    let line = format!(
+        "ends of the two processes: {counts:?}; ordinary requests: {:?}; runs: {}",
+        answers.lock().unwrap(),
+        runs.load(Ordering::Relaxed)
+    );
     println!("{line}");
     note(&record, started, &line);
-    if !has_crowd && answers.lock().unwrap().get("200").is_none_or(|count| *count < 50) {
+    if !has_crowd
+        && answers
+            .lock()
+            .unwrap()
+            .get("200")
+            .is_none_or(|count| *count < 50)
+    {
         return Err("ordinary requests are not answered without the crowd".to_owned());
     }
     Ok(is_broken())
--- a/review/stand-2/json.rs
+++ b/review/stand-2/json.rs
@@ -44,7 +44,10 @@
 
 /// Parses a JSON text; `None` if it is malformed.
 pub fn parse(text: &str) -> Option<Value> {
-    let mut parser = Parser { bytes: text.as_bytes(), at: 0 };
+    let mut parser = Parser {
+        bytes: text.as_bytes(),
+        at: 0,
+    };
     parser.value()
 }
 
@@ -112,7 +115,11 @@
             b'f' => self.word("false", Value::Bool(false)),
             _ => {
                 let start = self.at;
-                while self.bytes.get(self.at).is_some_and(|b| b"+-.eE0123456789".contains(b)) {
+                while self
+                    .bytes
+                    .get(self.at)
+                    .is_some_and(|b| b"+-.eE0123456789".contains(b))
+                {
                     self.at += 1;
                 }
                 let text = std::str::from_utf8(&self.bytes[start..self.at]).ok()?;
@@ -137,11 +144,14 @@
                         b't' => out.push(b'\t'),
                         b'r' => out.push(b'\r'),
                         b'u' => {
-                            let hex = std::str::from_utf8(self.bytes.get(self.at..self.at + 4)?).ok()?;
+                            let hex =
+                                std::str::from_utf8(self.bytes.get(self.at..self.at + 4)?).ok()?;
                             let code = u32::from_str_radix(hex, 16).ok()?;
                             self.at += 4;
                             let mut buffer = [0; 4];
-                            out.extend_from_slice(char::from_u32(code)?.encode_utf8(&mut buffer).as_bytes());
+                            out.extend_from_slice(
+                                char::from_u32(code)?.encode_utf8(&mut buffer).as_bytes(),
+                            );
                         }
                         other => out.push(other),
                     }
@@ -173,7 +183,10 @@
 pub fn base64(bytes: &[u8]) -> String {
     let mut out = String::new();
     for group in bytes.chunks(3) {
-        let word = group.iter().fold(0u32, |word, byte| word << 8 | u32::from(*byte)) << (8 * (3 - group.len()));
+        let word = group
+            .iter()
+            .fold(0u32, |word, byte| word << 8 | u32::from(*byte))
+            << (8 * (3 - group.len()));
         for digit in 0..4 {
             match digit <= group.len() {
                 true => out.push(char::from(DIGITS[(word >> (18 - 6 * digit) & 63) as usize])),
--- a/review/stand-2/main.rs
+++ b/review/stand-2/main.rs
@@ -5,6 +5,7 @@
 mod json;
 mod moved;
 mod platform;
+mod reader;
 mod tier;
 
 use std::process::exit;
@@ -14,6 +15,7 @@
     let broken = match args.get(1).map(String::as_str) {
         Some("crowd") => crowd::run(&args[2], &args[3]),
         Some("moved") => moved::run(&args[2], &args[3]),
+        Some("reader") => reader::run(&args[2], &args[3]),
         Some("tier") => tier::run(&args[2], &args[3]),
         Some("crowd-sender") => crowd::send(&args[2]),
         _ => Err("usage: stand CASE FOLDER RECORD".to_owned()),
--- a/review/stand-2/moved.rs
+++ b/review/stand-2/moved.rs
@@ -11,7 +11,10 @@
 
 use crate::platform::{Forwarder, Host, Machine, Store, listen, read_request, start_receiver};
 
-const MACHINE: Machine = Machine { memory_mb: 110, descriptors: 4100 };
+const MACHINE: Machine = Machine {
+    memory_mb: 110,
+    descriptors: 4100,
+};
 const HOSTS: usize = 3;
 
 /// Times from the start of the requests.
@@ -25,7 +28,7 @@
 const APPLY: Duration = Duration::from_millis(2_000);
 
 /// A configuration that sends the requests of the public route to a service.
-fn config(version: u64, service: &str) -> String {
+pub fn config(version: u64, service: &str) -> String {
     format!(
         r#"{{"Version":{version},
 "Routes":[{{"Name":"lookup","Host":"h.example","PathPrefix":"/lookup/","Kind":"safe","TimeoutMs":2000,
@@ -48,12 +51,18 @@
 }
 
 /// A sound server, which names its service in its answer.
-fn serve(stream: TcpStream, service: &str) {
-    let Ok(mut writer) = stream.try_clone() else { return };
+pub fn serve(stream: TcpStream, service: &str) {
+    let Ok(mut writer) = stream.try_clone() else {
+        return;
+    };
     let mut reader = BufReader::new(stream);
     while let Some(request) = read_request(&mut reader) {
         thread::sleep(Duration::from_millis(60));
-        let id = request.headers.get("agatebridge-request-id").cloned().unwrap_or_default();
+        let id = request
+            .headers
+            .get("agatebridge-request-id")
+            .cloned()
+            .unwrap_or_default();
         let answer = format!(
             "HTTP/1.1 200 OK\r\nAgatebridge-Request-Id: {id}\r\nAgatebridge-Server-Stamp: s\r\nX-Service: {service}\r\n\
              Content-Length: 2\r\n\r\nok"
@@ -65,7 +74,7 @@
 }
 
 /// Sends one request over a connection of its own; returns its status and the service that ran it.
-fn ask(address: SocketAddr, path: &str, id: &str) -> std::io::Result<(String, String)> {
+pub fn ask(address: SocketAddr, path: &str, id: &str) -> std::io::Result<(String, String)> {
     let mut stream = TcpStream::connect(address)?;
     stream.set_read_timeout(Some(Duration::from_secs(4)))?;
     let request = format!(
@@ -76,7 +85,11 @@
     let mut reader = BufReader::new(stream);
     let mut line = String::new();
     reader.read_line(&mut line)?;
-    let status = line.split(' ').nth(1).unwrap_or("closed without an answer").to_owned();
+    let status = line
+        .split(' ')
+        .nth(1)
+        .unwrap_or("closed without an answer")
+        .to_owned();
     let mut service = String::new();
     while !line.trim_end().is_empty() {
         if let Some(name) = line.to_ascii_lowercase().strip_prefix("x-service:") {
@@ -110,8 +123,10 @@
     let mut hosts = Vec::new();
     for number in 1..=HOSTS {
         let name = format!("front-{number}");
-        let mut host = Host::new(Path::new(folder), &name, MACHINE, former.address, duties).map_err(text)?;
-        host.start().map_err(|err| format!("agate-site does not start: {err}"))?;
+        let mut host =
+            Host::new(Path::new(folder), &name, MACHINE, former.address, duties).map_err(text)?;
+        host.start()
+            .map_err(|err| format!("agate-site does not start: {err}"))?;
         hosts.push(host);
     }
     for host in &hosts {
@@ -131,8 +146,16 @@
                     let sent = started.elapsed();
                     let id = format!("{host}-{}-{number}", &path[1..5]);
                     let answer = ask(front, path, &id);
-                    let (status, service) = answer.unwrap_or_else(|err| (format!("no answer: {}", err.kind()), String::new()));
-                    seen.lock().unwrap().push(Seen { sent, host: host.clone(), path, status, service });
+                    let (status, service) = answer.unwrap_or_else(|err| {
+                        (format!("no answer: {}", err.kind()), String::new())
+                    });
+                    seen.lock().unwrap().push(Seen {
+                        sent,
+                        host: host.clone(),
+                        path,
+                        status,
+                        service,
+                    });
                     number += 1;
                     thread::sleep(Duration::from_millis(200));
                 }
@@ -142,7 +165,11 @@
     let wait = |at: Duration| thread::sleep(at.saturating_sub(started.elapsed()));
     wait(SETTINGS_AT);
     for host in &hosts {
-        let address = if is_moved { present.address } else { former.address };
+        let address = if is_moved {
+            present.address
+        } else {
+            former.address
+        };
         host.write_settings(address, duties).map_err(text)?;
         host.signal("HUP").map_err(text)?;
     }
@@ -169,7 +196,14 @@
         let is_late = seen.sent > acked + APPLY && seen.service == "first";
         late += usize::from(is_late);
         let mark = if is_late { " by an older version" } else { "" };
-        let line = format!("{:8.3} {} {}: {} {}{mark}", seen.sent.as_secs_f64(), seen.host, seen.path, seen.status, seen.service);
+        let line = format!(
+            "{:8.3} {} {}: {} {}{mark}",
+            seen.sent.as_secs_f64(),
+            seen.host,
+            seen.path,
+            seen.status,
+            seen.service
+        );
         writeln!(record, "{line}").map_err(text)?;
         let when = match seen.sent {
             sent if sent < SETTINGS_AT => "1 before SIGHUP",
@@ -177,13 +211,17 @@
             sent if sent <= acked + APPLY => "3 one address answers",
             _ => "4 from 2 s after the new version",
         };
-        *counts.entry((when, seen.path, format!("{} {}", seen.status, seen.service))).or_default() += 1;
+        *counts
+            .entry((when, seen.path, format!("{} {}", seen.status, seen.service)))
+            .or_default() += 1;
     }
     for ((when, path, answer), count) in &counts {
         let line = format!("{when}: {path} {answer}: {count}");
         println!("{line}");
         writeln!(record, "{line}").map_err(text)?;
     }
-    println!("{late} requests run by the service of the older version later than 2 s after the newer one was acknowledged");
+    println!(
+        "{late} requests run by the service of the older version later than 2 s after the newer one was acknowledged"
+    );
     Ok(late > 0)
 }
--- a/review/stand-2/platform.rs
+++ b/review/stand-2/platform.rs
@@ -39,10 +39,17 @@
         let (name, value) = line.split_once(':')?;
         headers.insert(name.to_ascii_lowercase(), value.trim().to_owned());
     }
-    let length = headers.get("content-length").and_then(|text| text.parse().ok()).unwrap_or(0);
+    let length = headers
+        .get("content-length")
+        .and_then(|text| text.parse().ok())
+        .unwrap_or(0);
     let mut body = vec![0; length];
     reader.read_exact(&mut body).ok()?;
-    Some(Request { target, headers, body })
+    Some(Request {
+        target,
+        headers,
+        body,
+    })
 }
 
 /// Accepts connections on a free loopback port, each in a thread of its own.
@@ -54,7 +61,9 @@
         for stream in listener.incoming().flatten() {
             let serve = serve.clone();
             let _ = stream.set_nodelay(true);
-            let _ = thread::Builder::new().stack_size(128 << 10).spawn(move || serve(stream));
+            let _ = thread::Builder::new()
+                .stack_size(128 << 10)
+                .spawn(move || serve(stream));
         }
     });
     Ok(address)
@@ -88,7 +97,10 @@
             }
         })?;
         let store = Arc::new(Self {
-            tables: Mutex::new(Tables { version: 1, ..Tables::default() }),
+            tables: Mutex::new(Tables {
+                version: 1,
+                ..Tables::default()
+            }),
             changed: Condvar::new(),
             started: Instant::now(),
             address,
@@ -131,7 +143,10 @@
     }
 
     fn answer(&self, request: &Request) -> (u16, String) {
-        let (path, query) = request.target.split_once('?').unwrap_or((&request.target, ""));
+        let (path, query) = request
+            .target
+            .split_once('?')
+            .unwrap_or((&request.target, ""));
         let query: BTreeMap<String, String> = query
             .split('&')
             .filter_map(|pair| pair.split_once('='))
@@ -145,7 +160,12 @@
                 let Some(call) = json::parse(&body) else {
                     return (400, "{}".to_owned());
                 };
-                let key = |entry: &Value| (entry.get("Table").text().to_owned(), entry.get("Key").text().to_owned());
+                let key = |entry: &Value| {
+                    (
+                        entry.get("Table").text().to_owned(),
+                        entry.get("Key").text().to_owned(),
+                    )
+                };
                 let expected = call.get("Expected").list();
                 let holds = expected.iter().all(|entry| {
                     let found = tables.rows.get(&key(entry)).filter(|row| row.0.is_some());
@@ -176,7 +196,10 @@
                 let (table, from, to) = (text("Table"), text("From"), text("To"));
                 let limit = text("Limit").parse().unwrap_or(500);
                 let found = tables.rows.iter().filter(|((name, key), row)| {
-                    *name == table && row.0.is_some() && *key >= from && (to.is_empty() || *key < to)
+                    *name == table
+                        && row.0.is_some()
+                        && *key >= from
+                        && (to.is_empty() || *key < to)
                 });
                 let mut rows: Vec<String> = found.map(|(key, row)| encode(key, row)).collect();
                 let more = rows.len() > limit;
@@ -188,10 +211,16 @@
                 let wait = Duration::from_millis(text("WaitMs").parse().unwrap_or(0));
                 let until = Instant::now() + wait;
                 loop {
-                    let newer = tables.rows.iter().filter(|((name, _), row)| *name == table && row.1 > after);
+                    let newer = tables
+                        .rows
+                        .iter()
+                        .filter(|((name, _), row)| *name == table && row.1 > after);
                     let mut newer: Vec<_> = newer.collect();
                     newer.sort_by_key(|(_, row)| row.1);
-                    let rows: Vec<String> = newer.into_iter().map(|(key, row)| encode(key, row)).collect();
+                    let rows: Vec<String> = newer
+                        .into_iter()
+                        .map(|(key, row)| encode(key, row))
+                        .collect();
                     let left = until.saturating_duration_since(Instant::now());
                     if !rows.is_empty() || left.is_zero() {
                         return (200, self.stamp(&tables, &rows, false));
@@ -220,7 +249,9 @@
     let bytes = text.as_bytes();
     let (mut out, mut at) = (Vec::new(), 0);
     while at < bytes.len() {
-        let hex = (bytes[at] == b'%').then(|| text.get(at + 1..at + 3)).flatten();
+        let hex = (bytes[at] == b'%')
+            .then(|| text.get(at + 1..at + 3))
+            .flatten();
         match hex.and_then(|hex| u8::from_str_radix(hex, 16).ok()) {
             Some(byte) => {
                 out.push(byte);
@@ -238,10 +269,15 @@
 /// Starts the receiver of usage reports and orders, which accepts all of them.
 pub fn start_receiver() -> io::Result<SocketAddr> {
     listen(|stream| {
-        let Ok(mut writer) = stream.try_clone() else { return };
+        let Ok(mut writer) = stream.try_clone() else {
+            return;
+        };
         let mut reader = BufReader::new(stream);
         while read_request(&mut reader).is_some() {
-            if writer.write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n").is_err() {
+            if writer
+                .write_all(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+                .is_err()
+            {
                 return;
             }
         }
@@ -289,12 +325,27 @@
 
 impl Host {
     /// Chooses the addresses of a host and writes its settings.
-    pub fn new(folder: &Path, name: &str, machine: Machine, store: SocketAddr, duties: SocketAddr) -> io::Result<Self> {
+    pub fn new(
+        folder: &Path,
+        name: &str,
+        machine: Machine,
+        store: SocketAddr,
+        duties: SocketAddr,
+    ) -> io::Result<Self> {
         let addresses = free_addresses()?;
         let (front, ready) = (addresses[0], addresses[1]);
         let settings = folder.join(format!("{name}.yaml"));
         let log = folder.join(format!("{name}.log"));
-        let host = Self { name: name.to_owned(), addresses, machine, front, ready, settings, log, child: None };
+        let host = Self {
+            name: name.to_owned(),
+            addresses,
+            machine,
+            front,
+            ready,
+            settings,
+            log,
+            child: None,
+        };
         host.write_settings(store, duties)?;
         Ok(host)
     }
@@ -317,8 +368,13 @@
 
     /// Sends the process a signal by its name.
     pub fn signal(&self, signal: &str) -> io::Result<()> {
-        let Some(child) = &self.child else { return Ok(()) };
-        Command::new("kill").args([format!("-{signal}"), child.id().to_string()]).status().map(drop)
+        let Some(child) = &self.child else {
+            return Ok(());
+        };
+        Command::new("kill")
+            .args([format!("-{signal}"), child.id().to_string()])
+            .status()
+            .map(drop)
     }
 
     /// Starts the process with the command of the deploy file.
@@ -367,7 +423,9 @@
             return None;
         }
         let status = std::fs::read_to_string(format!("/proc/{}/status", child.id())).ok()?;
-        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"))?;
+        let line = status
+            .lines()
+            .find_map(|line| line.strip_prefix("VmRSS:"))?;
         line.split_whitespace().next()?.parse().ok()
     }
 
@@ -397,7 +455,11 @@
     pub fn start(target: SocketAddr) -> io::Result<Self> {
         let listener = TcpListener::bind("127.0.0.1:0")?;
         listener.set_nonblocking(true)?;
-        let forwarder = Self { address: listener.local_addr()?, is_closed: Arc::default(), streams: Arc::default() };
+        let forwarder = Self {
+            address: listener.local_addr()?,
+            is_closed: Arc::default(),
+            streams: Arc::default(),
+        };
         let (is_closed, streams) = (forwarder.is_closed.clone(), forwarder.streams.clone());
         thread::spawn(move || {
             while !is_closed.load(Ordering::Relaxed) {
@@ -424,7 +486,10 @@
 fn join(near: TcpStream, target: SocketAddr, streams: &Mutex<Vec<TcpStream>>) -> io::Result<()> {
     let far = TcpStream::connect(target)?;
     let _ = (near.set_nodelay(true), far.set_nodelay(true));
-    streams.lock().unwrap().extend([near.try_clone()?, far.try_clone()?]);
+    streams
+        .lock()
+        .unwrap()
+        .extend([near.try_clone()?, far.try_clone()?]);
     for (mut from, mut to) in [(near.try_clone()?, far.try_clone()?), (far, near)] {
         thread::spawn(move || {
             let _ = io::copy(&mut from, &mut to);
@@ -433,3 +498,54 @@
     }
     Ok(())
 }
+
+/// A path to an address that can fall silent: what is sent meanwhile is held, also on new connections.
+pub struct Gate {
+    pub address: SocketAddr,
+    is_silent: Arc<AtomicBool>,
+}
+
+impl Gate {
+    pub fn start(target: SocketAddr) -> io::Result<Self> {
+        let is_silent: Arc<AtomicBool> = Arc::default();
+        let silent = is_silent.clone();
+        let address = listen(move |near| {
+            let wait = |silent: &AtomicBool| {
+                while silent.load(Ordering::Relaxed) {
+                    thread::sleep(Duration::from_millis(5));
+                }
+            };
+            wait(&silent);
+            let Ok(far) = TcpStream::connect(target) else {
+                return;
+            };
+            let _ = far.set_nodelay(true);
+            let (Ok(near_too), Ok(far_too)) = (near.try_clone(), far.try_clone()) else {
+                return;
+            };
+            let other = silent.clone();
+            thread::spawn(move || pass(far_too, near_too, &other));
+            pass(near, far, &silent);
+        })?;
+        Ok(Self { address, is_silent })
+    }
+
+    pub fn set_silent(&self, is_silent: bool) {
+        self.is_silent.store(is_silent, Ordering::Relaxed);
+    }
+}
+
+/// Passes bytes on, and holds them while the path is silent.
+fn pass(mut from: TcpStream, mut to: TcpStream, silent: &AtomicBool) {
+    let mut buffer = vec![0; 64 << 10];
+    while let Ok(count @ 1..) = from.read(&mut buffer) {
+        while silent.load(Ordering::Relaxed) {
+            thread::sleep(Duration::from_millis(5));
+        }
+        if to.write_all(&buffer[..count]).is_err() {
+            break;
+        }
+    }
+    let _ = to.shutdown(Shutdown::Both);
+    let _ = from.shutdown(Shutdown::Both);
+}
--- a/review/stand-2/tier.rs
+++ b/review/stand-2/tier.rs
@@ -12,7 +12,10 @@
 
 use crate::platform::{Host, Machine, Store, listen, read_request, start_receiver};
 
-const MACHINE: Machine = Machine { memory_mb: 110, descriptors: 4100 };
+const MACHINE: Machine = Machine {
+    memory_mb: 110,
+    descriptors: 4100,
+};
 
 /// Model servers, each of which runs one request at a time.
 const SERVERS: usize = 3;
@@ -46,9 +49,21 @@
     limit: Duration,
 }
 
-const QUERY: Kind = Kind { name: "query", tokens: "715,282", limit: Duration::from_secs(12) };
-const NOTE: Kind = Kind { name: "note", tokens: "2368,24", limit: Duration::from_secs(3) };
-const REVIEW: Kind = Kind { name: "review", tokens: "9190,54", limit: Duration::from_secs(4) };
+const QUERY: Kind = Kind {
+    name: "query",
+    tokens: "715,282",
+    limit: Duration::from_secs(12),
+};
+const NOTE: Kind = Kind {
+    name: "note",
+    tokens: "2368,24",
+    limit: Duration::from_secs(3),
+};
+const REVIEW: Kind = Kind {
+    name: "review",
+    tokens: "9190,54",
+    limit: Duration::from_secs(4),
+};
 
 /// Events of a stream and their interval: 47, 4 and 9 events as on the sheet.
 fn events(path: &str) -> (u32, Duration) {
@@ -77,8 +92,12 @@
 /// One model server: runs one request at a time, in the order of their arrival, and drops those whose channel has
 /// closed or whose time limit has passed.
 fn serve(stream: TcpStream, slot: &Mutex<()>, world: &World) {
-    let Ok(mut writer) = stream.try_clone() else { return };
-    let Ok(watch) = stream.try_clone() else { return };
+    let Ok(mut writer) = stream.try_clone() else {
+        return;
+    };
+    let Ok(watch) = stream.try_clone() else {
+        return;
+    };
     let mut reader = BufReader::new(stream);
     while let Some(request) = read_request(&mut reader) {
         let header = |name: &str| request.headers.get(name).cloned().unwrap_or_default();
@@ -97,7 +116,11 @@
             }
             thread::sleep(Duration::from_millis(5));
         };
-        world.begun.lock().unwrap().insert(id.clone(), world.started.elapsed());
+        world
+            .begun
+            .lock()
+            .unwrap()
+            .insert(id.clone(), world.started.elapsed());
         let head = format!(
             "HTTP/1.1 200 OK\r\nAgatebridge-Request-Id: {id}\r\nAgatebridge-Server-Stamp: s\r\nContent-Type: text/event-stream\r\n\
              Transfer-Encoding: chunked\r\n\r\n"
@@ -139,7 +162,11 @@
         let mut reader = BufReader::new(stream);
         let mut line = String::new();
         reader.read_line(&mut line)?;
-        let status = line.split(' ').nth(1).unwrap_or("closed without an answer").to_owned();
+        let status = line
+            .split(' ')
+            .nth(1)
+            .unwrap_or("closed without an answer")
+            .to_owned();
         if status != "200" {
             return Ok(status);
         }
@@ -157,11 +184,23 @@
     };
     let answer = call().unwrap_or_else(|err| format!("no answer: {}", err.kind()));
     let began = world.begun.lock().unwrap().get(id).copied();
-    world.seen.lock().unwrap().push(Seen { kind: kind.name, sent, began, answer });
+    world.seen.lock().unwrap().push(Seen {
+        kind: kind.name,
+        sent,
+        began,
+        answer,
+    });
 }
 
 /// Sends requests of one kind at an even rate from `from` to the end.
-fn press(address: SocketAddr, kind: Kind, interval: Duration, from: Duration, world: &Arc<World>, over: &Arc<AtomicBool>) {
+fn press(
+    address: SocketAddr,
+    kind: Kind,
+    interval: Duration,
+    from: Duration,
+    world: &Arc<World>,
+    over: &Arc<AtomicBool>,
+) {
     let (world, over) = (world.clone(), over.clone());
     thread::spawn(move || {
         thread::sleep(from.saturating_sub(world.started.elapsed()));
@@ -181,10 +220,15 @@
     let mut record = File::create(record).map_err(|err| err.to_string())?;
     let store = Store::start().map_err(|err| err.to_string())?;
     let duties = start_receiver().map_err(|err| err.to_string())?;
-    let world = Arc::new(World { started: Instant::now(), seen: Mutex::default(), begun: Mutex::default() });
+    let world = Arc::new(World {
+        started: Instant::now(),
+        seen: Mutex::default(),
+        begun: Mutex::default(),
+    });
     for number in 1..=SERVERS {
         let (world, slot) = (world.clone(), Mutex::new(()));
-        let server = listen(move |stream| serve(stream, &slot, &world)).map_err(|err| err.to_string())?;
+        let server =
+            listen(move |stream| serve(stream, &slot, &world)).map_err(|err| err.to_string())?;
         let row = format!(
             r#"{{"Service":"model","Address":"{server}","Zone":"hal-noord","Version":"v1","Slots":1,"State":"ready","ColdRemainingMs":0,"Sequence":1}}"#
         );
@@ -193,14 +237,29 @@
     store.put("op", "config", CONFIG);
     let host = Host::new(Path::new(folder), "front-1", MACHINE, store.address, duties);
     let mut host = host.map_err(|err| err.to_string())?;
-    host.start().map_err(|err| format!("agate-site does not start: {err}"))?;
+    host.start()
+        .map_err(|err| format!("agate-site does not start: {err}"))?;
     if !host.wait_ready(Duration::from_secs(20)) {
         return Err("the host is not ready".to_owned());
     }
     let over = Arc::new(AtomicBool::new(false));
     let front = host.front;
-    press(front, REVIEW, Duration::from_millis(700), Duration::from_secs(2), &world, &over);
-    press(front, NOTE, Duration::from_millis(400), NOTES_AT, &world, &over);
+    press(
+        front,
+        REVIEW,
+        Duration::from_millis(700),
+        Duration::from_secs(2),
+        &world,
+        &over,
+    );
+    press(
+        front,
+        NOTE,
+        Duration::from_millis(400),
+        NOTES_AT,
+        &world,
+        &over,
+    );
     if has_burst {
         thread::sleep(BURST_AT.saturating_sub(world.started.elapsed()));
         for number in 0..BURST {
@@ -218,8 +277,15 @@
     let mut seen = world.seen.lock().unwrap();
     seen.sort_by_key(|seen| seen.sent);
     for seen in seen.iter() {
-        let began = seen.began.map_or("never".to_owned(), |at| format!("{:.3}", at.as_secs_f64()));
-        let line = format!("{:8.3} {} began {began}: {}", seen.sent.as_secs_f64(), seen.kind, seen.answer);
+        let began = seen
+            .began
+            .map_or("never".to_owned(), |at| format!("{:.3}", at.as_secs_f64()));
+        let line = format!(
+            "{:8.3} {} began {began}: {}",
+            seen.sent.as_secs_f64(),
+            seen.kind,
+            seen.answer
+        );
         writeln!(record, "{line}").map_err(|err| err.to_string())?;
     }
     // Spans of five seconds after the burst, with no server in impairment.
@@ -228,13 +294,18 @@
     let mut from = calm;
     while from + SPAN <= END {
         let within = |at: Duration| at >= from && at < from + SPAN;
-        let notes = seen.iter().filter(|seen| seen.kind == "note" && within(seen.sent));
+        let notes = seen
+            .iter()
+            .filter(|seen| seen.kind == "note" && within(seen.sent));
         let (mut asked, mut nothing) = (0, 0);
         for seen in notes {
             asked += 1;
             nothing += usize::from(seen.answer != "200");
         }
-        let less_urgent = seen.iter().filter(|seen| seen.kind == "review" && seen.began.is_some_and(within)).count();
+        let less_urgent = seen
+            .iter()
+            .filter(|seen| seen.kind == "review" && seen.began.is_some_and(within))
+            .count();
         if nothing >= worst.1 && less_urgent > 0 {
             worst = (asked, nothing, less_urgent);
         }
@@ -242,7 +313,11 @@
     }
     let mut answers: BTreeMap<(&str, &str, &str), usize> = BTreeMap::new();
     for seen in seen.iter() {
-        let when = if seen.sent < calm { "until the burst is over" } else { "after it" };
+        let when = if seen.sent < calm {
+            "until the burst is over"
+        } else {
+            "after it"
+        };
         *answers.entry((when, seen.kind, &seen.answer)).or_default() += 1;
     }
     for ((when, kind, answer), count) in &answers {
@@ -251,7 +326,9 @@
         writeln!(record, "{line}").map_err(|err| err.to_string())?;
     }
     let (asked, nothing, less_urgent) = worst;
-    let line = format!("worst five seconds after the burst: {nothing} of {asked} notes got nothing while {less_urgent} reviews began");
+    let line = format!(
+        "worst five seconds after the burst: {nothing} of {asked} notes got nothing while {less_urgent} reviews began"
+    );
     println!("{line}");
     writeln!(record, "{line}").map_err(|err| err.to_string())?;
     Ok(nothing >= 10 && nothing * 12 > asked && less_urgent > 0)
