Edge: what endpoints say of their limits is read, logged and counted

Cause: the logs could not tell the hypotheses on the incident apart: neither that an endpoint had named a limit, nor which host knew of it, nor which requests were sent to it afterwards was recorded. Change: the header is decoded; the newest statement of each incarnation is kept in a book (crates/limit); a host logs endpoint_limited and endpoint_limit_lifted, and the line of a request counts its attempts at limited endpoints. No request is routed otherwise than before.

--- a/crates/edge/src/balancer.rs
+++ b/crates/edge/src/balancer.rs
@@ -13,6 +13,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use agate_limit::Time;
+use agate_limit::book::{Book, Change as LimitChange, Statement};
 use agate_model::id::{EndpointId, ZoneId};
 use agate_notice::Notices;
 use agate_pick::capacity::Pace;
@@ -165,6 +167,15 @@
     cold_starts: HashMap<ServiceId, Duration>,
     /// What endpoints asked for, also those that are not listed any more.
     notices: Notices<Rc<Incarnation>>,
+    /// Limits that endpoints have named, also those that are not listed.
+    limits: Book<Rc<Incarnation>>,
+}
+
+impl Assignment {
+    /// Returns the incarnation of the endpoint.
+    pub fn incarnation(&self) -> &Rc<Incarnation> {
+        &self.incarnation
+    }
 }
 
 impl Balancer {
@@ -442,6 +453,29 @@
         until
     }
 
+    /// Records what an endpoint has said of its limit. Returns what changes by that.
+    pub fn record_limit(
+        &mut self,
+        now: Time,
+        incarnation: &Rc<Incarnation>,
+        statement: Statement,
+    ) -> Option<LimitChange> {
+        self.limits.record(now, incarnation, statement)
+    }
+
+    /// Returns whether an endpoint has a limit as far as this host knows.
+    pub fn is_limited(&self, incarnation: &Rc<Incarnation>) -> bool {
+        !self.limits.is_empty() && self.limits.rate(incarnation).is_some()
+    }
+
+    /// Returns the number of endpoints that have a limit.
+    pub fn limited_count(&self) -> usize {
+        let rates = self.limits.statements();
+        rates
+            .filter(|(_, statement)| statement.rate.is_some())
+            .count()
+    }
+
     /// Returns whether the endpoint of an assignment may still get the request.
     pub fn is_open(&self, now: Instant, assignment: &Assignment) -> bool {
         let entry = self.by_id.get(&assignment.endpoint.id);
--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -196,6 +196,7 @@
                 None => !reply.signed && !head.status.is_success(),
             }
         };
+        let sent_at = Instant::now();
         let exchange = Exchange::start(stream, outgoing, &is_own);
         match timeout_at(call.deadline, exchange).await {
             Err(_) => Attempt::TimedOut,
@@ -205,6 +206,7 @@
                 let edge = &self.edge;
                 let is_paused = edge.heed(&call.info.id, assignment, head.status, &reply);
                 reservation.is_excused.set(is_paused);
+                edge.observe_limit(&call.info.id, assignment, sent_at, &reply);
                 // It may be a response to an earlier request, which says nothing of this one.
                 if is_reused && reply.request.is_none() {
                     let error = Error::Malformed("no request id on a kept connection".to_owned());
@@ -305,7 +307,11 @@
             let acquired = acquired.map_err(|refusal| progress.adjust(refusal))?;
             let reservation = Reservation::new(self, call, acquired);
             let started = Instant::now();
-            record.add_attempt(&reservation.assignment().endpoint);
+            let is_limited = {
+                let board = self.edge.board.borrow();
+                board.is_limited(reservation.assignment().incarnation())
+            };
+            record.add_attempt(&reservation.assignment().endpoint, is_limited);
             let id = reservation.assignment().endpoint.id.clone();
             let attempt = self
                 .attempt(call, &reservation, delivery.last_event())
--- a/crates/edge/src/guard.rs
+++ b/crates/edge/src/guard.rs
@@ -119,7 +119,7 @@
 
 impl Edge {
     /// Returns the time on the clock that all hosts share; `None` before the store's first response.
-    fn shared_time(&self) -> Option<Time> {
+    pub fn shared_time(&self) -> Option<Time> {
         let boot = clock::boot();
         let told = || Some(clock::millis(boot) - self.guard.offset.get()?);
         let millis = self.store_clock.get().now(boot).or_else(told)?;
--- a/crates/edge/src/interface.rs
+++ b/crates/edge/src/interface.rs
@@ -7,6 +7,7 @@
 
 use actix_http::header::HeaderMap;
 use actix_http::{RequestHead, ResponseHead};
+use agate_limit::mention::Mention;
 use agate_model::id::{AccountId, EndpointId, Epoch, HostId, RequestId, Tier, ZoneId};
 use agate_store::interface::ResponseFuture;
 use bytes::Bytes;
@@ -80,7 +81,7 @@
 }
 
 /// Data of the head of an endpoint's response.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct ResponseInfo {
     /// Id of the request that the response belongs to; `None` if it names none.
     pub request: Option<RequestId>,
@@ -92,6 +93,8 @@
     pub leaving: bool,
     /// How long the endpoint asks to be left alone; `None` if it does not ask.
     pub retry_after: Option<Duration>,
+    /// What it says of the requests that the endpoint takes from all hosts together.
+    pub limit: Mention,
     /// Headers of these kinds that are malformed, and so count as absent.
     pub faults: Vec<Fault>,
 }
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod hosts;
 pub mod interface;
 pub mod ledger;
+pub mod limits;
 pub mod load;
 pub mod meter;
 pub mod metrics;
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -112,8 +112,13 @@
     pub cold_endpoints: Gauge,
     /// Number of evacuated zones.
     pub evacuated_zones: Gauge,
-    /// Number of notices of endpoints by kind: `leaving`, `paused`, `resumed`, `malformed`.
+    /// Number of notices of endpoints by kind: `leaving`, `paused`, `resumed`, `limited`, `limit_lifted`,
+    /// `malformed`.
     pub notices: Family<Outcome, Counter>,
+    /// Number of endpoints that have named a limit.
+    pub limited_endpoints: Gauge,
+    /// Number of attempts at endpoints of which this host knew that they have a limit.
+    pub limited_attempts: Counter,
     /// Work and messages spent on evidence of prompts that crash endpoints, by kind: `evaluated`, `deferred`,
     /// `learned`, and `heartbeat`, `heartbeat_held`, `read`, `read_held` for what is sent before its time.
     pub evidence: Family<Outcome, Counter>,
@@ -265,6 +270,14 @@
         registry.register("evacuated_zones", "Evacuated zones", evacuated);
         let notices = self.notices.clone();
         registry.register("notices", "Notices of endpoints by kind", notices);
+        let limited = self.limited_endpoints.clone();
+        registry.register("limited_endpoints", "Endpoints with a limit", limited);
+        let attempts = self.limited_attempts.clone();
+        registry.register(
+            "limited_attempts",
+            "Attempts at endpoints with a limit",
+            attempts,
+        );
         let evidence = self.evidence.clone();
         registry.register("evidence", "Work on evidence of crashes by kind", evidence);
         let micros = self.evidence_micros.clone();
--- a/crates/edge/src/record.rs
+++ b/crates/edge/src/record.rs
@@ -46,6 +46,8 @@
     pub retry_after: Option<Duration>,
     /// Endpoints of all attempts, in order.
     endpoints: Vec<EndpointId>,
+    /// Attempts at endpoints of which this host knew that they have a limit.
+    limited: u32,
     /// Time from arrival to the first attempt.
     time_to_attempt: Option<Duration>,
 }
@@ -69,15 +71,20 @@
             outcome: CALLER_GONE,
             retry_after: None,
             endpoints: Vec::new(),
+            limited: 0,
             time_to_attempt: None,
         }
     }
 
-    /// Adds an attempt at an endpoint.
-    pub fn add_attempt(&mut self, endpoint: &Endpoint) {
+    /// Adds an attempt at an endpoint; `is_limited` tells whether that is known to have a limit.
+    pub fn add_attempt(&mut self, endpoint: &Endpoint, is_limited: bool) {
         let elapsed = self.arrival.elapsed();
         self.time_to_attempt.get_or_insert(elapsed);
         self.endpoints.push(endpoint.id.clone());
+        if is_limited {
+            self.limited += 1;
+            self.edge.metrics.limited_attempts.inc();
+        }
     }
 
     /// Returns whether there was an attempt.
@@ -114,6 +121,7 @@
             account = self.account.as_deref().unwrap_or_default(),
             tier = self.tier,
             endpoints = self.endpoints.join(","),
+            limited = self.limited,
             config = self.version,
             evidence_ms = self.evidence_age.map_or(-1, millis),
             waited = self.waited,
--- a/crates/edge/tests/support/mod.rs
+++ b/crates/edge/tests/support/mod.rs
@@ -29,6 +29,7 @@
 use agate_edge::roster::Endpoint;
 use agate_edge::run::Program;
 use agate_edge::settings::{self, Bounds, Listen, Machine, Settings};
+use agate_limit::mention::{self, Mention};
 use agate_model::id::{EndpointId, ZoneId};
 use agate_notice::retry_after;
 use bytes::Bytes;
@@ -101,6 +102,10 @@
             leaving: head.headers.contains_key("x-leaving"),
             retry_after: header(&head.headers, "retry-after")
                 .and_then(|value| retry_after::parse(value, None).ok()),
+            limit: match header(&head.headers, "x-limit") {
+                None => Mention::Absent,
+                Some(value) => mention::parse(value).map_or(Mention::Malformed, Mention::Named),
+            },
             faults: Vec::new(),
         }
     }
