--- a/crates/edge/tests/support/server.rs
+++ b/crates/edge/tests/support/server.rs
@@ -39,6 +39,8 @@
     /// Time from the start of the script until the other side closed the connection; None if the
     /// script ended first.
     pub closed: Option<Duration>,
+    /// When it was received.
+    pub at: Instant,
 }
 
 /// An endpoint that runs one script per request; the last one is used for all further requests.
@@ -106,7 +108,9 @@
             .unwrap_or("");
         let id = id.to_owned();
         let index = requests.borrow().len();
-        requests.borrow_mut().push(Received { text, closed: None });
+        let at = Instant::now();
+        let closed = None;
+        requests.borrow_mut().push(Received { text, closed, at });
         let script = {
             let mut scripts = scripts.borrow_mut();
             match scripts.len() {
