Edge: the limit of an endpoint holds over all hosts

Cause: nobody heeded the header. A limit for all hosts together also needs more than a notice of one host: it has to be known to all hosts and divided among them. Change: a host that receives a limit tells the others with its heartbeat, at once if it is news. Requests go there only with a permit of one of the endpoint's two owners, found by rendezvous hashing over the live hosts; owners grant permits when they are due, on demand, and save none up. Queued requests, retries and resumed streams need one too, and one that was assigned before the limit was known goes elsewhere. Where no endpoint is left a request waits, or is refused at once if the next permit comes too late for it. A response without a limit to a request that was sent after the last one with it ends the limit on all hosts.

--- a/crates/edge/src/balancer.rs
+++ b/crates/edge/src/balancer.rs
@@ -7,14 +7,15 @@
 //! in requests.
 
 mod learn;
+mod limit;
 mod rank;
 
 use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
 use std::time::Duration;
 
-use agate_limit::Time;
-use agate_limit::book::{Book, Change as LimitChange, Statement};
+use agate_limit::book::Book;
+use agate_limit::permit::Wallet;
 use agate_model::id::{EndpointId, ZoneId};
 use agate_notice::Notices;
 use agate_pick::capacity::Pace;
@@ -127,6 +128,8 @@
     load: Load,
     /// For how long the endpoint is cold.
     cold: Cold,
+    /// This host's permits; `None` if the endpoint has no limit.
+    permits: Option<Wallet>,
 }
 
 /// Weight of one request in the moving average of failures.
@@ -143,6 +146,8 @@
     tokens: f64,
     /// Whether the endpoint was chosen although it is cold.
     is_cold: bool,
+    /// Whether the request uses a permit of an endpoint with a limit.
+    has_permit: bool,
     /// Endpoint that the request was assigned to.
     pub endpoint: Rc<Endpoint>,
 }
@@ -169,6 +174,8 @@
     notices: Notices<Rc<Incarnation>>,
     /// Limits that endpoints have named, also those that are not listed.
     limits: Book<Rc<Incarnation>>,
+    /// Endpoints for which requests want permits that this host does not hold.
+    wanted: Vec<Rc<Endpoint>>,
 }
 
 impl Assignment {
@@ -207,6 +214,7 @@
             endpoint: endpoint.clone(),
             is_leaving: self.notices.is_leaving(&incarnation),
             paused_until: paused_until.map(Instant::from_std),
+            permits: self.limits.rate(&incarnation).map(|_| Wallet::default()),
             incarnation,
             is_listed: true,
             running: 0,
@@ -289,7 +297,12 @@
         let cold = self.admitted_cold(now, criteria, limit);
         if let Some(key) = cold.filter(|_| !is_light) {
             self.entries[key].cold.take(now);
-            return Some(self.assign(key, criteria, true));
+            return Some(self.assign(now, key, criteria, true));
+        }
+        self.want_permit(now, criteria);
+        let permitted = self.permitted(now, criteria, limit);
+        if let Some(key) = permitted.filter(|_| !is_light) {
+            return Some(self.assign(now, key, criteria, false));
         }
         let usable = self.usable(now, criteria.service);
         let open: Vec<Key> = usable
@@ -304,12 +317,20 @@
             Some(prefix) if !is_light => self.by_prefix(now, &open, prefix, criteria),
             _ => self.least_loaded(now, &self.in_zone(&open, criteria), criteria),
         }?;
-        Some(self.assign(key, criteria, false))
+        Some(self.assign(now, key, criteria, false))
     }
 
-    /// Counts a request at an endpoint.
-    fn assign(&mut self, key: Key, criteria: &Criteria<'_>, is_cold: bool) -> Assignment {
+    /// Counts a request at an endpoint, and uses a permit if it has a limit.
+    fn assign(
+        &mut self,
+        now: Instant,
+        key: Key,
+        criteria: &Criteria<'_>,
+        is_cold: bool,
+    ) -> Assignment {
         let entry = &mut self.entries[key];
+        let permits = entry.permits.as_mut();
+        let has_permit = permits.is_some_and(|permits| permits.take(now.into_std()));
         entry.running += 1;
         entry.work += criteria.cost;
         entry.tokens += criteria.tokens;
@@ -319,6 +340,7 @@
             work: criteria.cost,
             tokens: criteria.tokens,
             is_cold,
+            has_permit,
             endpoint: entry.endpoint.clone(),
         }
     }
@@ -332,6 +354,7 @@
             let is_paused = entry.paused_until.is_some_and(|until| until > now);
             let is_ejected = entry.ejected_until.is_some_and(|until| until > now);
             let is_free = entry.running < limit && !is_paused && !is_ejected;
+            let is_free = is_free && entry.may_send(now);
             is_free
                 && entry.cold.until(now).is_some()
                 && entry.cold.admits(now)
@@ -395,12 +418,13 @@
         })
     }
 
-    /// Returns the ready endpoints that did not ask for a pause and are not cold.
+    /// Returns the ready endpoints that did not ask for a pause, are not cold, and have no limit or one
+    /// that leaves room for a request of this host.
     fn open(&self, now: Instant, service: &str) -> impl Iterator<Item = Key> {
         self.ready(service).filter(move |key| {
             let entry = &self.entries[*key];
             let is_paused = entry.paused_until.is_some_and(|until| until > now);
-            !is_paused && self.cold_until(now, entry).is_none()
+            !is_paused && self.cold_until(now, entry).is_none() && entry.may_send(now)
         })
     }
 
@@ -453,35 +477,13 @@
         until
     }
 
-    /// Records what an endpoint has said of its limit. Returns what changes by that.
-    pub fn record_limit(
-        &mut self,
-        now: Time,
-        incarnation: &Rc<Incarnation>,
-        statement: Statement,
-    ) -> Option<LimitChange> {
-        self.limits.record(now, incarnation, statement)
-    }
-
-    /// Returns whether an endpoint has a limit as far as this host knows.
-    pub fn is_limited(&self, incarnation: &Rc<Incarnation>) -> bool {
-        !self.limits.is_empty() && self.limits.rate(incarnation).is_some()
-    }
-
-    /// Returns the number of endpoints that have a limit.
-    pub fn limited_count(&self) -> usize {
-        let rates = self.limits.statements();
-        rates
-            .filter(|(_, statement)| statement.rate.is_some())
-            .count()
-    }
-
     /// Returns whether the endpoint of an assignment may still get the request.
     pub fn is_open(&self, now: Instant, assignment: &Assignment) -> bool {
         let entry = self.by_id.get(&assignment.endpoint.id);
         let entry = entry.and_then(|key| self.entries.get(*key));
         let entry = entry.filter(|entry| entry.incarnation == assignment.incarnation);
         !self.evacuated.contains(&assignment.endpoint.zone)
+            && (assignment.has_permit || !self.is_limited(&assignment.incarnation))
             && (assignment.is_cold
                 || entry.is_none_or(|entry| self.cold_until(now, entry).is_none()))
             && self
@@ -489,8 +491,8 @@
                 .is_open(now.into_std(), &assignment.incarnation)
     }
 
-    /// Returns when the first endpoint of a service ends its pause or is warm if all are paused or cold,
-    /// otherwise `None`.
+    /// Returns when the first endpoint of a service ends its pause, is warm or may get a request within its
+    /// limit if all are paused, cold or limited, otherwise `None`.
     pub fn opening(&self, now: Instant, service: &str) -> Option<Instant> {
         if self.open(now, service).next().is_some() {
             return None;
@@ -498,7 +500,10 @@
         let ready = self.ready(service);
         let end = |key: Key| {
             let entry = &self.entries[key];
-            entry.paused_until.max(self.cold_until(now, entry))
+            let permits = entry.permits.as_ref();
+            let permit = permits.map(|permits| Instant::from_std(permits.opening(now.into_std())));
+            let closed_until = entry.paused_until.max(self.cold_until(now, entry));
+            closed_until.max(permit)
         };
         ready.filter_map(end).min()
     }
--- a/crates/edge/src/cold.rs
+++ b/crates/edge/src/cold.rs
@@ -8,43 +8,21 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use agate_limit::owner;
 use tokio::time::{Instant, sleep};
 
 use crate::edge::Edge;
-use crate::estimate;
-use crate::hosts::Row;
 
-/// Hosts that send to one cold endpoint. With one, an endpoint would go unused after a loss.
-const OWNERS: usize = 2;
 /// Part of what a cold endpoint bears that its owners use. Hosts whose tables are outdated may take
 /// themselves for owners beside them.
 const USED_PART: f64 = 0.4;
-/// Age of the evidence that this host reaches the store, itself or by others, beyond which its table of
-/// hosts may be outdated: two heartbeats and a call.
-const MAX_EVIDENCE_AGE: Duration = Duration::from_millis(2_600);
-/// Time from the start of a process until it owns cold endpoints: hosts that start together have read each
-/// other's rows by then, with two heartbeats and two reads of the table.
-const SETTLE_TIME: Duration = Duration::from_secs(5);
 /// Interval between two looks at the cold endpoints and their owners.
 const SHARE_INTERVAL: Duration = Duration::from_millis(250);
 
 /// Returns the rate at which `host` may send to a cold endpoint that bears `rate` requests a second; 0
-/// unless it is an owner. `sharing` is the number of hosts that may be running: a host that sees only a
-/// part of them uses less, since those that it does not see have owners of their own.
+/// unless it is an owner, see [`owner::part`].
 pub fn share(endpoint: &str, host: &str, live: &[&str], sharing: usize, rate: f64) -> f64 {
-    if !live.contains(&host) {
-        return 0.0;
-    }
-    let seed = estimate::hash(endpoint);
-    let rank = |host: &str| estimate::hash_pair(seed, host);
-    let own = rank(host);
-    let before = live.iter().filter(|other| rank(other) > own).count();
-    if before >= OWNERS {
-        return 0.0;
-    }
-    let owners = OWNERS.min(live.len()) as f64;
-    let seen = live.len() as f64 / sharing.max(live.len()) as f64;
-    rate * USED_PART * seen / owners
+    rate * USED_PART * owner::part(endpoint, host, live, sharing)
 }
 
 /// What is known of the time for which an endpoint is cold, and this host's share of it.
@@ -128,14 +106,11 @@
         };
         let sharing = self.sharing_hosts();
         let hosts = self.hosts.borrow();
-        let rows = hosts.live(now);
-        let is_own = |row: &&Row| row.incarnation == self.incarnation;
-        let evidence_age = self.evidence_age();
-        let is_settled = self.uptime() >= SETTLE_TIME;
-        let is_current = evidence_age.is_some_and(|age| age <= MAX_EVIDENCE_AGE);
-        // A row that this host has read back was in the table with those of the others.
-        let live: Vec<&str> = match is_settled && is_current && rows.iter().any(is_own) {
-            true => rows.iter().map(|row| row.host.as_str()).collect(),
+        let live: Vec<&str> = match self.may_own(now) && self.has_current_hosts() {
+            true => {
+                let rows = hosts.live(now).into_iter();
+                rows.map(|row| row.host.as_str()).collect()
+            }
             false => Vec::new(),
         };
         let host = &self.settings.borrow().host;
--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -27,6 +27,7 @@
 use crate::hosts::{Hosts, Row};
 use crate::interface::{Decoder, Dialect, Duties};
 use crate::ledger::{Ledger, Offer};
+use crate::limits::Limits;
 use crate::meter::{MeteredFeed, MeteredTables};
 use crate::metrics::{Metrics, count};
 use crate::outage::{self, Outage};
@@ -93,6 +94,8 @@
     pub metrics: Metrics,
     /// Evidence on prompts that crash endpoints.
     pub guard: Guard,
+    /// Permits for endpoints that have named a limit.
+    pub limits: Limits,
     /// When malformed headers of endpoints were last logged.
     pub faulty: RefCell<Faulty>,
     /// Registered endpoints as last read from the store.
@@ -166,6 +169,7 @@
             remote,
             metrics,
             guard: Guard::default(),
+            limits: Limits::default(),
             faulty: RefCell::default(),
             roster: RefCell::default(),
             has_roster: Cell::new(false),
--- a/crates/edge/src/follow/hosts.rs
+++ b/crates/edge/src/follow/hosts.rs
@@ -42,12 +42,16 @@
 }
 
 impl HostSink {
-    /// Takes over what another host says of prompts, if that is new.
+    /// Takes over what another host says of prompts and limits, if that is new.
     fn learn(edge: &Edge, row: &Row) {
         let is_known = edge.hosts.borrow().has_evidence(row);
         if !is_known && row.incarnation != edge.incarnation {
             edge.learn_evidence(vec![row.evidence.clone()]);
         }
+        let is_known = edge.hosts.borrow().has_limits(row);
+        if !is_known && row.incarnation != edge.incarnation {
+            edge.learn_limits(&row.limits, &row.host);
+        }
     }
 
     /// Takes over the load of the endpoints from another reader.
--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -101,7 +101,10 @@
             balancer.slots(&call.service)
         };
         let limit = (f64::from(slots) * MAX_SHARE / hosts as f64).ceil() as u32;
-        balancer.choose(Instant::now(), &criteria, limit.max(MIN_LIMIT))
+        let chosen = balancer.choose(Instant::now(), &criteria, limit.max(MIN_LIMIT));
+        drop(balancer);
+        self.edge.ask_for_permits();
+        chosen
     }
 
     /// Releases the slot of an attempt, closes the idle connections to an endpoint that this
--- a/crates/edge/src/handover.rs
+++ b/crates/edge/src/handover.rs
@@ -162,6 +162,9 @@
     if !is_known && edge.learn_evidence(vec![heartbeat.host.evidence.clone()]) {
         edge.guard.hurry();
     }
+    if edge.learn_limits(&heartbeat.host.limits, &heartbeat.host.host) {
+        edge.guard.hurry();
+    }
     let now = Instant::now();
     let mut recent = edge.recent.borrow_mut();
     recent.record(now, &heartbeat.ledger.run, &heartbeat.sums);
--- a/crates/edge/src/heartbeat.rs
+++ b/crates/edge/src/heartbeat.rs
@@ -373,6 +373,7 @@
         offset: store.map(|store| clock::wall_millis() - store),
         at,
         evidence: edge.evidence_report(),
+        limits: edge.limit_report(),
         endpoints: Digest::default(),
     };
     let ledger = ledger::Row {
--- a/crates/edge/src/hosts.rs
+++ b/crates/edge/src/hosts.rs
@@ -12,6 +12,7 @@
 use tokio::time::Instant;
 
 use crate::clock;
+use crate::limits;
 use crate::outage::RECOVERY_TIME;
 use crate::relay;
 use crate::share::Digest;
@@ -53,6 +54,9 @@
     /// What the host knows of prompts that crash endpoints.
     #[serde(default, skip_serializing_if = "Report::is_empty")]
     pub evidence: Report,
+    /// What the host knows of limits that endpoints have named.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub limits: Vec<limits::wire::Entry>,
     /// Load of the endpoints from the hosts for which this one reads. Only readers use it, so it is not
     /// handed on.
     #[serde(default, skip_serializing_if = "Digest::is_empty")]
@@ -134,6 +138,12 @@
         }
     }
 
+    /// Returns whether a row says of limits what the known one of the same incarnation says.
+    pub fn has_limits(&self, row: &Row) -> bool {
+        let known = self.rows.get(&row.key());
+        known.map_or(row.limits.is_empty(), |known| known.limits == row.limits)
+    }
+
     /// Removes a row by its key.
     pub fn remove(&mut self, key: &str) {
         self.rows.remove(key);
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod meter;
 pub mod metrics;
 pub mod outage;
+pub mod owners;
 pub mod peer;
 pub mod queue;
 pub mod record;
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -119,6 +119,9 @@
     pub limited_endpoints: Gauge,
     /// Number of attempts at endpoints of which this host knew that they have a limit.
     pub limited_attempts: Counter,
+    /// Number of requests for permits by outcome: `granted` and `denied` by this host as an owner,
+    /// `received` from an owner, `unanswered` by one.
+    pub permits: Family<Outcome, Counter>,
     /// Work and messages spent on evidence of prompts that crash endpoints, by kind: `evaluated`, `deferred`,
     /// `learned`, and `heartbeat`, `heartbeat_held`, `read`, `read_held` for what is sent before its time.
     pub evidence: Family<Outcome, Counter>,
@@ -278,6 +281,8 @@
             "Attempts at endpoints with a limit",
             attempts,
         );
+        let permits = self.permits.clone();
+        registry.register("permits", "Requests for permits by outcome", permits);
         let evidence = self.evidence.clone();
         registry.register("evidence", "Work on evidence of crashes by kind", evidence);
         let micros = self.evidence_micros.clone();
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -27,7 +27,7 @@
 use crate::metrics::Table;
 use crate::peer::{self, Error, MAX_READERS, OUTAGE_STATUS, Request};
 use crate::server::Incoming;
-use crate::{handover, headers, response};
+use crate::{handover, headers, limits, response};
 
 /// Number of changes kept for each table. A host that needs older ones gets all rows.
 const MAX_CHANGES: usize = 4096;
@@ -360,6 +360,10 @@
             return response::Response::bare(StatusCode::SERVICE_UNAVAILABLE);
         }
         let target = incoming.request.head().uri.path();
+        // Permits do not depend on the store.
+        if target == limits::PATH {
+            return encode(self.edge.reply_to(&incoming.body));
+        }
         // The other host must switch to a reader that can reach the store.
         if self.edge.outage.is_active() {
             return response::Response::bare(OUTAGE_STATUS);
--- a/crates/edge/src/roster.rs
+++ b/crates/edge/src/roster.rs
@@ -41,6 +41,28 @@
     address: SocketAddr,
 }
 
+impl Incarnation {
+    /// Creates the identity of an incarnation, as an [`Endpoint`] has it.
+    pub fn new(id: EndpointId, born: Option<u64>, address: SocketAddr) -> Self {
+        Self { id, born, address }
+    }
+
+    /// Returns the id of the endpoint.
+    pub fn id(&self) -> &EndpointId {
+        &self.id
+    }
+
+    /// Returns when the incarnation started, in milliseconds since the Unix epoch.
+    pub fn born(&self) -> Option<u64> {
+        self.born
+    }
+
+    /// Returns the address at which it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+}
+
 impl From<&Endpoint> for Incarnation {
     fn from(endpoint: &Endpoint) -> Self {
         Self {
--- a/crates/edge/src/sabotage.rs
+++ b/crates/edge/src/sabotage.rs
@@ -24,6 +24,8 @@
     IgnoreLeaving,
     /// Requests go on to endpoints that ask for a pause.
     IgnorePauses,
+    /// Limits that endpoints name are not heeded.
+    IgnoreLimits,
     /// Requests go on to endpoints in evacuated zones.
     IgnoreEvacuations,
 }
--- a/crates/edge/tests/hosts.rs
+++ b/crates/edge/tests/hosts.rs
@@ -23,6 +23,7 @@
         weight: 1.0,
         offset: None,
         evidence: Report::default(),
+        limits: Vec::new(),
         endpoints: Digest::default(),
         at,
     }
@@ -141,6 +142,7 @@
                 reader.insert(Row {
                     offset: Some(1_700_000_000_000 + jitter),
                     evidence: Report::default(),
+                    limits: Vec::new(),
                     endpoints: Digest::default(),
                     ..row(&name, incarnation, clock)
                 });
@@ -169,6 +171,7 @@
     let offset = |offset| Row {
         offset: Some(offset),
         evidence: Report::default(),
+        limits: Vec::new(),
         endpoints: Digest::default(),
         ..row("one", "x", 10_000)
     };
--- a/crates/edge/tests/limit.rs
+++ b/crates/edge/tests/limit.rs
@@ -14,6 +14,9 @@
 const HALF: &str = "HTTP/1.1 200 OK\r\nx-id: {id}\r\nx-signed: 1\r\nx-limit: 0.5\r\n\
                     content-length: 4\r\n\r\nfine";
 
+const FIVE: &str = "HTTP/1.1 200 OK\r\nx-id: {id}\r\nx-signed: 1\r\nx-limit: 5\r\n\
+                    content-length: 4\r\n\r\nfine";
+
 /// Time from the first response with a limit until the limit holds.
 const NOTICE: Duration = Duration::from_secs(3);
 /// Span in which requests are counted.
@@ -76,3 +79,102 @@
     );
     assert!(most > 0, "the endpoint is not used any more");
 }
+
+// Guards against: hosts that restart, and have forgotten the limit and what they granted, send too much.
+#[actix_rt::test]
+async fn a_limit_holds_while_hosts_restart() {
+    let limited = Server::start(vec![vec![Step::Write(ONE)]]).await;
+    let other = Server::start(vec![vec![Step::Write(OK)]]).await;
+    let mut hosts = vec![Harness::start(&[&limited, &other]).await];
+    for name in ["two", "three"] {
+        let peer = hosts[0].start_peer(name).await;
+        hosts.push(peer);
+    }
+    for _ in 0..5 {
+        let all: Vec<&Harness> = hosts.iter().collect();
+        send(&all, Duration::from_secs(2)).await;
+        let ended = hosts.remove(0);
+        let restarted = ended.start_peer(&ended.settings.host).await;
+        ended.program.kill();
+        hosts.push(restarted);
+    }
+    let most = most_in_a_span(&limited);
+    assert!(most <= 11, "{most} in a span, 11 allowed");
+}
+
+// Guards against: a host that has had no response of a limited endpoint does not know of the limit.
+#[actix_rt::test]
+async fn a_host_learns_of_a_limit_from_others() {
+    let limited = Server::start(vec![vec![Step::Write(ONE)]]).await;
+    let first = Harness::start(&[&limited]).await;
+    let second = first.start_peer("two").await;
+    first.call(&request("read", "r1", "")).await;
+    sleep(NOTICE).await;
+    assert_eq!(second.program.edge().board.borrow().limited_count(), 1);
+    // So does one that starts later.
+    let third = first.start_peer("three").await;
+    sleep(NOTICE).await;
+    assert_eq!(third.program.edge().board.borrow().limited_count(), 1);
+    assert_eq!(limited.count(), 1);
+}
+
+// Guards against: an endpoint that names its limit no more stays limited.
+#[actix_rt::test]
+async fn a_limit_ends_soon_after_the_endpoint_names_none() {
+    let mut scripts = vec![vec![Step::Write(FIVE)]; 8];
+    scripts.push(vec![Step::Write(OK)]);
+    let limited = Server::start(scripts).await;
+    let other = Server::start(vec![vec![Step::Write(OK)]]).await;
+    let first = Harness::start(&[&limited, &other]).await;
+    let second = first.start_peer("two").await;
+    let hosts = [&first, &second];
+    let start = Instant::now();
+    while limited.count() <= 8 && start.elapsed() < Duration::from_secs(12) {
+        send(&hosts, Duration::from_millis(100)).await;
+    }
+    let ended = Instant::now();
+    send(&hosts, NOTICE).await;
+    let requests = limited.requests.borrow();
+    let later = requests.iter().filter(|received| received.at > ended);
+    assert!(later.count() > 40, "the endpoint is still limited");
+    drop(requests);
+    for host in hosts {
+        assert_eq!(host.program.edge().board.borrow().limited_count(), 0);
+    }
+}
+
+// Guards against: where all endpoints of a service have limits, requests exceed them, are held until their callers
+// give up, or are refused although they have run.
+#[actix_rt::test]
+async fn requests_wait_or_are_refused_where_no_other_endpoint_is_left() {
+    let limited = Server::start(vec![vec![Step::Write(FIVE)]]).await;
+    let first = Harness::start(&[&limited]).await;
+    let second = first.start_peer("two").await;
+    sleep(Duration::from_secs(5)).await;
+    let start = Instant::now();
+    let calls = (0..240).map(|n| {
+        let host = if n % 2 == 0 { &first } else { &second };
+        async move {
+            sleep(Duration::from_millis(25 * n)).await;
+            let sent = Instant::now();
+            let response = host.call(&request("book", &format!("r{n}"), "body")).await;
+            (response, sent.elapsed())
+        }
+    });
+    let responses = futures_util::future::join_all(calls).await;
+    let served = responses.iter().filter(|(text, _)| status(text) == "200");
+    let served = served.count();
+    assert_eq!(served, limited.count(), "a refused request has run");
+    let time = start.elapsed().as_secs_f64();
+    assert!(
+        (2.0 * time..6.0 * time).contains(&(served as f64)),
+        "{served} in {time} s"
+    );
+    for (text, took) in &responses {
+        let is_refused = status(text) == "503" && text.to_ascii_lowercase().contains("retry-after");
+        assert!(status(text) == "200" || is_refused, "{text}");
+        assert!(*took < Duration::from_secs(1), "held for {took:?}");
+    }
+    let most = most_in_a_span(&limited);
+    assert!(most <= 35, "{most} in a span, 35 allowed");
+}
--- a/crates/edge/tests/transfer.rs
+++ b/crates/edge/tests/transfer.rs
@@ -87,6 +87,7 @@
         weight: 10.0,
         offset: None,
         evidence: Report::default(),
+        limits: Vec::new(),
         endpoints: Digest::default(),
         at: 1 << 40,
     };
