Queue: a tier that has had no start yet takes requests

What callers saw: each request of a tier got 500 for good, once the tier had waited for five seconds before its first start. Cause: the rate of starts was 0 by then; the wait, 0 of 0, was taken for endless, and adding it to a time panicked. Without the panic each request would have been refused as unreachable: without a queued request the rate never changes. Change: a request with nothing before it waits for nothing, and a turn beyond the clock is late.

--- a/crates/edge/src/queue.rs
+++ b/crates/edge/src/queue.rs
@@ -112,7 +112,10 @@
         }
         let on_time = self.item(&demand, true);
         let wait = self.scheduler.borrow().expected_wait(&on_time);
-        let is_late = wait.is_some_and(|wait| now.into_std() + wait > on_time.start_by);
+        let is_late = wait.is_some_and(|wait| {
+            let turn = now.into_std().checked_add(wait);
+            turn.is_none_or(|turn| turn > on_time.start_by)
+        });
         let late_at = (!is_late).then(|| Instant::from_std(on_time.start_by));
         let item = if is_late {
             self.item(&demand, false)
--- a/crates/edge/tests/queue.rs
+++ b/crates/edge/tests/queue.rs
@@ -310,3 +310,24 @@
     assert!((after(0.0) - first).abs() < 1e-9 && (after(1.0) - last).abs() < 1e-9);
     assert!((after(0.5) - (first + last) / 2.0).abs() < 1e-9);
 }
+
+// Guards against: a tier that waits for five seconds before its first start panics, or refuses all requests for good
+// (review/7).
+#[test]
+fn a_tier_that_waited_for_long_before_its_first_start_takes_requests() {
+    let mut load = Load::default();
+    let start = Instant::now();
+    // No endpoint can take anything for ten seconds.
+    for step in 0..1_000 {
+        let now = start + STEP * step;
+        load.offer(now, "before", demand(now, 1, "a"));
+        load.step(now, 0);
+    }
+    assert_eq!(load.started("before"), 0);
+    for step in 1_000..2_000 {
+        let now = start + STEP * step;
+        load.offer(now, "after", demand(now, 1, "a"));
+        load.step(now, 1);
+    }
+    assert!(load.started("after") > 900, "{}", load.started("after"));
+}
--- a/crates/queue/src/scheduler/admission.rs
+++ b/crates/queue/src/scheduler/admission.rs
@@ -40,6 +40,10 @@
         let rate = self.levels[class.tier].rate.per_second()?;
         let own_rate = rate * self.share_in_tier(key) / STRICT_SHARE;
         let ahead = self.ahead_in_class(class, item);
+        if ahead <= 0.0 {
+            // Also where nothing has started yet: a rate of 0 would keep all requests out for good.
+            return Some(Duration::ZERO);
+        }
         Some(Duration::try_from_secs_f64(ahead / own_rate).unwrap_or(Duration::MAX))
     }
 
