Edge, gate: a response with an unknown status is not passed on

Cause: the HTTP library takes all statuses from 100 to 999; HTTP knows those up to 599. Change: a higher one is a malformed response: it is sent again where the request allows it, and is answered with 502 otherwise.

--- a/crates/edge/src/client.rs
+++ b/crates/edge/src/client.rs
@@ -34,6 +34,8 @@
 const MAX_FOREIGN_BYTES: usize = 256 << 10;
 /// Informational responses before the final one.
 const MAX_INFORMATIONAL: u32 = 8;
+/// Highest status that HTTP knows.
+const MAX_STATUS: u16 = 599;
 /// Bytes of the head of a response.
 const MAX_HEAD_BYTES: usize = 64 << 10;
 /// Bytes of a body's framing, such as sizes and extensions of chunks, without any byte of the body.
@@ -252,6 +254,9 @@
         let mut pending = Some(bytes);
         loop {
             let head = exchange.read_head(&mut pending).await?;
+            if head.status.as_u16() > MAX_STATUS {
+                return Err(Error::Malformed(format!("unknown status {}", head.status)));
+            }
             if head.status.is_informational() {
                 informational += 1;
                 if informational > MAX_INFORMATIONAL {
--- a/crates/edge/tests/crash.rs
+++ b/crates/edge/tests/crash.rs
@@ -176,3 +176,41 @@
     drop(exchange.into_stream().expect("a connection that is kept"));
     assert_eq!(end_at(&mut peer).await.expect("closed"), 0);
 }
+
+// Guards against: an endpoint that answers a long request early, without a length, and is reset a moment later makes a
+// complete response of the part that it has sent, whichever call meets the reset.
+#[rstest]
+#[actix_rt::test]
+async fn a_reset_some_time_after_an_early_response_is_no_end_of_it(
+    #[values("read", "book", "talk", "draft")] route: &'static str,
+    #[values(0, 1, 5, 40, 300)] pause_ms: u64,
+) {
+    const PART: &str =
+        "HTTP/1.1 200 OK\r\nx-id: {id}\r\nx-signed: 1\r\n\r\nid: 1\ndata: a\n\nid: 2\ndata: b\n\n";
+    let pause = Step::Wait(Duration::from_millis(pause_ms));
+    let script = vec![Step::Write(PART), pause, Step::Reset];
+    let server = Server::start_early(vec![script]).await;
+    let bench = Harness::start(&[&server]).await;
+    let body = "x".repeat(LONG_BODY);
+    let response = bench.call(&request(route, "r1", &body)).await;
+    let is_whole = status(&response) == "200" && is_complete(&response);
+    assert!(!is_whole, "{response}");
+}
+
+// Guards against: a response with a status that HTTP does not know is passed on to the caller.
+#[rstest]
+#[case::zero("HTTP/1.1 000 Trouble\r\nx-id: {id}\r\nx-signed: 1\r\ncontent-length: 4\r\n\r\nfine")]
+#[case::zero_unsigned("HTTP/1.1 000 Trouble\r\ncontent-length: 4\r\n\r\nfine")]
+#[case::below("HTTP/1.1 099 Low\r\nx-id: {id}\r\nx-signed: 1\r\ncontent-length: 4\r\n\r\nfine")]
+#[case::above("HTTP/1.1 600 High\r\nx-id: {id}\r\nx-signed: 1\r\ncontent-length: 4\r\n\r\nfine")]
+#[case::far_above("HTTP/1.1 999 Far\r\nx-id: {id}\r\nx-signed: 1\r\ncontent-length: 4\r\n\r\nfine")]
+#[actix_rt::test]
+async fn a_status_that_http_does_not_know_is_no_response(
+    #[case] answer: &'static str,
+    #[values("read", "book", "talk", "draft")] route: &'static str,
+) {
+    let server = Server::start(vec![vec![Step::Write(answer)]]).await;
+    let bench = Harness::start(&[&server]).await;
+    let response = bench.call(&request(route, "r1", "body")).await;
+    assert_eq!(status(&response), "502", "{response}");
+}
--- a/crates/gate/src/forward/client.rs
+++ b/crates/gate/src/forward/client.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use actix_http::error::PayloadError;
+use actix_http::error::{ParseError, PayloadError};
 use actix_http::header::{self, HeaderMap};
 use actix_http::{Method, StatusCode, Version};
 use agate_retry::attempt::{Sent, Unconnected};
@@ -16,6 +16,8 @@
 
 use crate::refusal::{Progress, SendPermit};
 
+/// Highest status that HTTP knows.
+const MAX_STATUS: u16 = 599;
 /// Idle time after which a pooled connection is not reused.
 const KEEP_ALIVE: Duration = Duration::from_secs(10);
 
@@ -178,7 +180,11 @@
         if !outgoing.reuse {
             request = request.force_close();
         }
-        request.send_body(outgoing.body).await
+        let response = request.send_body(outgoing.body).await?;
+        match response.status().as_u16() {
+            ..=MAX_STATUS => Ok(response),
+            _ => Err(SendRequestError::Response(ParseError::Status)),
+        }
     }
 }
 
--- a/crates/gate/tests/broken.rs
+++ b/crates/gate/tests/broken.rs
@@ -112,6 +112,22 @@
     });
 }
 
+// Guards against: a response with a status that HTTP does not know is passed on to the caller.
+#[rstest]
+#[case::zero("HTTP/1.1 000 Trouble\r\ncontent-length: 4\r\n\r\nfine")]
+#[case::below("HTTP/1.1 099 Low\r\ncontent-length: 4\r\n\r\nfine")]
+#[case::above("HTTP/1.1 600 High\r\ncontent-length: 4\r\n\r\nfine")]
+#[case::far_above("HTTP/1.1 999 Far\r\ncontent-length: 4\r\n\r\nfine")]
+fn a_status_that_http_does_not_know_is_no_response(#[case] answer: &'static str) {
+    run(async move {
+        let address = resetting(answer).await;
+        let deployment = Deployment::start(vec![service("s1", address)]).await;
+        let reply = deployment.call("POST", "/bookings/1", "lap 3").await;
+        let refusal = reply.refusal();
+        assert_eq!(refusal, ("endpoint_failed".into(), "unknown".into()));
+    });
+}
+
 // Guards against: bytes without end in a response are kept until the process is out of memory.
 #[rstest]
 #[case::head("HTTP/1.1 200 OK\r\nx-id: ", "a-long-value-", false)]
