--- a/crates/soak/src/check.rs
+++ b/crates/soak/src/check.rs
@@ -69,6 +69,8 @@
     Leaving,
     /// A host sends no request to an endpoint that has asked it for a pause.
     Pause,
+    /// Hosts together send an endpoint no more than it says that it takes, soon after it has said so.
+    Limit,
     /// All requests are served again soon after the last fault.
     Recovery,
     /// No process exits unasked, and memory and descriptors of idle hosts stay within bounds.
@@ -85,7 +87,7 @@
 }
 
 /// All promises with their checks, in the order in which they are checked.
-pub const CHECKS: [(Promise, Check); 18] = [
+pub const CHECKS: [(Promise, Check); 19] = [
     (Promise::AtMostOnce, at_most_once),
     (Promise::NotRun, not_run),
     (Promise::WholeAnswer, whole_answer),
@@ -102,6 +104,7 @@
     (Promise::RetryBudget, retry_budget),
     (Promise::Leaving, leaving),
     (Promise::Pause, pause),
+    (Promise::Limit, limit),
     (Promise::Recovery, recovery),
     (Promise::Rest, rest),
 ];
@@ -569,3 +572,79 @@
     }
     texts
 }
+
+/// Time from the first response with a limit until the limit holds.
+const LIMIT_NOTICE: Duration = Duration::from_secs(3);
+/// Span in which requests are counted.
+const LIMIT_SPAN: Duration = Duration::from_secs(4);
+/// Requests that a span may have beyond one and a half times the limit.
+const LIMIT_EXTRA: f64 = 5.0;
+/// Time during which an endpoint named a limit, and its requests in ten seconds.
+struct Limited<'a> {
+    endpoint: &'a str,
+    limit: u32,
+    from: Duration,
+    until: Duration,
+    has_ended: bool,
+}
+
+/// Returns the times during which endpoints named limits.
+fn limited(ledger: &Ledger) -> Vec<Limited<'_>> {
+    let mut spans: Vec<Limited<'_>> = Vec::new();
+    for notice in &ledger.notices {
+        let mut spans_of_endpoint = spans.iter_mut().rev();
+        let known = spans_of_endpoint
+            .find(|span| span.endpoint == notice.endpoint)
+            .filter(|span| !span.has_ended);
+        match (notice.ask, known) {
+            (Ask::Limit(_), Some(span)) => span.until = notice.at,
+            (Ask::Limit(limit), None) => spans.push(Limited {
+                endpoint: &notice.endpoint,
+                limit,
+                from: notice.at,
+                until: notice.at,
+                has_ended: false,
+            }),
+            (Ask::NoLimit, Some(span)) => span.has_ended = true,
+            _ => {}
+        }
+    }
+    spans
+}
+
+/// Requests of hosts that were disturbed since the limit was named do not count.
+fn limit(ledger: &Ledger, _: &Bounds) -> Vec<String> {
+    let requests = requests_by_id(ledger);
+    let mut texts = Vec::new();
+    for span in limited(ledger) {
+        let is_disturbed = |host: usize, until: Duration| {
+            ledger.disturbances.iter().any(|disturbance| {
+                disturbance.host.is_none_or(|disturbed| disturbed == host)
+                    && disturbance.from < until
+                    && span.from < disturbance.until
+            })
+        };
+        let arrivals = ledger.arrivals.iter().filter(|arrival| {
+            let request = requests.get(arrival.id.as_str());
+            let is_counted = request.is_some_and(|request| !is_disturbed(request.host, arrival.at));
+            let held = span.from + LIMIT_NOTICE..=span.until;
+            arrival.endpoint == span.endpoint && held.contains(&arrival.at) && is_counted
+        });
+        let mut times: Vec<Duration> = arrivals.map(|arrival| arrival.at).collect();
+        times.sort_unstable();
+        let allowed = f64::from(span.limit) / 10.0 * LIMIT_SPAN.as_secs_f64() * 1.5 + LIMIT_EXTRA;
+        let most = times.iter().enumerate().map(|(n, from)| {
+            let count = times[n..].partition_point(|at| *at < *from + LIMIT_SPAN);
+            (count, *from)
+        });
+        let most = most.max_by_key(|(count, _)| *count);
+        if let Some((count, at)) = most.filter(|(count, _)| *count as f64 > allowed) {
+            texts.push(format!(
+                "{count} requests in {LIMIT_SPAN:?} from {at:?} at endpoint {}, which named a limit from {:?} to {:?}, \
+                 {allowed} allowed",
+                span.endpoint, span.from, span.until
+            ));
+        }
+    }
+    texts
+}
--- a/crates/soak/src/ledger.rs
+++ b/crates/soak/src/ledger.rs
@@ -96,6 +96,10 @@
     Leave,
     /// It wants no request for this time.
     Pause(Duration),
+    /// It takes this many requests in ten seconds from all hosts together.
+    Limit(u32),
+    /// It names no limit any more.
+    NoLimit,
 }
 
 /// A response in which an endpoint asked for something.
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -84,11 +84,13 @@
     DutiesLost,
     /// One endpoint, or all of them, takes longer for each request and serves all of them.
     EndpointSlow,
+    /// One endpoint, or all of them, names the requests a second that it takes from all hosts together.
+    EndpointLimit,
 }
 
 impl Kind {
     /// All kinds, in the order of their declaration.
-    pub const ALL: [Kind; 32] = [
+    pub const ALL: [Kind; 33] = [
         Kind::HostKill,
         Kind::AllKill,
         Kind::HostStop,
@@ -121,6 +123,7 @@
         Kind::ConfigStorm,
         Kind::DutiesLost,
         Kind::EndpointSlow,
+        Kind::EndpointLimit,
     ];
 
     /// Returns whether the fault disturbs all hosts, not only its target.
--- a/crates/soak/tests/check.rs
+++ b/crates/soak/tests/check.rs
@@ -216,6 +216,14 @@
                 ledger.arrivals.push(arrival(&id, at));
             }
         }
+        Promise::Limit => {
+            for n in 0..60 {
+                let (id, at) = (format!("l{n}"), 20.0 + f64::from(n) / 6.0);
+                ledger.requests.push(request(&id, at, whole(200, true)));
+                ledger.arrivals.push(arrival(&id, at));
+                ledger.notices.push(notice(&id, at, Ask::Limit(10)));
+            }
+        }
         Promise::Recovery => ledger.probes[0] = (9, 10),
         Promise::Rest => ledger.usage[0].descriptors = 400,
     }
@@ -224,7 +232,7 @@
 
 #[rstest]
 fn each_check_alone_reports_the_violation_of_its_promise(
-    #[values(0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17)] n: usize,
+    #[values(0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18)] n: usize,
 ) {
     let (promise, _) = CHECKS[n];
     let found = findings(&broken_ledger(promise), &BOUNDS);
@@ -374,3 +382,27 @@
     ledger.arrivals.push(arrival("r3", sent + 0.05));
     ledger
 }
+
+/// The first seconds of a limit, its own requests, and those of a host that was disturbed.
+#[test]
+fn requests_that_a_limit_allows_are_no_findings() {
+    let mut ledger = sound_ledger();
+    for n in 0..40 {
+        // 14 a second until the limit holds, then one a second.
+        let late = f64::from(n.max(35) - 35);
+        let at = 20.0 + f64::from(n.min(35)) / 14.0 + late;
+        let id = format!("l{n}");
+        ledger.requests.push(request(&id, at, whole(200, true)));
+        ledger.arrivals.push(arrival(&id, at));
+        ledger.notices.push(notice(&id, at, Ask::Limit(10)));
+    }
+    assert_eq!(findings(&ledger, &BOUNDS), []);
+    let mut ledger = broken_ledger(Promise::Limit);
+    ledger.disturbances.push(Disturbance {
+        host: Some(0),
+        from: seconds(21.0),
+        until: seconds(22.0),
+        cause: Cause::Other,
+    });
+    assert_eq!(findings(&ledger, &BOUNDS), []);
+}
