Gate, steer: the limit of an endpoint holds over all hosts

The gate sends at its share, one request at a time, and prefers the endpoint while it may, as only a response tells whether the limit holds; other gates send nothing. A response without a limit ends it everywhere. A first form did not use its share: the picker prefers the faster of two endpoints, so the limited one got nothing and its limit would never have ended.

--- a/crates/gate/src/choice.rs
+++ b/crates/gate/src/choice.rs
@@ -5,14 +5,18 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use agate_limit::book::Change;
+use agate_limit::mention::Mention;
 use agate_model::endpoint::Endpoint;
 use agate_model::id::{EndpointId, PoolId, Tier, ZoneId};
 use agate_notice::Notices;
 use agate_pick::{Criteria, Picker, Report, selection};
 use agate_queue::Room;
 use agate_wire::engine::Load;
+use agate_wire::sync::{Limit, Statement};
 
 use crate::config::View;
+use crate::limits::Limits;
 use crate::work::Work;
 
 /// Outcome of an attempt, from which the picker learns the latency and failures of an endpoint.
@@ -63,6 +67,21 @@
     /// Returns whether an endpoint has asked for a pause that is not over.
     fn is_paused(&self, endpoint: &EndpointId) -> bool;
 
+    /// Records what a response to a request that was sent at `sent` says of the limit of its endpoint.
+    fn observe_limit(
+        self: Rc<Self>,
+        endpoint: &EndpointId,
+        mention: Mention,
+        sent: tokio::time::Instant,
+    );
+
+    /// Applies the limits, and this gate's shares of them, in a response of the control process that was
+    /// received now.
+    fn apply_limits(self: Rc<Self>, limits: &[Limit]);
+
+    /// Returns what responses of endpoints have lately said of their limits.
+    fn limits(&self) -> Vec<Statement>;
+
     /// Returns the number of attempts from this host in flight on the endpoint.
     fn in_flight(&self, endpoint: &EndpointId) -> u32;
 }
@@ -110,8 +129,14 @@
     endpoints: RefCell<HashMap<EndpointId, Rc<Endpoint>>>,
     draining: RefCell<HashSet<EndpointId>>,
     notices: RefCell<Notices<EndpointId>>,
+    limits: Limits,
+    /// Endpoints with limits that a task follows.
+    followed: RefCell<HashSet<EndpointId>>,
 }
 
+/// Interval at which an endpoint with a limit is looked at until it may get a request.
+const LIMIT_INTERVAL: Duration = Duration::from_millis(20);
+
 impl Balancer {
     /// Creates the selection of a host in `zone`, without endpoints until it is configured.
     pub fn new(zone: ZoneId) -> Self {
@@ -121,12 +146,62 @@
             endpoints: RefCell::default(),
             draining: RefCell::default(),
             notices: RefCell::default(),
+            limits: Limits::default(),
+            followed: RefCell::default(),
         }
     }
 
     /// Returns whether an endpoint gets no new work.
     fn is_closed(&self, endpoint: &EndpointId) -> bool {
-        self.draining.borrow().contains(endpoint) || self.is_paused(endpoint)
+        self.draining.borrow().contains(endpoint)
+            || self.is_paused(endpoint)
+            || !self.limits.is_open(endpoint)
+    }
+
+    /// Tells the picker whether an endpoint takes new work.
+    fn refresh(&self, endpoint: &EndpointId) {
+        let is_known = self.endpoints.borrow().contains_key(endpoint);
+        let is_closed = self.is_closed(endpoint);
+        let mut picker = self.picker.borrow_mut();
+        picker.set_leaving(endpoint, is_closed || !is_known);
+    }
+
+    /// Chooses an endpoint with a limit that leaves room for a request of this gate. It is preferred, since
+    /// only a response tells whether the limit still holds.
+    fn choose_limited(&self, now: Instant, criteria: &Criteria<'_>) -> Option<agate_pick::Choice> {
+        let mut open = self.limits.open().into_iter();
+        open.find_map(|id| {
+            if criteria.excluded.contains(&id) {
+                return None;
+            }
+            let known = self.endpoints.borrow();
+            let others: Vec<EndpointId> = known.keys().filter(|key| **key != id).cloned().collect();
+            let criteria = Criteria {
+                excluded: &others,
+                ..*criteria
+            };
+            let mut picker = self.picker.borrow_mut();
+            picker.choose(now, &criteria, &mut rand::rng())
+        })
+    }
+
+    /// Applies a change of an endpoint's limit. While it has one, the picker is told whenever this gate's
+    /// share allows a request.
+    fn apply_change(self: Rc<Self>, endpoint: &EndpointId, change: Option<Change>) {
+        let Some(change) = change else { return };
+        self.refresh(endpoint);
+        // A limit that is replaced by another one is followed already.
+        if change == Change::Lifted || !self.followed.borrow_mut().insert(endpoint.clone()) {
+            return;
+        }
+        let endpoint = endpoint.clone();
+        actix_rt::spawn(async move {
+            while self.limits.is_limited(&endpoint) {
+                tokio::time::sleep(LIMIT_INTERVAL).await;
+                self.refresh(&endpoint);
+            }
+            self.followed.borrow_mut().remove(&endpoint);
+        });
     }
 
     fn remove_unused(&self) {
@@ -171,11 +246,18 @@
                 work.estimate.answer_tokens,
             ),
         };
+        let preferred = self.choose_limited(now, &criteria);
         let mut picker = self.picker.borrow_mut();
-        let choice = picker.choose(now, &criteria, &mut rand::rng())?;
+        let choice = match preferred {
+            Some(choice) => choice,
+            None => picker.choose(now, &criteria, &mut rand::rng())?,
+        };
         let endpoint = self.endpoints.borrow().get(&choice.id)?.clone();
         let flight = picker.start(now, choice.key);
         drop(picker);
+        if self.limits.take(&choice.id) {
+            self.refresh(&choice.id);
+        }
         Some(Flight {
             choice: self,
             endpoint,
@@ -250,11 +332,7 @@
         actix_rt::spawn(async move {
             tokio::time::sleep_until(end.into()).await;
             tracing::info!(event = "endpoint_resumed", endpoint = %endpoint);
-            let is_known = self.endpoints.borrow().contains_key(&endpoint);
-            let is_closed = self.is_closed(&endpoint);
-            self.picker
-                .borrow_mut()
-                .set_leaving(&endpoint, is_closed || !is_known);
+            self.refresh(&endpoint);
         });
     }
 
@@ -262,6 +340,27 @@
         !self.notices.borrow().is_open(now(), endpoint)
     }
 
+    fn observe_limit(
+        self: Rc<Self>,
+        endpoint: &EndpointId,
+        mention: Mention,
+        sent: tokio::time::Instant,
+    ) {
+        let change = self.limits.observe(endpoint, mention, sent);
+        self.apply_change(endpoint, change);
+    }
+
+    fn apply_limits(self: Rc<Self>, limits: &[Limit]) {
+        for limit in limits {
+            let change = self.limits.apply(limit, tokio::time::Instant::now());
+            self.clone().apply_change(&limit.statement.endpoint, change);
+        }
+    }
+
+    fn limits(&self) -> Vec<Statement> {
+        self.limits.report()
+    }
+
     fn in_flight(&self, endpoint: &EndpointId) -> u32 {
         let picker = self.picker.borrow();
         picker.key(endpoint).map_or(0, |key| picker.in_flight(key))
--- a/crates/gate/src/forward/attempt.rs
+++ b/crates/gate/src/forward/attempt.rs
@@ -19,6 +19,7 @@
 use super::headers;
 use crate::choice::{self, Flight};
 use crate::gate::Gate;
+use crate::limits;
 use crate::metrics::Retry;
 use crate::refusal::{Denial, Progress, Refusal};
 use crate::work::Work;
@@ -239,6 +240,9 @@
         match self.gate.client.send(outgoing, permit).await {
             Ok((response, sent)) => {
                 self.sends += 1;
+                let mention = limits::mention(&response);
+                let choice = self.gate.choice.clone();
+                choice.observe_limit(&flight.endpoint().id, mention, now);
                 if let Some(wait) = pause(&response) {
                     self.gate.choice.clone().pause(&flight.endpoint().id, wait);
                 }
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod front;
 pub mod gate;
 pub mod hedge;
+pub mod limits;
 pub mod load;
 pub mod metrics;
 pub mod prefix;
--- a/crates/gate/src/sync.rs
+++ b/crates/gate/src/sync.rs
@@ -220,12 +220,14 @@
             usage: self.gate.usage.borrow().changed(),
             demand: self.gate.admission.demand(),
             pressure: self.gate.admission.pressure(),
+            limits: self.gate.choice.limits(),
             leaving: self.gate.activity.phase() != Phase::Serving,
         }
     }
 
     /// Applies a response, and passes changes on to admission and the choice of endpoints.
     fn apply(&self, response: Response, sent: Instant) -> Result<(), Error> {
+        self.gate.choice.clone().apply_limits(&response.limits);
         let live_hosts = self.gate.config.borrow().live_hosts();
         let changed = self.gate.config.borrow_mut().apply(response, sent)?;
         let config = self.gate.config.borrow();
--- a/crates/member/src/rumour.rs
+++ b/crates/member/src/rumour.rs
@@ -35,6 +35,13 @@
         /// Lowest tier that the host still admits to the pool.
         floor: u8,
     },
+    /// An endpoint has named the requests that it takes from all hosts together.
+    Limit {
+        /// Tag of the endpoint.
+        endpoint: Tag,
+        /// Requests in 1,000 s; `None` if it names no limit any more.
+        rate: Option<u64>,
+    },
 }
 
 /// A fact and its age, as frames carry it.
@@ -46,6 +53,15 @@
     pub age: u16,
 }
 
+impl Rumour {
+    /// Returns when the fact was observed, for a rumour that was received at `now`; `None` if it has
+    /// expired.
+    pub fn observed(&self, now: Instant) -> Option<Instant> {
+        let age = AGE_UNIT * u32::from(self.age);
+        now.checked_sub(age).filter(|_| age < LIFETIME)
+    }
+}
+
 /// Unit of the age of a rumour in frames.
 const AGE_UNIT: Duration = Duration::from_millis(10);
 
@@ -94,11 +110,8 @@
     /// Records a rumour of a frame that was received at `now`. Returns whether the fact is new or
     /// was observed more recently than known; false for a rumour that has expired.
     pub fn receive(&mut self, rumour: Rumour, now: Instant) -> bool {
-        let age = AGE_UNIT * u32::from(rumour.age);
-        match now.checked_sub(age) {
-            Some(observed) if age < LIFETIME => self.record(rumour.fact, observed),
-            _ => false,
-        }
+        let observed = rumour.observed(now);
+        observed.is_some_and(|observed| self.record(rumour.fact, observed))
     }
 
     /// Returns at most `limit` rumours for the next frame and counts them as sent.
--- a/crates/steer/src/context.rs
+++ b/crates/steer/src/context.rs
@@ -12,6 +12,7 @@
 use crate::endpoints::States;
 use crate::gossip::rumours::Rumours;
 use crate::inbox::Inbox;
+use crate::limits::Limits;
 use crate::member::Members;
 use crate::metrics::Metrics;
 use crate::platform::Platform;
@@ -44,6 +45,8 @@
     pub members: Rc<Members>,
     /// Recent pressure on pools, from gates and gossip.
     pub floors: Rc<Floors>,
+    /// Limits that endpoints have named, from gates and gossip.
+    pub limits: Rc<Limits>,
     /// Newest known lists of the platform.
     pub roster: Rc<Roster>,
     /// Client for calls to peers.
--- a/crates/steer/src/gossip/rumours.rs
+++ b/crates/steer/src/gossip/rumours.rs
@@ -2,11 +2,12 @@
 
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
 
 use agate_member::frame::{Tag, tag};
 use agate_member::rumour::{Fact, Queue, Rumour};
 use agate_model::id::EndpointId;
-use agate_wire::sync::Pressure;
+use agate_wire::sync::{Pressure, Statement};
 use tokio::time::Instant;
 
 use crate::context::Context;
@@ -53,12 +54,14 @@
         let is_new = queue.receive(*rumour, now.into_std());
         drop(queue);
         if is_new {
-            apply(context, rumour.fact, now);
+            let observed = rumour.observed(now.into_std());
+            let observed = observed.map_or(now, Instant::from_std);
+            apply(context, rumour.fact, now, observed);
         }
     }
 }
 
-fn apply(context: &Context, fact: Fact, now: Instant) {
+fn apply(context: &Context, fact: Fact, now: Instant, observed: Instant) {
     match fact {
         Fact::HostLeaving { host, incarnation } => {
             context.members.mark_leaving(host, incarnation);
@@ -77,6 +80,10 @@
                 context.floors.record(Pressure { pool, floor }, now);
             }
         }
+        Fact::Limit { endpoint, rate } => {
+            let rate = rate.map(|rate| rate as f64 / 1e3);
+            context.limits.record(endpoint, rate, observed);
+        }
     }
 }
 
@@ -102,6 +109,18 @@
     update_leaving(context);
 }
 
+/// Publishes what a gate reports of limits that endpoints have named.
+pub fn publish_limits(context: &Context, statements: &[Statement]) {
+    let now = Instant::now();
+    for statement in statements {
+        let age = Duration::from_millis(statement.age_ms);
+        let observed = now.checked_sub(age).unwrap_or(now);
+        if let Some(fact) = context.limits.report(statement, observed) {
+            context.rumours.publish_at(fact, observed);
+        }
+    }
+}
+
 /// Publishes the endpoints of `now`, which the platform lists as leaving, that aren't in `before`,
 /// which were already known as leaving.
 pub fn publish_leaving(
--- a/crates/steer/src/lib.rs
+++ b/crates/steer/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod endpoints;
 pub mod gossip;
 pub mod inbox;
+pub mod limits;
 pub mod member;
 pub mod metrics;
 pub mod platform;
--- a/crates/steer/src/run.rs
+++ b/crates/steer/src/run.rs
@@ -110,6 +110,7 @@
             copy: Rc::new(Copy::default()),
             members: Rc::new(Members::new(own)),
             floors: Rc::default(),
+            limits: Rc::default(),
             roster: Rc::default(),
             peers: Rc::new(peers),
             endpoints: Rc::new(States::default()),
--- a/crates/steer/src/sync.rs
+++ b/crates/steer/src/sync.rs
@@ -9,6 +9,8 @@
 
 use crate::context::Context;
 use crate::directory;
+use crate::gossip::rumours;
+use crate::limits;
 use crate::rpc::peer::millis;
 
 /// Maximum number of changes sent singly; a gate that is further behind gets a snapshot.
@@ -21,6 +23,8 @@
 pub fn respond(context: &Context, request: Request) -> Response {
     let version = request.version;
     let endpoint_revision = request.endpoint_revision;
+    rumours::publish_limits(context, &request.limits);
+    let limits = limits::shares(context, &request.host);
     context.inbox.record(request, Instant::now());
     Response {
         version: context.copy.version(),
@@ -31,6 +35,7 @@
         peers: peers(context),
         live_hosts: directory::live_hosts(context),
         pressure: context.floors.current(),
+        limits,
         window: open_window(context, SystemTime::now()),
     }
 }
--- a/crates/steer/tests/cluster.rs
+++ b/crates/steer/tests/cluster.rs
@@ -10,6 +10,7 @@
 use agate_steer::context::Context;
 use agate_wire::api::{Outcome, State, Status};
 use agate_wire::platform::{Machine, Purpose};
+use agate_wire::sync;
 use awc::http::Method;
 use common::{Fake, Host, account, put, settings, start, wait_until};
 use serde_json::json;
@@ -332,3 +333,60 @@
     })
     .await;
 }
+
+/// Lets the gate of a host report what it was told of a limit; returns the limits in the response.
+fn sync_limits(host: &Host, name: &str, told: &[(Option<f64>, u64)]) -> Vec<sync::Limit> {
+    let statements = told.iter().map(|(rate, age_ms)| sync::Statement {
+        endpoint: "s1".to_owned(),
+        rate: *rate,
+        age_ms: *age_ms,
+    });
+    let request = sync::Request {
+        host: name.to_owned(),
+        incarnation: "run".to_owned(),
+        limits: statements.collect(),
+        ..sync::Request::default()
+    };
+    agate_steer::sync::respond(context(host), request).limits
+}
+
+// Guards against: a limit that one gate was told is not known to the others, or is divided into more than it is
+// (issue 56).
+#[actix_rt::test]
+async fn gates_of_all_hosts_share_a_limit_until_it_ends() {
+    let (_fake, hosts) = cluster(5).await;
+    let names: Vec<String> = (0..hosts.len()).map(|n| format!("host-{n}")).collect();
+    let resources = json!([
+        put(&json!({"kind": "pool", "id": "p", "min_endpoints": 1, "max_endpoints": 1})),
+        put(
+            &json!({"kind": "endpoint", "id": "s1", "pool": "p", "address": "127.0.0.1:1",
+            "zone": "zone-a", "protocol": "plain", "slots": 4})
+        ),
+    ]);
+    let response = hosts[0].apply(resources).await;
+    assert_eq!(response.status, 200, "{}", response.body);
+    let rates = || -> Vec<Option<f64>> {
+        let all = hosts.iter().zip(&names);
+        let limits = all.flat_map(|(host, name)| sync_limits(host, name, &[]));
+        limits.map(|limit| limit.statement.rate).collect()
+    };
+    assert_eq!(rates(), []);
+    sync_limits(&hosts[1], &names[1], &[(Some(10.0), 0)]);
+    wait_until("all hosts know the limit", || {
+        rates() == vec![Some(10.0); hosts.len()]
+    })
+    .await;
+    let shares = || -> Vec<f64> {
+        let all = hosts.iter().zip(&names);
+        let limits = all.flat_map(|(host, name)| sync_limits(host, name, &[]));
+        limits.map(|limit| limit.share).collect()
+    };
+    // Processes that have just started own nothing.
+    wait_until("the limit is shared", || shares().iter().sum::<f64>() > 8.0).await;
+    let shares = shares();
+    assert!(shares.iter().sum::<f64>() <= 10.0, "{shares:?}");
+    let owners = shares.iter().filter(|share| **share > 0.0);
+    assert_eq!(owners.count(), 2, "{shares:?}");
+    sync_limits(&hosts[3], &names[3], &[(None, 0)]);
+    wait_until("the limit has ended", || rates() == vec![None; hosts.len()]).await;
+}
--- a/crates/steer/tests/duty/world.rs
+++ b/crates/steer/tests/duty/world.rs
@@ -329,6 +329,7 @@
     let handle = Rc::new(Handle(Rc::clone(world)));
     Context {
         floors: Rc::default(),
+        limits: Rc::default(),
         settings: Rc::new(settings),
         host: Rc::new(own.clone().into()),
         platform: Platform {
--- a/crates/wire/src/sync.rs
+++ b/crates/wire/src/sync.rs
@@ -18,7 +18,7 @@
 pub const METHOD: &str = "agate_sync";
 
 /// State, usage and demand of a gate.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Request {
     /// Host of the gate.
     pub host: String,
@@ -35,6 +35,9 @@
     pub demand: Vec<Demand>,
     /// Lowest tier that is still admitted, for each pool under pressure.
     pub pressure: Vec<Pressure>,
+    /// What responses of endpoints have lately said of their limits.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub limits: Vec<Statement>,
     /// Whether the gate is shutting down.
     pub leaving: bool,
 }
@@ -74,8 +77,28 @@
     pub floor: u8,
 }
 
+/// What a response of an endpoint said of its limit.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Statement {
+    /// Name of the endpoint.
+    pub endpoint: EndpointId,
+    /// Requests a second that it takes from all hosts together; `None` if it names no limit any more.
+    pub rate: Option<f64>,
+    /// Time since it can be taken to have said so, in milliseconds.
+    pub age_ms: u64,
+}
+
+/// Limit of an endpoint, and the gate's share of it.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Limit {
+    /// The newest that any host is known to have been told.
+    pub statement: Statement,
+    /// Requests a second that the gate may send; 0 if others send there.
+    pub share: f64,
+}
+
 /// Configuration, endpoint states and peers for a gate.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Response {
     /// Configuration version that the control process has.
     pub version: Version,
@@ -94,6 +117,9 @@
     pub live_hosts: u32,
     /// Pressure on pools that peers have reported.
     pub pressure: Vec<Pressure>,
+    /// Limits of endpoints that the control process knows.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub limits: Vec<Limit>,
     /// Start of the open reporting window, in seconds since the Unix epoch.
     pub window: Window,
 }
