--- a/crates/edge/tests/limit.rs
+++ b/crates/edge/tests/limit.rs
@@ -178,3 +178,49 @@
     let most = most_in_a_span(&limited);
     assert!(most <= 35, "{most} in a span, 35 allowed");
 }
+
+// Guards against: while the store is away a limit does not hold, or nothing is sent to the endpoint any more.
+#[actix_rt::test]
+async fn a_limit_holds_while_the_store_is_away() {
+    let limited = Server::start(vec![vec![Step::Write(FIVE)]]).await;
+    let other = Server::start(vec![vec![Step::Write(OK)]]).await;
+    let first = Harness::start(&[&limited, &other]).await;
+    let second = first.start_peer("two").await;
+    let hosts = [&first, &second];
+    send(&hosts, Duration::from_millis(6_500)).await;
+    first.store.is_down.set(true);
+    // The rows of hosts are from before; requests with a key are refused after some seconds.
+    sleep(Duration::from_millis(1_500)).await;
+    let before = limited.count();
+    send(&hosts, Duration::from_millis(2_500)).await;
+    let count = limited.count() - before;
+    assert!((2..=20).contains(&count), "{count} in 2.5 s");
+    let most = most_in_a_span(&limited);
+    assert!(most <= 35, "{most} in a span, 35 allowed");
+}
+
+// Guards against: a value that is no number ends a limit, or makes one.
+#[actix_rt::test]
+async fn a_malformed_limit_says_nothing() {
+    const MALFORMED: &str = "HTTP/1.1 200 OK\r\nx-id: {id}\r\nx-signed: 1\r\nx-limit: few\r\n\
+                             content-length: 4\r\n\r\nfine";
+    let scripts = vec![
+        vec![Step::Write(MALFORMED)],
+        vec![Step::Write(FIVE)],
+        vec![Step::Write(MALFORMED)],
+    ];
+    let server = Server::start(scripts).await;
+    let bench = Harness::start(&[&server]).await;
+    let limits = || bench.program.edge().board.borrow().limited_count();
+    bench.call(&request("read", "r1", "")).await;
+    assert_eq!(limits(), 0);
+    bench.call(&request("read", "r2", "")).await;
+    assert_eq!(limits(), 1);
+    // The next one waits until this host may own the endpoint.
+    let start = Instant::now();
+    while server.count() < 3 && start.elapsed() < Duration::from_secs(10) {
+        bench.call(&request("read", "r3", "")).await;
+        sleep(Duration::from_millis(200)).await;
+    }
+    assert_eq!((server.count(), limits()), (3, 1));
+}
