--- a/crates/steer/src/limits.rs
+++ b/crates/steer/src/limits.rs
@@ -59,7 +59,8 @@
         let now = self.time(Instant::now());
         let change = self.book.borrow_mut().record(now, &endpoint, statement);
         if let Some(change) = change {
-            tracing::info!(event = "limit_changed", endpoint, change = ?change);
+            let tag = format!("{endpoint:016x}");
+            tracing::info!(event = "limit_changed", tag, change = ?change);
         }
         change.is_some()
     }
