Edge, wire: the reply to a question for permits is one wire type

Cause: agate-gate is to ask owners for permits as agate-site does; the reply and its conversions would stand twice. Change: `permit::Reply` in agate-wire, which the reply between hosts of agate-site flattens. The bytes sent are the same.

--- a/crates/edge/src/limits.rs
+++ b/crates/edge/src/limits.rs
@@ -262,7 +262,10 @@
         let board = self.board.borrow();
         let known = board.limit_statement(&incarnation);
         let limit = known.map(|statement| Entry::from((&*incarnation, &statement)));
-        Some(Reply::new(answer, limit))
+        Some(Reply {
+            permits: answer.into(),
+            limit,
+        })
     }
 
     /// Asks owners for the permits that requests of this host want.
@@ -338,7 +341,7 @@
         };
         let reply: Reply = self.limits.link(address).call(address, request).await?;
         self.learn_limits(reply.limit.as_slice(), "owner");
-        Ok(Answer::from(&reply))
+        Ok(reply.permits.into())
     }
 }
 
--- a/crates/edge/src/limits/wire.rs
+++ b/crates/edge/src/limits/wire.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use agate_limit::book::Statement;
-use agate_limit::permit::Answer;
 use agate_model::id::EndpointId;
+use agate_wire::permit;
 use serde::{Deserialize, Serialize};
 
 use crate::roster::Incarnation;
@@ -74,39 +74,13 @@
 /// Reply of an owner.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Reply {
-    /// Number of permits; 0 for none.
-    granted: u32,
-    /// Time until they can be used, or until the host may ask again.
-    wait_ms: u64,
+    /// The permits.
+    #[serde(flatten)]
+    pub permits: permit::Reply,
     /// What the owner knows of the limit.
     pub limit: Option<Entry>,
 }
 
-impl Reply {
-    /// Creates the reply with this answer.
-    pub fn new(answer: Answer, limit: Option<Entry>) -> Self {
-        let (granted, wait) = match answer {
-            Answer::Granted { count, after } => (count, after),
-            Answer::Denied { wait } => (0, wait),
-        };
-        Self {
-            granted,
-            wait_ms: millis(wait),
-            limit,
-        }
-    }
-}
-
-impl From<&Reply> for Answer {
-    fn from(reply: &Reply) -> Self {
-        let wait = Duration::from_millis(reply.wait_ms);
-        match reply.granted {
-            0 => Answer::Denied { wait },
-            count => Answer::Granted { count, after: wait },
-        }
-    }
-}
-
 fn millis(time: Duration) -> u64 {
     u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
 }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod mirror;
 pub mod order;
 pub mod peer;
+pub mod permit;
 pub mod platform;
 pub mod refusal;
 pub mod sync;
