Gate, steer: each gate gets permits for a limited endpoint

Callers saw: where only an endpoint that names a limit was left, callers of gates that own no part of it got nothing and those of its two owners got what it takes.

Cause: the control process told each gate its share of a limit, 0 for all but the gates of the owners' hosts.

`agate_limit::permit::Wallet` and `schedule::Schedule` decide in both programs; the shares are gone, and so is the task that looked at each limited endpoint every 20 ms. Requests wait in the queue for a permit.

--- a/crates/gate/src/admission/queue.rs
+++ b/crates/gate/src/admission/queue.rs
@@ -72,7 +72,7 @@
             .iter()
             .filter(|entry| !entry.1.scheduler.is_empty());
         let mut ready: Vec<(&QueueKey, &Queue, Room)> = waiting
-            .filter_map(|(key, queue)| Some((key, queue, choice.room(key)?)))
+            .filter_map(|(key, queue)| Some((key, queue, choice.room(key, queue.scheduler.len())?)))
             .collect();
         if ready.len() > 1 {
             self.round += 1;
--- a/crates/gate/src/choice.rs
+++ b/crates/gate/src/choice.rs
@@ -5,15 +5,17 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use agate_limit::book::Change;
 use agate_limit::mention::Mention;
+use agate_limit::permit::Answer;
 use agate_model::endpoint::Endpoint;
 use agate_model::id::{EndpointId, PoolId, Tier, ZoneId};
 use agate_notice::Notices;
 use agate_pick::{Criteria, Picker, Report, selection};
 use agate_queue::Room;
 use agate_wire::engine::Load;
-use agate_wire::sync::{Limit, Statement};
+use agate_wire::permit::Question;
+use agate_wire::sync::Statement;
+use futures_util::future::LocalBoxFuture;
 
 use crate::config::View;
 use crate::limits::Limits;
@@ -40,8 +42,8 @@
 /// Selects endpoints by the load, latency and failures that it has recorded for them.
 pub trait Choice {
     /// Returns, for each kind of endpoint, the lowest tier that has room in these pools now; `None`
-    /// if no tier has.
-    fn room(&self, pools: &[PoolId]) -> Option<Room>;
+    /// if no tier has. `waiting` is the number of requests that could start in them.
+    fn room(&self, pools: &[PoolId], waiting: usize) -> Option<Room>;
 
     /// Selects an endpoint for `work` that is not in `excluded` and counts an attempt in flight on
     /// it. Whether an endpoint has room depends on the tier `urgency`.
@@ -68,20 +70,25 @@
     fn is_paused(&self, endpoint: &EndpointId) -> bool;
 
     /// Records what a response to a request that was sent at `sent` says of the limit of its endpoint.
-    fn observe_limit(
-        self: Rc<Self>,
-        endpoint: &EndpointId,
-        mention: Mention,
-        sent: tokio::time::Instant,
-    );
+    fn observe_limit(&self, endpoint: &EndpointId, mention: Mention, sent: tokio::time::Instant);
 
-    /// Applies the limits, and this gate's shares of them, in a response of the control process that was
+    /// Applies what endpoints have said of their limits, by a response of the control process that was
     /// received now.
-    fn apply_limits(self: Rc<Self>, limits: &[Limit]);
+    fn apply_limits(&self, limits: &[Statement]);
 
     /// Returns what responses of endpoints have lately said of their limits.
     fn limits(&self) -> Vec<Statement>;
 
+    /// Uses a permit if an endpoint has named a limit. Returns whether a request may be sent there.
+    fn take_permit(&self, endpoint: &EndpointId) -> bool;
+
+    /// Waits until the control process is to be asked for permits. Cancel safe.
+    fn next_question(&self) -> LocalBoxFuture<'_, Question>;
+
+    /// Records the answer to a question for permits; `None` if no control process has answered. Returns
+    /// when requests that wait should look for an endpoint again.
+    fn record_answer(&self, endpoint: &EndpointId, answer: Option<Answer>) -> tokio::time::Instant;
+
     /// Returns the number of attempts from this host in flight on the endpoint.
     fn in_flight(&self, endpoint: &EndpointId) -> u32;
 }
@@ -91,6 +98,8 @@
     choice: Rc<dyn Choice>,
     endpoint: Rc<Endpoint>,
     flight: Option<agate_pick::InFlight>,
+    /// Whether a permit was used for it, as the endpoint had named a limit.
+    has_permit: bool,
 }
 
 impl Flight {
@@ -99,6 +108,12 @@
         &self.endpoint
     }
 
+    /// Returns whether the request may still be sent, also if the endpoint has named a limit since it was
+    /// chosen.
+    pub fn may_be_sent(&self) -> bool {
+        self.has_permit || self.choice.take_permit(&self.endpoint.id)
+    }
+
     /// Ends the attempt with this outcome.
     pub fn close(mut self, outcome: Outcome) {
         self.end(outcome);
@@ -130,13 +145,8 @@
     draining: RefCell<HashSet<EndpointId>>,
     notices: RefCell<Notices<EndpointId>>,
     limits: Limits,
-    /// Endpoints with limits that a task follows.
-    followed: RefCell<HashSet<EndpointId>>,
 }
 
-/// Interval at which an endpoint with a limit is looked at until it may get a request.
-const LIMIT_INTERVAL: Duration = Duration::from_millis(20);
-
 impl Balancer {
     /// Creates the selection of a host in `zone`, without endpoints until it is configured.
     pub fn new(zone: ZoneId) -> Self {
@@ -147,7 +157,6 @@
             draining: RefCell::default(),
             notices: RefCell::default(),
             limits: Limits::default(),
-            followed: RefCell::default(),
         }
     }
 
@@ -166,10 +175,26 @@
         picker.set_leaving(endpoint, is_closed || !is_known);
     }
 
-    /// Chooses an endpoint with a limit that leaves room for a request of this gate. It is preferred, since
-    /// only a response tells whether the limit still holds.
+    /// Tells the picker which endpoints of these pools with limits may get a request now, and asks for
+    /// permits for the others if `count` requests could use them. Returns those that may.
+    fn refresh_limited(&self, pools: &[PoolId], count: usize) -> Vec<EndpointId> {
+        let mut limited = self.limits.limited();
+        limited.retain(|id| {
+            let endpoint = self.endpoints.borrow().get(id).cloned();
+            let is_wanted = endpoint.is_some_and(|endpoint| pools.contains(&endpoint.pool));
+            if is_wanted && !self.draining.borrow().contains(id) && !self.is_paused(id) {
+                self.limits.want(id, count);
+            }
+            self.refresh(id);
+            is_wanted && !self.is_closed(id)
+        });
+        limited
+    }
+
+    /// Chooses an endpoint with a limit for which there is a permit. It is preferred, since only a response
+    /// tells whether the limit still holds.
     fn choose_limited(&self, now: Instant, criteria: &Criteria<'_>) -> Option<agate_pick::Choice> {
-        let mut open = self.limits.open().into_iter();
+        let mut open = self.refresh_limited(criteria.pools, 1).into_iter();
         open.find_map(|id| {
             if criteria.excluded.contains(&id) {
                 return None;
@@ -185,25 +210,6 @@
         })
     }
 
-    /// Applies a change of an endpoint's limit. While it has one, the picker is told whenever this gate's
-    /// share allows a request.
-    fn apply_change(self: Rc<Self>, endpoint: &EndpointId, change: Option<Change>) {
-        let Some(change) = change else { return };
-        self.refresh(endpoint);
-        // A limit that is replaced by another one is followed already.
-        if change == Change::Lifted || !self.followed.borrow_mut().insert(endpoint.clone()) {
-            return;
-        }
-        let endpoint = endpoint.clone();
-        actix_rt::spawn(async move {
-            while self.limits.is_limited(&endpoint) {
-                tokio::time::sleep(LIMIT_INTERVAL).await;
-                self.refresh(&endpoint);
-            }
-            self.followed.borrow_mut().remove(&endpoint);
-        });
-    }
-
     fn remove_unused(&self) {
         let mut picker = self.picker.borrow_mut();
         let used = |id: &EndpointId| picker.key(id).is_some_and(|key| picker.in_flight(key) > 0);
@@ -218,7 +224,8 @@
 }
 
 impl Choice for Balancer {
-    fn room(&self, pools: &[PoolId]) -> Option<Room> {
+    fn room(&self, pools: &[PoolId], waiting: usize) -> Option<Room> {
+        self.refresh_limited(pools, waiting);
         let room = self.picker.borrow_mut().room(now(), pools);
         let room = Room {
             standard: room.standard,
@@ -253,12 +260,13 @@
             None => picker.choose(now, &criteria, &mut rand::rng())?,
         };
         let endpoint = self.endpoints.borrow().get(&choice.id)?.clone();
+        if !self.limits.take(&choice.id) {
+            return None;
+        }
         let flight = picker.start(now, choice.key);
         drop(picker);
-        if self.limits.take(&choice.id) {
-            self.refresh(&choice.id);
-        }
         Some(Flight {
+            has_permit: self.limits.is_limited(&choice.id),
             choice: self,
             endpoint,
             flight: Some(flight),
@@ -340,20 +348,18 @@
         !self.notices.borrow().is_open(now(), endpoint)
     }
 
-    fn observe_limit(
-        self: Rc<Self>,
-        endpoint: &EndpointId,
-        mention: Mention,
-        sent: tokio::time::Instant,
-    ) {
-        let change = self.limits.observe(endpoint, mention, sent);
-        self.apply_change(endpoint, change);
+    fn observe_limit(&self, endpoint: &EndpointId, mention: Mention, sent: tokio::time::Instant) {
+        if self.limits.observe(endpoint, mention, sent).is_some() {
+            self.refresh(endpoint);
+        }
     }
 
-    fn apply_limits(self: Rc<Self>, limits: &[Limit]) {
-        for limit in limits {
-            let change = self.limits.apply(limit, tokio::time::Instant::now());
-            self.clone().apply_change(&limit.statement.endpoint, change);
+    fn apply_limits(&self, limits: &[Statement]) {
+        for statement in limits {
+            let change = self.limits.apply(statement, tokio::time::Instant::now());
+            if change.is_some() {
+                self.refresh(&statement.endpoint);
+            }
         }
     }
 
@@ -361,6 +367,18 @@
         self.limits.report()
     }
 
+    fn take_permit(&self, endpoint: &EndpointId) -> bool {
+        self.limits.take(endpoint)
+    }
+
+    fn next_question(&self) -> LocalBoxFuture<'_, Question> {
+        Box::pin(self.limits.next_question())
+    }
+
+    fn record_answer(&self, endpoint: &EndpointId, answer: Option<Answer>) -> tokio::time::Instant {
+        self.limits.record_answer(endpoint, answer)
+    }
+
     fn in_flight(&self, endpoint: &EndpointId) -> u32 {
         let picker = self.picker.borrow();
         picker.key(endpoint).map_or(0, |key| picker.in_flight(key))
--- a/crates/gate/src/forward/attempt.rs
+++ b/crates/gate/src/forward/attempt.rs
@@ -182,7 +182,8 @@
     /// Selects an endpoint, after checking key, configuration and deadline again.
     async fn choose(&mut self) -> Result<Flight, Denial> {
         self.gate.recheck(&self.work)?;
-        let flight = match self.reserved.take() {
+        let reserved = self.reserved.take();
+        let flight = match reserved {
             Some(flight) => flight,
             None => self.choose_for_retry().await?,
         };
@@ -241,7 +242,7 @@
             Ok((response, sent)) => {
                 self.sends += 1;
                 let mention = limits::mention(&response);
-                let choice = self.gate.choice.clone();
+                let choice = &self.gate.choice;
                 choice.observe_limit(&flight.endpoint().id, mention, now);
                 if let Some(wait) = pause(&response) {
                     self.gate.choice.clone().pause(&flight.endpoint().id, wait);
--- a/crates/gate/src/gate.rs
+++ b/crates/gate/src/gate.rs
@@ -1,6 +1,7 @@
 //! State shared by all tasks of a gate.
 
 use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::SystemTime;
 
@@ -88,6 +89,18 @@
         })
     }
 
+    /// Returns the control processes in the order in which they are called: those of the settings,
+    /// where the own host's is first, and then peers.
+    pub fn control_processes(&self) -> Vec<SocketAddr> {
+        let mut addresses = self.settings.steer.clone();
+        for peer in self.config.borrow().peers() {
+            if !addresses.contains(peer) {
+                addresses.push(*peer);
+            }
+        }
+        addresses
+    }
+
     /// Returns the resources in force.
     pub fn view(&self) -> Rc<View> {
         self.config.borrow().view()
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod limits;
 pub mod load;
 pub mod metrics;
+pub mod permits;
 pub mod prefix;
 pub mod program;
 pub mod refusal;
--- a/crates/gate/src/limits.rs
+++ b/crates/gate/src/limits.rs
@@ -1,58 +1,36 @@
-//! Limits that endpoints name for all hosts together, and this gate's share of them.
+//! Limits that endpoints name for all hosts together, and this gate's permits to send to them.
 
 use std::cell::RefCell;
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::time::Duration;
 
 use agate_limit::Time;
 use agate_limit::book::{Book, Change, Statement};
 use agate_limit::mention::{self, Mention};
+use agate_limit::permit::{Answer, Wallet};
 use agate_model::id::EndpointId;
+use agate_wire::permit::Question;
 use agate_wire::sync;
 use awc::ClientResponse;
+use tokio::sync::Notify;
 use tokio::time::Instant;
 
 /// Header in which an endpoint names the requests a second that it takes from all hosts together.
 const HEADER: &str = "server-limit";
 /// Time for which a gate reports what a response has told it.
 const REPORT_TIME: Duration = Duration::from_secs(10);
-
-/// This gate's share of the limit of one endpoint.
-#[derive(Clone, Copy, Debug, Default)]
-struct Share {
-    /// Requests a second; 0 if other gates send there.
-    rate: f64,
-    /// When the next request may be sent; `None` without a share.
-    next: Option<Instant>,
-}
-
-impl Share {
-    fn is_open(&self, now: Instant) -> bool {
-        self.next.is_some_and(|next| next <= now)
-    }
-
-    /// Sets the rate. The first request may be sent after a whole interval, since other gates may have had
-    /// the share before.
-    fn set_rate(&mut self, now: Instant, rate: f64) {
-        self.rate = rate;
-        let next = interval(rate).map(|interval| now + interval);
-        self.next = match self.next {
-            Some(known) => next.map(|next| next.min(known)),
-            None => next,
-        };
-    }
-}
-
-/// Returns the time between two requests; `None` without a rate.
-fn interval(rate: f64) -> Option<Duration> {
-    (rate > 0.0).then(|| Duration::try_from_secs_f64(1.0 / rate).unwrap_or(Duration::MAX / 4))
-}
+/// Permits that a gate asks for at once.
+const MAX_WANTED: usize = 64;
 
 /// Limits of endpoints as responses and the control process have told them.
 pub struct Limits {
     started: Instant,
     book: RefCell<Book<EndpointId>>,
-    shares: RefCell<HashMap<EndpointId, Share>>,
+    /// Permits for the endpoints that have limits.
+    wallets: RefCell<HashMap<EndpointId, Wallet>>,
+    /// Questions that the control process has not been asked yet.
+    questions: RefCell<VecDeque<Question>>,
+    has_question: Notify,
 }
 
 impl Default for Limits {
@@ -60,7 +38,9 @@
         Self {
             started: Instant::now(),
             book: RefCell::default(),
-            shares: RefCell::default(),
+            wallets: RefCell::default(),
+            questions: RefCell::default(),
+            has_question: Notify::new(),
         }
     }
 }
@@ -76,14 +56,12 @@
         let change = self.book.borrow_mut().record(now, endpoint, statement)?;
         match change {
             Change::Limited(rate) => {
-                self.shares
-                    .borrow_mut()
-                    .entry(endpoint.clone())
-                    .or_default();
+                let mut wallets = self.wallets.borrow_mut();
+                wallets.entry(endpoint.clone()).or_default();
                 tracing::info!(event = "endpoint_limited", endpoint = %endpoint, rate);
             }
             Change::Lifted => {
-                self.shares.borrow_mut().remove(endpoint);
+                self.wallets.borrow_mut().remove(endpoint);
                 tracing::info!(event = "endpoint_limit_lifted", endpoint = %endpoint);
             }
         }
@@ -112,10 +90,9 @@
 
     /// Records what the control process says in a response that was received at `received`. Returns the
     /// change of the limit.
-    pub fn apply(&self, limit: &sync::Limit, received: Instant) -> Option<Change> {
-        let told = &limit.statement;
+    pub fn apply(&self, told: &sync::Statement, received: Instant) -> Option<Change> {
         let is_valid = |rate: f64| rate.is_finite() && rate >= 0.0;
-        if !told.rate.is_none_or(is_valid) || !is_valid(limit.share) {
+        if !told.rate.is_none_or(is_valid) {
             tracing::warn!(event = "limit_malformed", endpoint = %told.endpoint);
             return None;
         }
@@ -125,11 +102,7 @@
             at: self.time(received.checked_sub(age).unwrap_or(self.started)),
             is_own: false,
         };
-        let change = self.record(&told.endpoint, statement);
-        if let Some(share) = self.shares.borrow_mut().get_mut(&told.endpoint) {
-            share.set_rate(Instant::now(), limit.share);
-        }
-        change
+        self.record(&told.endpoint, statement)
     }
 
     /// Returns what responses have lately told this gate.
@@ -150,33 +123,73 @@
 
     /// Returns whether an endpoint has a limit.
     pub fn is_limited(&self, endpoint: &EndpointId) -> bool {
-        self.shares.borrow().contains_key(endpoint)
+        self.wallets.borrow().contains_key(endpoint)
+    }
+
+    /// Returns the endpoints that have limits.
+    pub fn limited(&self) -> Vec<EndpointId> {
+        self.wallets.borrow().keys().cloned().collect()
     }
 
     /// Returns whether a request may be sent to an endpoint now.
     pub fn is_open(&self, endpoint: &EndpointId) -> bool {
-        let shares = self.shares.borrow();
-        let share = shares.get(endpoint);
-        share.is_none_or(|share| share.is_open(Instant::now()))
+        let wallets = self.wallets.borrow();
+        let wallet = wallets.get(endpoint);
+        wallet.is_none_or(|wallet| wallet.has_permit(now()))
     }
 
-    /// Returns the endpoints with limits to which a request may be sent now.
-    pub fn open(&self) -> Vec<EndpointId> {
-        let now = Instant::now();
-        let shares = self.shares.borrow();
-        let open = shares.iter().filter(|(_, share)| share.is_open(now));
-        open.map(|(endpoint, _)| endpoint.clone()).collect()
+    /// Uses a permit if an endpoint has a limit. Returns whether a request may be sent there.
+    pub fn take(&self, endpoint: &EndpointId) -> bool {
+        let mut wallets = self.wallets.borrow_mut();
+        let wallet = wallets.get_mut(endpoint);
+        wallet.is_none_or(|wallet| wallet.take(now()))
     }
 
-    /// Counts a request that is sent to an endpoint. Returns whether that has a limit.
-    pub fn take(&self, endpoint: &EndpointId) -> bool {
-        let mut shares = self.shares.borrow_mut();
-        let Some(share) = shares.get_mut(endpoint) else {
-            return false;
+    /// Asks for permits that `count` requests could use, unless there are some or they have been asked for.
+    pub fn want(&self, endpoint: &EndpointId, count: usize) {
+        let mut wallets = self.wallets.borrow_mut();
+        let Some(wallet) = wallets.get_mut(endpoint) else {
+            return;
         };
-        share.next = interval(share.rate).map(|interval| Instant::now() + interval);
-        true
+        if wallet.start_asking(now()) {
+            self.questions.borrow_mut().push_back(Question {
+                endpoint: endpoint.clone(),
+                wanted: u32::try_from(count.clamp(1, MAX_WANTED)).unwrap_or(1),
+            });
+            self.has_question.notify_one();
+        }
+    }
+
+    /// Waits until the control process is to be asked for permits. Cancel safe.
+    pub async fn next_question(&self) -> Question {
+        loop {
+            let question = self.questions.borrow_mut().pop_front();
+            match question {
+                Some(question) => return question,
+                None => self.has_question.notified().await,
+            }
+        }
     }
+
+    /// Records the answer to a question; `None` if no control process has answered. Returns when a request
+    /// may be sent or the next question asked.
+    pub fn record_answer(&self, endpoint: &EndpointId, answer: Option<Answer>) -> Instant {
+        let now = now();
+        let mut wallets = self.wallets.borrow_mut();
+        let Some(wallet) = wallets.get_mut(endpoint) else {
+            return now.into();
+        };
+        let draw = rand::random();
+        match answer {
+            Some(answer) => wallet.record(now, answer, draw),
+            None => wallet.fail(now, draw),
+        }
+        wallet.opening(now).into()
+    }
+}
+
+fn now() -> std::time::Instant {
+    Instant::now().into_std()
 }
 
 /// Returns what a response says of the limit of its endpoint.
--- a/crates/gate/src/program.rs
+++ b/crates/gate/src/program.rs
@@ -12,6 +12,7 @@
 use crate::front::server::{self, Connection, Listener};
 use crate::gate::Gate;
 use crate::load;
+use crate::permits;
 use crate::sync::{Steer, Syncer};
 
 /// Time that a shutdown waits for a control process to acknowledge the last usage counters.
@@ -48,6 +49,7 @@
     caller_task: JoinHandle<()>,
     operator_task: JoinHandle<()>,
     sync_task: JoinHandle<()>,
+    permit_task: JoinHandle<()>,
     load_task: JoinHandle<()>,
 }
 
@@ -71,6 +73,7 @@
             )),
             operator_task: actix_rt::spawn(operator_listener.serve_operators(operator_service)),
             sync_task: actix_rt::spawn(async move { syncer.run().await }),
+            permit_task: actix_rt::spawn(permits::run(gate.clone(), steer.clone())),
             load_task: actix_rt::spawn(load::run(gate.clone())),
             service,
             steer,
@@ -121,6 +124,7 @@
         // Counts from here, so that a process that runs late still writes the final responses.
         let _ = timeout(ending, gate.activity.idle()).await;
         self.sync_task.abort();
+        self.permit_task.abort();
         let loss = Loss {
             requests: gate.activity.running(),
             counters: hand_over(gate, self.steer.clone()).await,
--- a/crates/gate/src/sync.rs
+++ b/crates/gate/src/sync.rs
@@ -9,11 +9,14 @@
 use agate_member::seal::{self, Refusal, Sealed};
 use agate_member::secret::Secret;
 use agate_model::id::HostId;
-use agate_wire::sync::{METHOD, Request, Response};
+use agate_wire::permit::{self, Question, Reply};
+use agate_wire::sync::{self, Request, Response};
 use futures_util::future::LocalBoxFuture;
 use jsonrpsee::core::client::ClientT as _;
 use jsonrpsee::http_client::{HttpClient, HttpClientBuilder};
 use jsonrpsee::rpc_params;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
 use tokio::time::Instant;
 
 use crate::activity::Phase;
@@ -57,6 +60,13 @@
         address: SocketAddr,
         request: Request,
     ) -> LocalBoxFuture<'_, Result<Response, Error>>;
+
+    /// Asks the control process at `address` for permits, and returns its reply.
+    fn permits(
+        &self,
+        address: SocketAddr,
+        question: Question,
+    ) -> LocalBoxFuture<'_, Result<Reply, Error>>;
 }
 
 /// Client that uses JSON-RPC over HTTP and seals messages with the cluster key if there is one. It
@@ -77,21 +87,24 @@
         }
     }
 
-    async fn call_plain(&self, client: &HttpClient, request: &Request) -> Result<Response, Error> {
-        Ok(client.request(METHOD, rpc_params![request]).await?)
-    }
-
-    async fn call_sealed(
-        &self,
-        client: &HttpClient,
-        secret: &Secret,
-        request: &Request,
-    ) -> Result<Response, Error> {
-        let body = serde_json::to_string(request)?;
-        let sealed = seal::request(secret, METHOD, &self.host, SystemTime::now(), body);
-        let response: Sealed = client.request(METHOD, rpc_params![&sealed]).await?;
-        let body = seal::open_response(secret, METHOD, &sealed, &response)?;
-        Ok(serde_json::from_str(body)?)
+    async fn call<B, A>(&self, address: SocketAddr, method: &str, body: &B) -> Result<A, Error>
+    where
+        B: Serialize,
+        A: DeserializeOwned,
+    {
+        let client = self.client(address)?;
+        let call = async {
+            let Some(secret) = &self.secret else {
+                return Ok(client.request(method, rpc_params![body]).await?);
+            };
+            let body = serde_json::to_string(body)?;
+            let sealed = seal::request(secret, method, &self.host, SystemTime::now(), body);
+            let response: Sealed = client.request(method, rpc_params![&sealed]).await?;
+            let body = seal::open_response(secret, method, &sealed, &response)?;
+            Ok(serde_json::from_str(body)?)
+        };
+        let response = tokio::time::timeout(CALL_TIMEOUT, call).await;
+        response.map_err(|_| Error::Timeout)?
     }
 
     /// Returns the client for `address`, which is created on first use.
@@ -114,17 +127,15 @@
         address: SocketAddr,
         request: Request,
     ) -> LocalBoxFuture<'_, Result<Response, Error>> {
-        Box::pin(async move {
-            let client = self.client(address)?;
-            let call = async {
-                match &self.secret {
-                    Some(secret) => self.call_sealed(&client, secret, &request).await,
-                    None => self.call_plain(&client, &request).await,
-                }
-            };
-            let response = tokio::time::timeout(CALL_TIMEOUT, call).await;
-            response.map_err(|_| Error::Timeout)?
-        })
+        Box::pin(async move { self.call(address, sync::METHOD, &request).await })
+    }
+
+    fn permits(
+        &self,
+        address: SocketAddr,
+        question: Question,
+    ) -> LocalBoxFuture<'_, Result<Reply, Error>> {
+        Box::pin(async move { self.call(address, permit::METHOD, &question).await })
     }
 }
 
@@ -169,7 +180,7 @@
         if self.rounds.is_multiple_of(RESEND_USAGE_ROUNDS) {
             self.gate.usage.borrow_mut().mark_all_changed();
         }
-        for address in self.addresses() {
+        for address in self.gate.control_processes() {
             match self.call(address).await {
                 Ok(()) => {
                     self.record_success(address);
@@ -182,18 +193,6 @@
         false
     }
 
-    /// Returns the control processes in the order in which they are called: those of the settings,
-    /// where the own host's is first, and then peers.
-    fn addresses(&self) -> Vec<SocketAddr> {
-        let mut addresses = self.gate.settings.steer.clone();
-        for peer in self.gate.config.borrow().peers() {
-            if !addresses.contains(peer) {
-                addresses.push(*peer);
-            }
-        }
-        addresses
-    }
-
     /// Calls one control process and applies its response.
     async fn call(&mut self, address: SocketAddr) -> Result<(), Error> {
         if self.last != Some(address) {
@@ -227,7 +226,7 @@
 
     /// Applies a response, and passes changes on to admission and the choice of endpoints.
     fn apply(&self, response: Response, sent: Instant) -> Result<(), Error> {
-        self.gate.choice.clone().apply_limits(&response.limits);
+        self.gate.choice.apply_limits(&response.limits);
         let live_hosts = self.gate.config.borrow().live_hosts();
         let changed = self.gate.config.borrow_mut().apply(response, sent)?;
         let config = self.gate.config.borrow();
--- a/crates/gate/tests/config.rs
+++ b/crates/gate/tests/config.rs
@@ -11,6 +11,7 @@
 use agate_gate::gate::Gate;
 use agate_gate::sync::{Error, Steer, Syncer};
 use agate_gate::usage::Ledger;
+use agate_wire::permit::{Question, Reply};
 use agate_wire::platform::Counters;
 use agate_wire::sync::{Request, Response, Update};
 use agate_wire::{change, sync};
@@ -217,6 +218,10 @@
             Ok(response)
         })
     }
+
+    fn permits(&self, _: SocketAddr, _: Question) -> LocalBoxFuture<'_, Result<Reply, Error>> {
+        Box::pin(async { Err(Error::Timeout) })
+    }
 }
 
 #[test]
--- a/crates/gate/tests/support/mod.rs
+++ b/crates/gate/tests/support/mod.rs
@@ -20,10 +20,13 @@
 use agate_gate::program::Program;
 use agate_gate::settings::{Limits, Settings};
 use agate_gate::sync::{Error, Steer};
+use agate_limit::permit::Answer;
+use agate_limit::schedule::Schedule;
 use agate_model::key::Digest;
 use agate_store::interface::Tables;
 use agate_wire::change;
 use agate_wire::manifest::Manifest;
+use agate_wire::permit::{self, Question};
 use agate_wire::sync;
 use bytes::Bytes;
 use futures_util::StreamExt as _;
@@ -132,6 +135,10 @@
     pub response: RefCell<sync::Response>,
     /// Requests of all calls that got a response.
     pub requests: RefCell<Vec<sync::Request>>,
+    /// Grants permits at this rate, in requests a second; `None` grants none.
+    pub owner: RefCell<Option<(Schedule, f64)>>,
+    /// Questions for permits that got an answer.
+    pub questions: RefCell<Vec<Question>>,
     /// Whether calls time out.
     pub down: Cell<bool>,
     /// Time that a call takes.
@@ -154,6 +161,8 @@
                 ..sync::Response::default()
             }),
             requests: RefCell::default(),
+            owner: RefCell::default(),
+            questions: RefCell::default(),
             down: Cell::new(false),
             delay: Cell::default(),
         })
@@ -202,6 +211,28 @@
             Ok(response)
         })
     }
+
+    fn permits(
+        &self,
+        _: SocketAddr,
+        question: Question,
+    ) -> LocalBoxFuture<'_, Result<permit::Reply, Error>> {
+        Box::pin(async move {
+            if self.down.get() {
+                return Err(Error::Timeout);
+            }
+            let now = std::time::Instant::now();
+            let mut owner = self.owner.borrow_mut();
+            let answer = match owner.as_mut() {
+                Some((schedule, rate)) => schedule.ask(now, *rate, question.wanted),
+                None => Answer::Denied {
+                    wait: Duration::from_millis(300),
+                },
+            };
+            self.questions.borrow_mut().push(question);
+            Ok(answer.into())
+        })
+    }
 }
 
 fn resource(value: Value) -> change::Resource {
--- a/crates/steer/src/metrics.rs
+++ b/crates/steer/src/metrics.rs
@@ -34,6 +34,9 @@
     pub rpc_calls: Family<Label, Counter>,
     /// Calls to peers that failed, by method.
     pub peer_failures: Family<Label, Counter>,
+    /// Questions for permits, by outcome: `granted` and `denied` by this host as an owner, `unanswered` by
+    /// another one.
+    pub permits: Family<Label, Counter>,
     /// Reads of the store's head version, by result.
     pub store_reads: Family<Label, Counter>,
     /// Changes committed by this host, by result.
@@ -59,6 +62,7 @@
             api_requests: Family::default(),
             rpc_calls: Family::default(),
             peer_failures: Family::default(),
+            permits: Family::default(),
             store_reads: Family::default(),
             changes: Family::default(),
             gossip_frames: Family::default(),
@@ -88,6 +92,7 @@
                 "Failed calls to peers",
                 &self.peer_failures,
             ),
+            ("permits", "Questions for permits by outcome", &self.permits),
             (
                 "store_reads",
                 "Reads of the head version",
--- a/crates/steer/src/rpc/peer.rs
+++ b/crates/steer/src/rpc/peer.rs
@@ -7,6 +7,7 @@
 use agate_wire::demand;
 use agate_wire::mirror;
 use agate_wire::peer::{self, Announce, Fetch, Fetched, HostStatus, Push};
+use agate_wire::permit::{self, Reply};
 use agate_wire::sync;
 use futures_util::future::LocalBoxFuture;
 use serde::Serialize;
@@ -15,6 +16,7 @@
 use crate::config::copy;
 use crate::context::Context;
 use crate::duty;
+use crate::limits;
 use crate::rpc::server::{Failure, Handler, Handlers};
 
 /// Handles a call with a typed body from the named sender.
@@ -51,8 +53,10 @@
 }
 
 /// Names of the methods that every control process serves.
-pub const METHODS: [&str; 7] = [
+pub const METHODS: [&str; 9] = [
     sync::METHOD,
+    permit::METHOD,
+    permit::GRANT,
     peer::PUSH,
     peer::FETCH,
     peer::STANDING,
@@ -68,6 +72,14 @@
         Box::pin(async move { Ok(crate::sync::respond(&context, body)) })
     });
     handlers.insert(sync::METHOD, sync);
+    let permits = Method::shared(context, |context, _, question| {
+        Box::pin(async move { Ok(Reply::from(limits::find(&context, question).await)) })
+    });
+    handlers.insert(permit::METHOD, permits);
+    let grant = Method::shared(context, |context, _, question| {
+        Box::pin(async move { Ok(Reply::from(limits::grant(&context, &question))) })
+    });
+    handlers.insert(permit::GRANT, grant);
     let push = Method::shared(context, |context, _, body| {
         Box::pin(async move { apply_push(&context, body) })
     });
--- a/crates/steer/src/rpc/server.rs
+++ b/crates/steer/src/rpc/server.rs
@@ -9,7 +9,7 @@
 use agate_member::seal::{self, Sealed};
 use agate_member::secret::Secret;
 use agate_model::id::HostId;
-use agate_wire::sync;
+use agate_wire::{permit, sync};
 use futures_util::future::LocalBoxFuture;
 use jsonrpsee::server::{
     ServerBuilder, ServerConfig, ServerHandle, StopHandle, serve_with_graceful_shutdown,
@@ -36,6 +36,9 @@
 /// Pause after a failed accept, so that a lasting error doesn't cause a busy loop.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
+/// Methods that the gate of this host may call without a seal.
+const OWN_GATE_METHODS: [&str; 2] = [sync::METHOD, permit::METHOD];
+
 /// JSON-RPC error code of a call that is not, or not validly, sealed.
 const CODE_REFUSED: i32 = -32001;
 /// JSON-RPC error code of a call whose handler failed or couldn't be reached.
@@ -245,7 +248,7 @@
         if let Ok(request) = serde_json::from_value::<Sealed>(param.clone()) {
             return self.sealed(method, &request).await;
         }
-        let is_own_gate = method == sync::METHOD && origin == Origin::Local;
+        let is_own_gate = OWN_GATE_METHODS.contains(&method) && origin == Origin::Local;
         if is_own_gate && !self.require_token {
             return self.plain(method, &param).await;
         }
--- a/crates/steer/src/sync.rs
+++ b/crates/steer/src/sync.rs
@@ -24,7 +24,7 @@
     let version = request.version;
     let endpoint_revision = request.endpoint_revision;
     rumours::publish_limits(context, &request.limits);
-    let limits = limits::shares(context, &request.host);
+    let limits = limits::statements(context);
     context.inbox.record(request, Instant::now());
     Response {
         version: context.copy.version(),
--- a/crates/wire/src/sync.rs
+++ b/crates/wire/src/sync.rs
@@ -88,15 +88,6 @@
     pub age_ms: u64,
 }
 
-/// Limit of an endpoint, and the gate's share of it.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct Limit {
-    /// The newest that any host is known to have been told.
-    pub statement: Statement,
-    /// Requests a second that the gate may send; 0 if others send there.
-    pub share: f64,
-}
-
 /// Configuration, endpoint states and peers for a gate.
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Response {
@@ -117,9 +108,9 @@
     pub live_hosts: u32,
     /// Pressure on pools that peers have reported.
     pub pressure: Vec<Pressure>,
-    /// Limits of endpoints that the control process knows.
+    /// What endpoints are known to have said of their limits.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
-    pub limits: Vec<Limit>,
+    pub limits: Vec<Statement>,
     /// Start of the open reporting window, in seconds since the Unix epoch.
     pub window: Window,
 }
