Gate: a limit holds for requests that were assigned before

An endpoint that named a limit while a request waited for its claim in the store got the request all the same: 4 of 8 bookings in the test, with a store that takes 0.3 s, where none was allowed.

Cause: the endpoint is chosen when the request leaves the queue, and its limit was not looked at again. Change: `Flight::may_be_sent` is asked when the first attempt starts; without a permit another endpoint is chosen. Result: the test fails without the change (4 requests at the endpoint) and passes with it.

--- a/crates/gate/src/forward/attempt.rs
+++ b/crates/gate/src/forward/attempt.rs
@@ -183,7 +183,7 @@
     async fn choose(&mut self) -> Result<Flight, Denial> {
         self.gate.recheck(&self.work)?;
         let reserved = self.reserved.take();
-        let flight = match reserved {
+        let flight = match reserved.filter(Flight::may_be_sent) {
             Some(flight) => flight,
             None => self.choose_for_retry().await?,
         };
--- a/crates/gate/tests/limit.rs
+++ b/crates/gate/tests/limit.rs
@@ -8,10 +8,14 @@
 
 use actix_http::StatusCode;
 use actix_http::body::MessageBody as _;
+use agate_fake::memory::Memory;
 use agate_limit::schedule::Schedule;
+use agate_store::interface::{ResponseFuture, Tables};
 use agate_wire::sync;
+use agate_wire::table::{Commit, Page, Row, Transaction};
+use futures_util::future::{join, join_all};
 use serde_json::Value;
-use support::{Deployment, Endpoint, run, service, text};
+use support::{Deployment, Endpoint, KEY, run, service, settings, text};
 use tokio::time::{Instant, sleep};
 
 /// Time from the first response with a limit until the limit holds.
@@ -169,3 +173,72 @@
         assert!((2..=20).contains(&asked), "{asked} questions in 5 s");
     });
 }
+
+/// Tables that take as long as this for each call.
+struct SlowTables {
+    memory: Memory,
+    time: Duration,
+}
+
+impl Tables for SlowTables {
+    fn get<'a>(&'a self, table: &'a str, key: &'a str) -> ResponseFuture<'a, Option<Row>> {
+        Box::pin(async move {
+            sleep(self.time).await;
+            self.memory.get(table, key).await
+        })
+    }
+
+    fn scan<'a>(
+        &'a self,
+        table: &'a str,
+        prefix: &'a str,
+        after: &'a str,
+        limit: usize,
+    ) -> ResponseFuture<'a, Page> {
+        self.memory.scan(table, prefix, after, limit)
+    }
+
+    fn commit<'a>(&'a self, transaction: &'a Transaction) -> ResponseFuture<'a, Commit> {
+        Box::pin(async move {
+            sleep(self.time).await;
+            self.memory.commit(transaction).await
+        })
+    }
+}
+
+// Guards against: a request whose endpoint names a limit between choice and sending is sent all the same (issue 56).
+#[test]
+fn a_limit_holds_for_requests_that_were_assigned_before() {
+    run(async {
+        let (endpoint, times) = limited(Rc::new(Cell::new(Some(1.0)))).await;
+        let other = other().await;
+        let tables = SlowTables {
+            memory: Memory::default(),
+            time: Duration::from_millis(300),
+        };
+        let tables: Rc<dyn Tables> = Rc::new(tables);
+        let deployment =
+            Deployment::with_tables(settings(), pair(&endpoint, &other), Some(tables)).await;
+        let bearer = format!("Bearer {KEY}");
+        let names: Vec<String> = (0..8).map(|n| format!("booking-{n}")).collect();
+        let bookings = names.iter().map(|name| {
+            let headers = [
+                ("authorization", bearer.as_str()),
+                ("idempotency-key", name),
+            ];
+            let deployment = &deployment;
+            async move {
+                let reply = deployment.call_with("POST", "/bookings", &headers, name);
+                reply.await.status
+            }
+        });
+        let told = async {
+            sleep(Duration::from_millis(100)).await;
+            tell(&deployment, 1.0, 0);
+        };
+        let (statuses, ()) = join(join_all(bookings), told).await;
+        assert_eq!(statuses, [200; 8]);
+        assert_eq!(times.borrow().len(), 0);
+        assert_eq!(other.count(), 8);
+    });
+}
