Limit: the schedules of an owner are one type

Cause: agate-edge and agate-steer kept the same map of schedules with the same bound. Change: `schedule::Schedules` in agate-limit keeps it.

--- a/crates/edge/src/limits.rs
+++ b/crates/edge/src/limits.rs
@@ -16,7 +16,7 @@
 use agate_limit::mention::Mention;
 use agate_limit::owner;
 use agate_limit::permit::Answer;
-use agate_limit::schedule::Schedule;
+use agate_limit::schedule::Schedules;
 use agate_model::id::RequestId;
 use bytes::Bytes;
 use rand::seq::SliceRandom as _;
@@ -42,14 +42,13 @@
 const MAX_WANTED: usize = 64;
 /// Wait of a host that asks one which is no owner: tables of hosts agree again after it.
 const NO_OWNER_WAIT: Duration = Duration::from_secs(1);
-/// Endpoints for which an owner keeps schedules, and hosts to which it keeps connections.
-const MAX_SCHEDULES: usize = 4_096;
+/// Hosts to which connections are kept.
 const MAX_LINKS: usize = 32;
 
 /// State of the permits that this host grants and asks for.
 #[derive(Default)]
 pub struct Limits {
-    schedules: RefCell<HashMap<Incarnation, Schedule>>,
+    schedules: RefCell<Schedules<Incarnation>>,
     /// Clients of owners by their addresses.
     links: RefCell<HashMap<SocketAddr, Rc<Client>>>,
 }
@@ -230,14 +229,7 @@
         }
         let rate = owner::granted_rate(rate, part, self.has_current_hosts());
         let mut schedules = self.limits.schedules.borrow_mut();
-        if schedules.len() >= MAX_SCHEDULES && !schedules.contains_key(&**incarnation) {
-            schedules.clear();
-        }
-        let now = now.into_std();
-        let schedule = schedules
-            .entry((**incarnation).clone())
-            .or_insert_with(|| Schedule::new(now, rate));
-        let answer = schedule.ask(now, rate, wanted);
+        let answer = schedules.ask(incarnation, now.into_std(), rate, wanted);
         let outcome = match answer {
             Answer::Granted { .. } => "granted",
             Answer::Denied { .. } => "denied",
--- a/crates/limit/src/schedule.rs
+++ b/crates/limit/src/schedule.rs
@@ -1,5 +1,7 @@
 //! Permits that one owner of an endpoint grants.
 
+use std::collections::HashMap;
+use std::hash::Hash;
 use std::time::{Duration, Instant};
 
 use crate::Rate;
@@ -12,6 +14,8 @@
 /// Shortest and longest time after which a host that got no permit is asked to come back.
 const MIN_WAIT: Duration = Duration::from_millis(50);
 const MAX_WAIT: Duration = Duration::from_secs(8);
+/// Endpoints for which schedules are kept.
+const MAX_SCHEDULES: usize = 4_096;
 /// Longest interval between two permits.
 const MAX_INTERVAL: Duration = Duration::from_secs(3_600);
 
@@ -57,6 +61,39 @@
     }
 }
 
+/// Schedules of all endpoints for which one owner grants permits.
+#[derive(Clone, Debug)]
+pub struct Schedules<K> {
+    by_endpoint: HashMap<K, Schedule>,
+}
+
+impl<K> Default for Schedules<K> {
+    fn default() -> Self {
+        Self {
+            by_endpoint: HashMap::new(),
+        }
+    }
+}
+
+impl<K: Clone + Eq + Hash> Schedules<K> {
+    /// Returns the answer to a host that wants permits for an endpoint, where this owner grants `rate` a
+    /// second.
+    pub fn ask(&mut self, endpoint: &K, now: Instant, rate: Rate, wanted: u32) -> Answer {
+        let is_known = self.by_endpoint.contains_key(endpoint);
+        if self.by_endpoint.len() >= MAX_SCHEDULES && !is_known {
+            self.by_endpoint.clear();
+        }
+        let schedule = self.by_endpoint.entry(endpoint.clone());
+        let schedule = schedule.or_insert_with(|| Schedule::new(now, rate));
+        schedule.ask(now, rate, wanted)
+    }
+
+    /// Removes the schedule of an endpoint that has no limit any more.
+    pub fn remove(&mut self, endpoint: &K) {
+        self.by_endpoint.remove(endpoint);
+    }
+}
+
 fn interval(rate: Rate) -> Duration {
     let seconds = 1.0 / rate.max(f64::MIN_POSITIVE);
     Duration::try_from_secs_f64(seconds)
--- a/crates/steer/src/limits.rs
+++ b/crates/steer/src/limits.rs
@@ -9,7 +9,7 @@
 use agate_limit::book::{Book, Change, Statement};
 use agate_limit::owner;
 use agate_limit::permit::Answer;
-use agate_limit::schedule::Schedule;
+use agate_limit::schedule::Schedules;
 use agate_member::frame::{Tag, tag};
 use agate_member::rumour::Fact;
 use agate_model::id::{EndpointId, HostId};
@@ -36,8 +36,6 @@
 const NO_ANSWER: Answer = Answer::Denied {
     wait: Duration::from_millis(300),
 };
-/// Endpoints for which schedules are kept.
-const MAX_SCHEDULES: usize = 4_096;
 
 /// Newest known statement of each endpoint, by the tag of its name.
 #[derive(Debug)]
@@ -47,7 +45,7 @@
     /// When this host last published a rumour of an endpoint's limit.
     published: RefCell<HashMap<Tag, Instant>>,
     /// Permits that this host grants as an owner.
-    schedules: RefCell<HashMap<Tag, Schedule>>,
+    schedules: RefCell<Schedules<Tag>>,
 }
 
 impl Default for Limits {
@@ -122,14 +120,7 @@
         let is_current = proof_age.is_some_and(|age| age <= MAX_PROOF_AGE);
         let rate = owner::granted_rate(rate, part, is_current);
         let mut schedules = self.schedules.borrow_mut();
-        if schedules.len() >= MAX_SCHEDULES && !schedules.contains_key(&endpoint) {
-            schedules.clear();
-        }
-        let now = now.into_std();
-        let schedule = schedules
-            .entry(endpoint)
-            .or_insert_with(|| Schedule::new(now, rate));
-        schedule.ask(now, rate, question.wanted)
+        schedules.ask(&endpoint, now.into_std(), rate, question.wanted)
     }
 
     /// Returns the part of an endpoint's limit that this host grants; 0 if it is no owner.
