--- a/crates/edge/src/run.rs
+++ b/crates/edge/src/run.rs
@@ -85,15 +85,20 @@
         &self.edge
     }
 
-    /// Puts changed settings in force, except the listen addresses, which need a restart.
+    /// Puts changed settings in force, except the listen addresses and whether the host takes part in the
+    /// duties, which need a restart. The addresses in `remote` are up to the caller.
     pub fn reload(&self, settings: Settings) {
         let mut current = self.edge.settings.borrow_mut();
-        if settings.listen != current.listen {
-            tracing::warn!(
-                event = "reload_partial",
-                field = "listen",
-                reason = "needs a restart"
-            );
+        let has_duties = |settings: &Settings| settings.remote.duties.is_some();
+        let unchanged = [
+            ("listen", settings.listen == current.listen),
+            (
+                "remote.duties",
+                has_duties(&settings) == has_duties(&current),
+            ),
+        ];
+        for (field, _) in unchanged.into_iter().filter(|(_, same)| !same) {
+            tracing::warn!(event = "reload_partial", field, reason = "needs a restart");
         }
         self.edge.memory.resize(settings.machine.size());
         let listen = current.listen.clone();
