Gate: permits are wanted only for requests that may use the endpoint

Cause: a gate asked for permits for each limited endpoint of a request's pools, also for a reclaimable one that its class may not use. Such a permit is lost to the gates whose requests may. Change: the queue tells how many of its requests may start on each kind of endpoint. Result: the test fails without the change (a question is asked) and passes with it.

--- a/crates/gate/src/admission/queue.rs
+++ b/crates/gate/src/admission/queue.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 use std::time::Instant;
 
+use agate_model::endpoint::Kind;
 use agate_model::id::{PoolId, Tier};
 use agate_queue::limit::Permit;
 use agate_queue::{Room, Scheduler, Ticket};
@@ -42,6 +43,17 @@
 }
 
 impl Queue {
+    /// Returns the number of requests that may start on a kind of endpoint.
+    fn waiting(&self, kind: Kind) -> usize {
+        let waiters = self.waiters.values();
+        match kind {
+            Kind::Standard => waiters.len(),
+            Kind::Reclaimable => waiters
+                .filter(|waiter| waiter.work.class.reclaimable)
+                .count(),
+        }
+    }
+
     fn first_tier(&self, now: Instant) -> Option<Tier> {
         let classes = self.scheduler.snapshot(now).classes;
         classes
@@ -72,7 +84,10 @@
             .iter()
             .filter(|entry| !entry.1.scheduler.is_empty());
         let mut ready: Vec<(&QueueKey, &Queue, Room)> = waiting
-            .filter_map(|(key, queue)| Some((key, queue, choice.room(key, queue.scheduler.len())?)))
+            .filter_map(|(key, queue)| {
+                let room = choice.room(key, &|kind| queue.waiting(kind))?;
+                Some((key, queue, room))
+            })
             .collect();
         if ready.len() > 1 {
             self.round += 1;
--- a/crates/gate/src/choice.rs
+++ b/crates/gate/src/choice.rs
@@ -7,7 +7,7 @@
 
 use agate_limit::mention::Mention;
 use agate_limit::permit::Answer;
-use agate_model::endpoint::Endpoint;
+use agate_model::endpoint::{Endpoint, Kind};
 use agate_model::id::{EndpointId, PoolId, Tier, ZoneId};
 use agate_notice::Notices;
 use agate_pick::{Criteria, Picker, Report, selection};
@@ -42,8 +42,8 @@
 /// Selects endpoints by the load, latency and failures that it has recorded for them.
 pub trait Choice {
     /// Returns, for each kind of endpoint, the lowest tier that has room in these pools now; `None`
-    /// if no tier has. `waiting` is the number of requests that could start in them.
-    fn room(&self, pools: &[PoolId], waiting: usize) -> Option<Room>;
+    /// if no tier has. `waiting` returns the number of requests that may start on a kind of endpoint.
+    fn room(&self, pools: &[PoolId], waiting: &dyn Fn(Kind) -> usize) -> Option<Room>;
 
     /// Selects an endpoint for `work` that is not in `excluded` and counts an attempt in flight on
     /// it. Whether an endpoint has room depends on the tier `urgency`.
@@ -176,17 +176,23 @@
     }
 
     /// Tells the picker which endpoints of these pools with limits may get a request now, and asks for
-    /// permits for the others if `count` requests could use them. Returns those that may.
-    fn refresh_limited(&self, pools: &[PoolId], count: usize) -> Vec<EndpointId> {
+    /// permits for the others. `waiting` returns the number of requests that may start on a kind of
+    /// endpoint. Returns the endpoints that may get one.
+    fn refresh_limited(
+        &self,
+        pools: &[PoolId],
+        waiting: &dyn Fn(Kind) -> usize,
+    ) -> Vec<EndpointId> {
         let mut limited = self.limits.limited();
         limited.retain(|id| {
             let endpoint = self.endpoints.borrow().get(id).cloned();
-            let is_wanted = endpoint.is_some_and(|endpoint| pools.contains(&endpoint.pool));
-            if is_wanted && !self.draining.borrow().contains(id) && !self.is_paused(id) {
+            let endpoint = endpoint.filter(|endpoint| pools.contains(&endpoint.pool));
+            let count = endpoint.map_or(0, |endpoint| waiting(endpoint.kind));
+            if count > 0 && !self.draining.borrow().contains(id) && !self.is_paused(id) {
                 self.limits.want(id, count);
             }
             self.refresh(id);
-            is_wanted && !self.is_closed(id)
+            count > 0 && !self.is_closed(id)
         });
         limited
     }
@@ -194,7 +200,8 @@
     /// Chooses an endpoint with a limit for which there is a permit. It is preferred, since only a response
     /// tells whether the limit still holds.
     fn choose_limited(&self, now: Instant, criteria: &Criteria<'_>) -> Option<agate_pick::Choice> {
-        let mut open = self.refresh_limited(criteria.pools, 1).into_iter();
+        let waiting = |kind| usize::from(kind == Kind::Standard || criteria.reclaimable);
+        let mut open = self.refresh_limited(criteria.pools, &waiting).into_iter();
         open.find_map(|id| {
             if criteria.excluded.contains(&id) {
                 return None;
@@ -224,7 +231,7 @@
 }
 
 impl Choice for Balancer {
-    fn room(&self, pools: &[PoolId], waiting: usize) -> Option<Room> {
+    fn room(&self, pools: &[PoolId], waiting: &dyn Fn(Kind) -> usize) -> Option<Room> {
         self.refresh_limited(pools, waiting);
         let room = self.picker.borrow_mut().room(now(), pools);
         let room = Room {
--- a/crates/gate/tests/admission.rs
+++ b/crates/gate/tests/admission.rs
@@ -242,7 +242,7 @@
             deployment
                 .gate
                 .choice
-                .room(&["engines".to_owned()], 1)
+                .room(&["engines".to_owned()], &|_| 1)
                 .is_none()
         })
         .await;
--- a/crates/gate/tests/limit.rs
+++ b/crates/gate/tests/limit.rs
@@ -14,7 +14,7 @@
 use agate_wire::sync;
 use agate_wire::table::{Commit, Page, Row, Transaction};
 use futures_util::future::{join, join_all};
-use serde_json::Value;
+use serde_json::{Value, json};
 use support::{Deployment, Endpoint, KEY, run, service, settings, text};
 use tokio::time::{Instant, sleep};
 
@@ -174,6 +174,23 @@
     });
 }
 
+// Guards against: permits that no request of this gate can use are kept from other gates.
+#[test]
+fn no_permits_are_wanted_for_an_endpoint_that_no_request_may_use() {
+    run(async {
+        let (first, second) = (other().await, other().await);
+        let mut endpoints = pair(&first, &second);
+        endpoints[0]["capacity"] = json!("reclaimable");
+        let deployment = Deployment::start(endpoints).await;
+        tell(&deployment, 1.0, 0);
+        sleep(Duration::from_millis(100)).await;
+        grant(&deployment, 50.0);
+        let failed = send(&deployment, Duration::from_millis(500)).await;
+        assert_eq!((failed, first.count()), (0, 0));
+        assert_eq!(*deployment.steer.questions.borrow(), []);
+    });
+}
+
 /// Tables that take as long as this for each call.
 struct SlowTables {
     memory: Memory,
