--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -259,6 +259,14 @@
         let Some(relay) = &self.relay else { return };
         self.edge.outage.dispel(Instant::now());
         let (revision, clock) = (relayed.changes.revision, relayed.changes.clock);
+        tracing::debug!(
+            event = "page_applied",
+            table = self.table,
+            after = self.after,
+            revision,
+            rows = relayed.changes.rows.len(),
+            is_snapshot = relayed.is_snapshot,
+        );
         let mirrors = &self.edge.mirrors;
         let (changes, is_snapshot) = (&relayed.changes, relayed.is_snapshot);
         mirrors.record(relay.table, changes, is_snapshot, Source::Host);
@@ -429,6 +437,12 @@
             );
         }
         if is_snapshot {
+            tracing::info!(
+                event = "snapshot_read",
+                table = self.table,
+                revision,
+                rows = changes.rows.len(),
+            );
             self.sink.snapshot(&self.edge, changes, is_behind);
         } else {
             for change in changes.rows {
--- a/crates/store/src/http/call.rs
+++ b/crates/store/src/http/call.rs
@@ -5,7 +5,8 @@
 
 use actix_http::error::ParseError;
 use awc::error::{ConnectError, SendRequestError};
-use awc::http::{StatusCode, header};
+use awc::http::StatusCode;
+use awc::http::header::{self, HeaderMap};
 use bytes::{Bytes, BytesMut};
 use futures_util::StreamExt as _;
 use serde::Serialize;
@@ -33,6 +34,8 @@
 pub struct Response {
     /// Status code of any class; redirects are not followed.
     pub status: StatusCode,
+    /// Headers.
+    pub headers: HeaderMap,
     /// Complete body.
     pub body: Bytes,
     /// Whether the body has a length or chunks.
@@ -46,6 +49,7 @@
             || headers.contains_key(header::TRANSFER_ENCODING);
         Self {
             status: response.status(),
+            headers: headers.clone(),
             body,
             is_framed,
         }
