--- a/crates/soak/src/check.rs
+++ b/crates/soak/src/check.rs
@@ -71,6 +71,8 @@
     Leaving,
     /// A host sends no request to an endpoint that has asked it for a pause.
     Pause,
+    /// An endpoint that has announced in the store that it leaves gets no request after the bound.
+    Drain,
     /// Hosts together send an endpoint no more than it says that it takes, soon after it has said so.
     Limit,
     /// All requests are served again soon after the last fault.
@@ -89,7 +91,7 @@
 }
 
 /// All promises with their checks, in the order in which they are checked.
-pub const CHECKS: [(Promise, Check); 19] = [
+pub const CHECKS: [(Promise, Check); 20] = [
     (Promise::AtMostOnce, at_most_once),
     (Promise::NotRun, not_run),
     (Promise::WholeAnswer, whole_answer),
@@ -106,6 +108,7 @@
     (Promise::RetryBudget, retry_budget),
     (Promise::Leaving, notice::leaving),
     (Promise::Pause, notice::pause),
+    (Promise::Drain, drain),
     (Promise::Limit, notice::limit),
     (Promise::Recovery, recovery),
     (Promise::Rest, rest),
@@ -438,6 +441,34 @@
     texts
 }
 
+/// Checks the requests of hosts that had time to learn of a leaving endpoint, which it announced while the store was
+/// sound.
+fn drain(ledger: &Ledger, bounds: &Bounds) -> Vec<String> {
+    let requests = requests_by_id(ledger);
+    let mut texts = Vec::new();
+    for arrival in &ledger.arrivals {
+        let leavings = ledger.leavings.iter();
+        let mut leavings = leavings.filter(|leaving| leaving.endpoint == arrival.endpoint);
+        let Some(leaving) = leavings.next() else {
+            continue;
+        };
+        let Some(request) = requests.get(arrival.id.as_str()) else {
+            continue;
+        };
+        let in_time = leaving.at + bounds.drain;
+        let from = arrival.at.saturating_sub(bounds.settle);
+        let since = leaving.at.saturating_sub(bounds.settle);
+        if arrival.at > in_time
+            && ledger.is_undisturbed(request.host, from, arrival.at)
+            && ledger.is_undisturbed(request.host, since, in_time)
+            && ledger.is_steady(since, arrival.at)
+        {
+            texts.push(format!("{arrival:?} of {request:?} after {leaving:?}"));
+        }
+    }
+    texts
+}
+
 fn retry_budget(ledger: &Ledger, bounds: &Bounds) -> Vec<String> {
     let mut executions: HashMap<&str, usize> = HashMap::new();
     let mut retries: Vec<Duration> = Vec::new();
--- a/crates/soak/src/ledger.rs
+++ b/crates/soak/src/ledger.rs
@@ -181,6 +181,15 @@
     pub cause: Cause,
 }
 
+/// The announcement of an endpoint that it leaves, acknowledged by the store.
+#[derive(Clone, Debug)]
+pub struct Leaving {
+    /// Id of the endpoint.
+    pub endpoint: String,
+    /// Time of the acknowledgement.
+    pub at: Duration,
+}
+
 /// The end of an endpoint that had announced its drain.
 #[derive(Clone, Debug)]
 pub struct Departure {
@@ -220,6 +229,8 @@
     pub endpoint_disturbances: Vec<(Duration, Duration)>,
     /// Intervals, as start and end, in which the run itself did not proceed, and so its endpoints did not.
     pub stalls: Vec<(Duration, Duration)>,
+    /// Endpoints that announced in the store that they leave.
+    pub leavings: Vec<Leaving>,
     /// Ends of endpoints that had announced their drain.
     pub departures: Vec<Departure>,
     /// Probes after the last fault, by host: number of served and of sent requests.
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -52,6 +52,8 @@
     StoreWritesLate,
     /// The store drops its change history, so that watches have to start anew.
     StoreForgets,
+    /// The store is away for a moment and returns from an older copy, which lacks its newest commits.
+    StoreReturns,
     /// All connections between callers and a host are reset.
     CallersReset,
     /// An endpoint crashes without notice and is replaced by one with a new id.
@@ -90,7 +92,7 @@
 
 impl Kind {
     /// All kinds, in the order of their declaration.
-    pub const ALL: [Kind; 33] = [
+    pub const ALL: [Kind; 34] = [
         Kind::HostKill,
         Kind::AllKill,
         Kind::HostStop,
@@ -124,6 +126,7 @@
         Kind::DutiesLost,
         Kind::EndpointSlow,
         Kind::EndpointLimit,
+        Kind::StoreReturns,
     ];
 
     /// Returns whether the fault disturbs all hosts, not only its target.
@@ -136,6 +139,7 @@
                 | Kind::StoreAnswersLost
                 | Kind::StoreWritesLate
                 | Kind::StoreForgets
+                | Kind::StoreReturns
         )
     }
 
@@ -169,6 +173,7 @@
                 | Kind::StoreAnswersLost
                 | Kind::StoreWritesLate
                 | Kind::StoreForgets
+                | Kind::StoreReturns
         )
     }
 
--- a/crates/soak/tests/check.rs
+++ b/crates/soak/tests/check.rs
@@ -5,8 +5,8 @@
 
 use agate_soak::check::{Bounds, CHECKS, Promise, findings};
 use agate_soak::ledger::{
-    Arrival, Ask, Asked, Call, Cause, Change, Departure, Disturbance, End, Ledger, Notice, Ran,
-    Retry, Use,
+    Arrival, Ask, Asked, Call, Cause, Change, Departure, Disturbance, End, Leaving, Ledger, Notice,
+    Ran, Retry, Use,
 };
 use rstest::rstest;
 
@@ -216,6 +216,14 @@
                 ledger.arrivals.push(arrival(&id, at));
             }
         }
+        Promise::Drain => {
+            ledger.leavings.push(Leaving {
+                endpoint: "e".to_owned(),
+                at: seconds(10.0),
+            });
+            ledger.requests.push(request("r3", 12.1, whole(200, true)));
+            ledger.arrivals.push(arrival("r3", 12.15));
+        }
         Promise::Limit => {
             for n in 0..60 {
                 let (id, at) = (format!("l{n}"), 20.0 + f64::from(n) / 6.0);
@@ -232,7 +240,7 @@
 
 #[rstest]
 fn each_check_alone_reports_the_violation_of_its_promise(
-    #[values(0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18)] n: usize,
+    #[values(0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16, 17, 18, 19)] n: usize,
 ) {
     let (promise, _) = CHECKS[n];
     let found = findings(&broken_ledger(promise), &BOUNDS);
