Era of the store before the number of a commit, wherever revisions are compared

A store that returns from an older copy gives out versions again. A revision now holds the era of the store above the version, so that all comparisons order eras first: followed tables, what hosts hand on, evidence, conditions of commits. The first to hear of a newer era makes it known; from then on no response of an earlier one counts, and nothing is committed under a condition of one. A table whose history is gone is read again at once.

--- a/crates/edge/src/config/patch.rs
+++ b/crates/edge/src/config/patch.rs
@@ -8,7 +8,7 @@
 use std::io::{Read as _, Write as _};
 use std::rc::Rc;
 
-use agate_model::id::Version;
+use agate_model::id::{Revision, Version};
 use agate_model::key::{DIGEST_BYTES, Digest};
 use base64::Engine as _;
 use base64::engine::general_purpose::STANDARD;
@@ -28,7 +28,7 @@
 pub enum Unpatched {
     /// It applies to another version than the one in force.
     #[error("the patch applies to revision {0:?}")]
-    OtherBase(Option<u64>),
+    OtherBase(Option<Revision>),
     /// The bytes are no patch; another build may have written them.
     #[error("malformed patch: {0}")]
     Malformed(String),
@@ -61,7 +61,7 @@
 #[derive(Debug, Serialize, Deserialize)]
 pub struct Patch {
     /// Revision that wrote the version to which the patch applies; `None` if it applies to none.
-    base: Option<u64>,
+    base: Option<Revision>,
     version: Version,
     limits: Limits,
     /// Services that were added or changed.
@@ -89,7 +89,7 @@
 impl Patch {
     /// Returns the patch that makes `config` of the version which was written at revision `base.0`, or
     /// of nothing.
-    pub fn new(base: Option<(u64, &Config)>, config: &Config) -> Self {
+    pub fn new(base: Option<(Revision, &Config)>, config: &Config) -> Self {
         let mut patch = Self {
             base: base.map(|(revision, _)| revision),
             version: config.version,
@@ -171,7 +171,7 @@
 
     /// Returns the configuration that results if the patch is applied to the version in force, which
     /// was written at revision `base.0`.
-    pub fn apply(self, base: Option<(u64, &Config)>) -> Result<Config, Unpatched> {
+    pub fn apply(self, base: Option<(Revision, &Config)>) -> Result<Config, Unpatched> {
         let base = match self.base {
             None => None,
             Some(revision) => match base {
--- a/crates/edge/src/duty/lease.rs
+++ b/crates/edge/src/duty/lease.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use agate_lease::{Attempt, Candidate, Entry, Holder, Permit, Settlement, Terms, Verdict};
+use agate_model::id::Revision;
 use agate_store::Error;
 use agate_store::interface::Change;
 use agate_wire::lease::Row;
@@ -246,7 +247,7 @@
 
 /// Writes the lease row if its revision is still `check`, or if there is no row and `check` is
 /// `None`. Returns the revision of the write.
-async fn commit(edge: &Edge, check: Option<u64>, row: Row) -> Result<u64, Error> {
+async fn commit(edge: &Edge, check: Option<Revision>, row: Row) -> Result<Revision, Error> {
     let value = serde_json::to_string(&row)
         .map_err(|err| Error::Unreached(format!("cannot encode the lease row: {err}")))?;
     let transaction = Transaction {
--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use agate_memory::Budget as Memory;
-use agate_model::id::{AccountId, Incarnation, RouteId};
+use agate_model::id::{AccountId, Incarnation, Revision, RouteId};
 use agate_store::interface::{Feed, Tables};
 use tokio::sync::{Mutex, Notify, watch};
 use tokio::time::{Instant, sleep_until, timeout_at};
@@ -18,6 +18,7 @@
 use crate::clock::{self, StoreClock};
 use crate::config::{Config, ServiceId};
 use crate::duty::lease::Lease;
+use crate::era::{Eras, Ordered};
 use crate::estimate;
 use crate::evacuation::Evacuations;
 use crate::evidence::Evidence;
@@ -92,6 +93,8 @@
     pub remote: Remote,
     /// Counters, gauges and histograms of this host.
     pub metrics: Metrics,
+    /// Newest known era of the store.
+    pub eras: Rc<Eras>,
     /// Evidence on prompts that crash endpoints.
     pub guard: Guard,
     /// Permits for endpoints that have named a limit.
@@ -131,13 +134,13 @@
     pub lease: Lease,
     /// Revision up to which the configuration in force is the newest one written; `None` before there is
     /// one. It passes the revision that wrote it if the same version, or an older one, is written again.
-    pub config_revision: Cell<Option<u64>>,
+    pub config_revision: Cell<Option<Revision>>,
     /// Evacuated zones as last read from the store or another host.
     pub evacuations: RefCell<Evacuations>,
     /// Notified when a newer configuration or evacuation than those in force is known to exist.
     pub config_outdated: Notify,
     /// Newest known revision of the store, of any table; 0 before the first.
-    pub newest_revision: Cell<u64>,
+    pub newest_revision: Cell<Revision>,
     /// What the connections of all listeners hold of the memory of the process.
     pub memory: Rc<Memory>,
     /// Estimate of the store's clock from its responses.
@@ -157,9 +160,13 @@
     /// Creates the state of a host that has read nothing from the store yet.
     pub fn new(settings: Settings, remote: Remote) -> Rc<Self> {
         let metrics = Metrics::new();
+        let eras = Eras::new(metrics.store_era.clone(), metrics.changes.clone());
+        let tables: Rc<dyn Tables> =
+            Rc::new(MeteredTables::new(remote.tables, metrics.store.clone()));
+        let feed: Rc<dyn Feed> = Rc::new(MeteredFeed::new(remote.feed, metrics.store.clone()));
         let remote = Remote {
-            tables: Rc::new(MeteredTables::new(remote.tables, metrics.store.clone())),
-            feed: Rc::new(MeteredFeed::new(remote.feed, metrics.store.clone())),
+            tables: Rc::new(Ordered::new(tables, eras.clone())),
+            feed: Rc::new(Ordered::new(feed, eras.clone())),
             ..remote
         };
         let memory = Memory::new(settings.machine.size());
@@ -168,6 +175,7 @@
             incarnation: hex::encode(rand::random::<[u8; 8]>()),
             remote,
             metrics,
+            eras,
             guard: Guard::default(),
             limits: Limits::default(),
             faulty: RefCell::default(),
@@ -211,7 +219,7 @@
 
     /// Puts a configuration in force, unless its version is not newer than the one in force.
     /// `revision` is the store's revision that wrote it.
-    pub fn configure(&self, config: Config, revision: u64) {
+    pub fn configure(&self, config: Config, revision: Revision) {
         let known = self.config().map_or(0, |config| config.version);
         if config.version <= known {
             tracing::info!(
--- a/crates/edge/src/evacuation.rs
+++ b/crates/edge/src/evacuation.rs
@@ -7,7 +7,7 @@
 
 use std::collections::{BTreeMap, HashSet};
 
-use agate_model::id::ZoneId;
+use agate_model::id::{Revision, ZoneId};
 use agate_store::interface::Change;
 use agate_wire::table::Check;
 use bytes::Bytes;
@@ -22,7 +22,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct State {
     /// Revision of the row, or up to which it is known to be removed.
-    revision: u64,
+    revision: Revision,
     /// Whether the row exists.
     is_evacuated: bool,
 }
@@ -32,15 +32,15 @@
 pub struct Evacuations {
     zones: BTreeMap<ZoneId, State>,
     /// Revision of the newest known change; 0 before the first.
-    newest: u64,
+    newest: Revision,
     /// Revision up to which all changes are known.
-    complete: u64,
+    complete: Revision,
 }
 
 impl Evacuations {
     /// Applies the change of a zone's row, unless a newer one is known. Returns whether the zone is
     /// evacuated or taken back by it.
-    pub fn apply(&mut self, zone: &ZoneId, is_evacuated: bool, revision: u64) -> bool {
+    pub fn apply(&mut self, zone: &ZoneId, is_evacuated: bool, revision: Revision) -> bool {
         self.newest = self.newest.max(revision);
         self.complete = self.complete.max(revision);
         let before = self.zones.get(zone).copied();
@@ -57,7 +57,7 @@
 
     /// Applies all rows as they were at `revision`, with the revision of each. Returns whether a zone
     /// is evacuated or taken back by them.
-    pub fn replace(&mut self, listed: &BTreeMap<ZoneId, u64>, revision: u64) -> bool {
+    pub fn replace(&mut self, listed: &BTreeMap<ZoneId, Revision>, revision: Revision) -> bool {
         let known: Vec<ZoneId> = self.zones().cloned().collect();
         let complete = self.complete;
         let mut is_changed = false;
@@ -96,7 +96,7 @@
     }
 
     /// Returns the revision of a zone's row; `None` if the zone is not evacuated.
-    pub fn row_revision(&self, zone: &str) -> Option<u64> {
+    pub fn row_revision(&self, zone: &str) -> Option<Revision> {
         let state = self.zones.get(zone)?;
         state.is_evacuated.then_some(state.revision)
     }
@@ -109,12 +109,12 @@
     }
 
     /// Returns the revision of the newest known change; 0 before the first.
-    pub fn newest(&self) -> u64 {
+    pub fn newest(&self) -> Revision {
         self.newest
     }
 
     /// Returns whether all changes up to a revision are known.
-    pub fn is_complete(&self, revision: u64) -> bool {
+    pub fn is_complete(&self, revision: Revision) -> bool {
         self.complete >= revision
     }
 }
@@ -138,7 +138,7 @@
     }
 
     /// Applies the evacuations among all rows of the configuration's table at `revision`.
-    pub fn replace_evacuations(&self, rows: &[Change], revision: u64) {
+    pub fn replace_evacuations(&self, rows: &[Change], revision: Revision) {
         let listed = rows.iter().filter(|row| row.value.is_some());
         let listed = listed.filter_map(|row| {
             let zone = self.remote.decoder.evacuated_zone(&row.key)?;
@@ -154,7 +154,7 @@
     }
 
     /// Puts changed evacuations in force for new requests and those that wait.
-    fn enforce_evacuations(&self, revision: u64) {
+    fn enforce_evacuations(&self, revision: Revision) {
         let zones: HashSet<ZoneId> = self.evacuations.borrow().zones().cloned().collect();
         count(&self.metrics.changes, "evacuation");
         let evacuated = i64::try_from(zones.len()).unwrap_or(i64::MAX);
--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -10,6 +10,8 @@
 use std::task::Poll;
 use std::time::Duration;
 
+use agate_model::id::{Era, Revision};
+use agate_model::revision;
 use agate_store::Error;
 use agate_store::interface::{Change, Changes, ResponseFuture};
 use bytes::Bytes;
@@ -102,6 +104,9 @@
     fn is_urgent(&self, _edge: &Edge) -> bool {
         false
     }
+    /// Records that the next changes are the first ones after the store has returned from an older copy:
+    /// they show what the copy has, and what was written since.
+    fn start_era(&mut self, _edge: &Edge) {}
     /// Records that a read from the store failed, or that the next changes are another host's first
     /// ones after that.
     fn lost(&mut self) {}
@@ -125,7 +130,9 @@
     /// Minimum time from the start of one read to the start of the next.
     interval: Duration,
     /// Revision up to which the sink has all changes; `None` if a snapshot is needed.
-    after: Option<u64>,
+    after: Option<Revision>,
+    /// Era of the last changes; `None` before the first.
+    era: Option<Era>,
     /// Whether the last read failed.
     is_lost: bool,
     /// Whether a read of the store has failed since the last one that succeeded.
@@ -254,6 +261,15 @@
         bears
     }
 
+    /// Tells the sink if the store has returned from an older copy since the changes before. `revision` is
+    /// that of the next ones.
+    fn start_era(&mut self, revision: Revision) {
+        let era = revision::era(revision);
+        if self.era.replace(era).is_some_and(|before| before < era) {
+            self.sink.start_era(&self.edge);
+        }
+    }
+
     /// Passes changes from another host to the sink.
     fn apply_relayed(&mut self, relayed: Relayed) {
         let Some(relay) = &self.relay else { return };
@@ -273,6 +289,7 @@
         if relayed.is_after_outage {
             self.sink.lost();
         }
+        self.start_era(revision);
         self.sink.start_batch();
         match self.sink.relayed(&self.edge, relayed) {
             Outcome::Complete => {
@@ -380,7 +397,10 @@
             let due = due.unwrap_or_else(|| Instant::now() + self.wait + MAX_DUE_DELAY);
             let is_first = reads.len() == 1;
             let outdated = async {
-                self.sink.outdated(&self.edge).await;
+                tokio::select! {
+                    () = self.sink.outdated(&self.edge) => {}
+                    () = self.edge.eras.wait_later(self.after.unwrap_or(0)), if self.after.is_some() => {}
+                }
                 wait_for_pause(|| feed.received(self.table)).await;
             };
             tokio::select! {
@@ -410,7 +430,8 @@
                 after = self.after
             );
             self.after = None;
-            return Ok(());
+            self.has_failed = has_failed;
+            return Box::pin(self.read_store(is_probe)).await;
         };
         let received = clock::boot();
         let mut store_clock = self.edge.store_clock.get();
@@ -424,6 +445,7 @@
         let (revision, clock) = (changes.revision, changes.clock);
         let is_snapshot = self.after.is_none();
         let handed_on = self.relay.as_ref().map(|_| changes.clone());
+        self.start_era(revision);
         self.sink.start_batch();
         // The response does not cover a revision that was known before the request was sent: it is
         // stale, and rows that it lacks may exist.
@@ -525,6 +547,7 @@
         wait,
         interval,
         after: None,
+        era: None,
         is_lost: false,
         has_failed: false,
         is_direct: false,
--- a/crates/edge/src/follow/config.rs
+++ b/crates/edge/src/follow/config.rs
@@ -4,6 +4,7 @@
 use std::rc::{Rc, Weak};
 use std::time::Duration;
 
+use agate_model::id::Revision;
 use agate_store::interface::{Change, Changes};
 use bytes::Bytes;
 use futures_util::future::LocalBoxFuture;
@@ -50,10 +51,10 @@
     key: &'static str,
     /// Revision of the newest row that was read from the store, whether it could be decoded or not; `None`
     /// before the first.
-    read: Option<u64>,
+    read: Option<Revision>,
     /// Version to which the next patch for other hosts applies, and the revision that wrote it; `None`
     /// before the first version.
-    offered: Option<(u64, Rc<Config>)>,
+    offered: Option<(Revision, Rc<Config>)>,
 }
 
 /// All of a version, and the evacuations in force, for hosts that have none of the versions to which
@@ -61,7 +62,7 @@
 struct Whole {
     edge: Weak<Edge>,
     key: &'static str,
-    revision: u64,
+    revision: Revision,
     config: Rc<Config>,
     /// Encoded when a host first needs it.
     encoded: OnceCell<Option<Bytes>>,
@@ -83,7 +84,7 @@
 }
 
 /// Encodes the patch between two versions, or all of `config`; `None` if that fails.
-fn encode(base: Option<(u64, &Config)>, config: &Config) -> Option<Bytes> {
+fn encode(base: Option<(Revision, &Config)>, config: &Config) -> Option<Bytes> {
     let started = Instant::now();
     let encoded = Patch::new(base, config).encode();
     let encoded = encoded
@@ -155,7 +156,7 @@
     }
 
     /// Makes the version in force the one that other hosts get. Returns the version before.
-    fn offer(&mut self, edge: &Edge) -> Option<(u64, Rc<Config>)> {
+    fn offer(&mut self, edge: &Edge) -> Option<(Revision, Rc<Config>)> {
         let (revision, config) = edge.config_revision.get().zip(edge.config())?;
         let before = self.offered.replace((revision, config.clone()));
         if before
--- a/crates/edge/src/handover.rs
+++ b/crates/edge/src/handover.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 
 use actix_http::Method;
+use agate_model::id::Revision;
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
@@ -48,12 +49,12 @@
 #[derive(Clone, Copy, Debug, Serialize, Deserialize)]
 pub struct Evidence {
     /// Revision that wrote the configuration in force at the reader.
-    pub revision: u64,
+    pub revision: Revision,
     /// Time since the store was known to hold nothing newer, in milliseconds.
     pub age_ms: u64,
     /// Revision of the newest evacuation that the reader knows, 0 for none; `None` if it does not tell.
     #[serde(default)]
-    pub evacuations: Option<u64>,
+    pub evacuations: Option<Revision>,
 }
 
 impl Evidence {
@@ -216,6 +217,9 @@
 /// Applies the evidence of another host. Its age counts from the time at which the request was sent, so
 /// that the duration of the call makes it older and never younger.
 pub fn confirm(edge: &Edge, sent_at: Duration, newest: &Evidence) {
+    if !edge.eras.observe(newest.revision) {
+        return;
+    }
     let Some(own) = edge.config_revision.get() else {
         return;
     };
--- a/crates/edge/src/heartbeat.rs
+++ b/crates/edge/src/heartbeat.rs
@@ -3,6 +3,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use agate_model::id::Revision;
+use agate_model::revision;
 use agate_store::Error;
 use agate_wire::table::{Check, Transaction, Write};
 use tokio::time::{Instant, sleep};
@@ -303,13 +305,13 @@
 async fn commit_batch(edge: &Edge, writes: Vec<Write>) -> Result<(), Error> {
     let outcome = match edge.config_revision.get() {
         Some(revision) => confirm(edge, &writes, revision).await,
-        None => commit(edge, Vec::new(), writes.clone()).await,
+        None => commit(edge, Vec::new(), writes.clone()).await.map(drop),
     };
     // The rows must be written even if there is a newer configuration or evacuation.
     match outcome {
         Err(Error::Conflict(_)) => {
             edge.config_outdated.notify_waiters();
-            commit(edge, Vec::new(), writes).await
+            commit(edge, Vec::new(), writes).await.map(drop)
         }
         // A ledger row that the store does not accept must not stop the heartbeats of a zone.
         Err(Error::Refused {
@@ -328,7 +330,7 @@
 
 /// Commits on the condition that the configuration and the evacuations in force are the newest. Success
 /// is evidence of that, dated at the time when the request was sent.
-async fn confirm(edge: &Edge, writes: &[Write], revision: u64) -> Result<(), Error> {
+async fn confirm(edge: &Edge, writes: &[Write], revision: Revision) -> Result<(), Error> {
     let (table, key) = edge.remote.decoder.config_row();
     let mut checks = edge.evacuation_checks();
     checks.push(Check {
@@ -337,18 +339,20 @@
         revision: Some(revision),
     });
     let sent_at = clock::boot();
-    commit(edge, checks, writes.to_vec()).await?;
-    edge.confirm(sent_at);
+    let committed = commit(edge, checks, writes.to_vec()).await?;
+    if revision::is_same_era(committed, revision) {
+        edge.confirm(sent_at);
+    }
     Ok(())
 }
 
-/// Commits a transaction and records its revision.
-async fn commit(edge: &Edge, checks: Vec<Check>, writes: Vec<Write>) -> Result<(), Error> {
+/// Commits a transaction. Records its revision and returns it.
+async fn commit(edge: &Edge, checks: Vec<Check>, writes: Vec<Write>) -> Result<Revision, Error> {
     let transaction = Transaction { checks, writes };
     let commit = edge.remote.tables.commit(&transaction).await?;
     edge.newest_revision
         .set(edge.newest_revision.get().max(commit.revision));
-    Ok(())
+    Ok(commit.revision)
 }
 
 /// Builds the heartbeat of this host; `ended` marks its incarnation as ended.
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod directory;
 pub mod duty;
 pub mod edge;
+pub mod era;
 pub mod estimate;
 pub mod evacuation;
 pub mod event;
--- a/crates/edge/src/meter.rs
+++ b/crates/edge/src/meter.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use agate_model::id::Revision;
 use agate_store::Error;
 use agate_store::interface::{Changes, Feed, ResponseFuture, Tables};
 use agate_wire::table::{Commit, Page, Row, Transaction};
@@ -145,7 +146,7 @@
     fn changes<'a>(
         &'a self,
         table: &'a str,
-        after: u64,
+        after: Revision,
         wait: Duration,
     ) -> ResponseFuture<'a, Option<Changes>> {
         Box::pin(async move {
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -108,6 +108,8 @@
     pub changes: Family<Outcome, Counter>,
     /// Version of the configuration in force; 0 before the first.
     pub config_version: Gauge,
+    /// Newest known era of the store.
+    pub store_era: Gauge,
     /// Number of endpoints that are cold.
     pub cold_endpoints: Gauge,
     /// Number of evacuated zones.
@@ -267,6 +269,8 @@
         registry.register("changes", "Changes of belief by kind", self.changes.clone());
         let version = self.config_version.clone();
         registry.register("config_version", "Configuration in force", version);
+        let era = self.store_era.clone();
+        registry.register("store_era", "Newest known era of the store", era);
         let cold = self.cold_endpoints.clone();
         registry.register("cold_endpoints", "Cold endpoints", cold);
         let evacuated = self.evacuated_zones.clone();
--- a/crates/edge/src/peer.rs
+++ b/crates/edge/src/peer.rs
@@ -7,6 +7,7 @@
 
 use actix_http::header::{HOST, HeaderMap, HeaderValue};
 use actix_http::{Method, StatusCode};
+use agate_model::id::Era;
 use bytes::{Bytes, BytesMut};
 use serde::de::DeserializeOwned;
 use tokio::net::TcpStream;
@@ -56,6 +57,10 @@
     /// The body of the response can't be decoded.
     #[error("malformed response: {0}")]
     Malformed(String),
+    /// The other host has not noticed yet that the store has returned from an older copy. Holds the era of its
+    /// data.
+    #[error("the data of the response is of era {0} of the store, which has returned since")]
+    EarlierEra(Era),
     /// The data in the response is older than the caller accepts.
     #[error("the data of the response is {0:?} old")]
     Stale(Duration),
@@ -109,7 +114,7 @@
     /// Excludes a host from calls for a while, since it failed or its responses are of no use.
     pub fn back_off(&self, host: SocketAddr, error: &Error) {
         let time = match error {
-            Error::Refused(_) | Error::Stale(_) => UNAVAILABLE_BACKOFF,
+            Error::Refused(_) | Error::Stale(_) | Error::EarlierEra(_) => UNAVAILABLE_BACKOFF,
             _ => BACKOFF,
         };
         let until = Instant::now() + time;
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -13,6 +13,8 @@
 
 use actix_http::{Method, StatusCode};
 use agate_memory::Budget;
+use agate_model::id::Revision;
+use agate_model::revision;
 use agate_store::interface::{Change, Changes};
 use bytes::Bytes;
 use futures_util::future::LocalBoxFuture;
@@ -40,7 +42,7 @@
     key: String,
     /// `None` if the row was removed.
     value: Option<Value>,
-    revision: u64,
+    revision: Revision,
 }
 
 /// Contents of a row: text, or hexadecimal digits if the bytes are not valid UTF-8.
@@ -85,7 +87,7 @@
     #[serde(default)]
     is_after_outage: bool,
     /// Revision up to which the changes are complete.
-    revision: u64,
+    revision: Revision,
     /// The store's clock at its last response, in milliseconds.
     clock: u64,
     /// Time since that response, in milliseconds.
@@ -167,15 +169,15 @@
     /// each other would both keep what is outdated.
     is_direct: bool,
     /// Revision of the first response after the last outage; `None` if there was none.
-    outage: Option<u64>,
+    outage: Option<Revision>,
     /// Recent changes, oldest first.
     changes: VecDeque<Change>,
     /// Bytes of the values of those.
     change_bytes: usize,
     /// Revision after which the changes are complete; older ones may be missing.
-    oldest_revision: u64,
+    oldest_revision: Revision,
     /// Revision of the store's last response.
-    revision: u64,
+    revision: Revision,
     /// The store's clock at its last response, in milliseconds.
     clock: u64,
     /// When the last response was received.
@@ -183,7 +185,7 @@
 }
 
 impl Mirror {
-    fn new(revision: u64) -> Self {
+    fn new(revision: Revision) -> Self {
         Self {
             rows: Rows::Partial,
             is_direct: false,
@@ -235,8 +237,10 @@
 
     /// Returns the changes after a revision, or all rows if some of the changes are missing; `None`
     /// if some of the rows are missing as well.
-    fn page(&self, after: u64) -> Option<Page> {
-        if !self.is_direct {
+    fn page(&self, after: Revision) -> Option<Page> {
+        // What the other host has is of a later era than all that is known here.
+        let is_outdated = revision::era(after) > revision::era(self.revision);
+        if !self.is_direct || is_outdated {
             return None;
         }
         let is_snapshot = self.oldest_revision > after;
@@ -305,14 +309,19 @@
 
     /// Sets what all rows of a table are made from, in place of keeping them. `revision` is that of the
     /// newest change that they include.
-    pub fn set_snapshot(&self, table: &'static str, revision: u64, snapshot: Rc<dyn Snapshot>) {
+    pub fn set_snapshot(
+        &self,
+        table: &'static str,
+        revision: Revision,
+        snapshot: Rc<dyn Snapshot>,
+    ) {
         let mut tables = self.tables.borrow_mut();
         let mirror = tables.entry(table).or_insert_with(|| Mirror::new(revision));
         mirror.rows = Rows::Made(snapshot);
     }
 
     /// Returns all rows of a table and the revision that they are from; `None` if they are not kept.
-    pub fn rows(&self, table: &str) -> Option<(BTreeMap<String, Change>, u64)> {
+    pub fn rows(&self, table: &str) -> Option<(BTreeMap<String, Change>, Revision)> {
         let tables = self.tables.borrow();
         let mirror = tables.get(table)?;
         match &mirror.rows {
@@ -374,7 +383,9 @@
         let Some(query) = Query::parse(target) else {
             return response::Response::bare(StatusCode::BAD_REQUEST);
         };
+        self.edge.eras.observe(query.after);
         let page = self.edge.mirrors.page(&query).await;
+        let page = page.filter(|page| self.edge.eras.observe(page.revision));
         if self.edge.outage.is_active() {
             return response::Response::bare(OUTAGE_STATUS);
         }
@@ -433,7 +444,7 @@
 struct Query<'a> {
     table: &'a str,
     /// Revision after which changes are wanted.
-    after: u64,
+    after: Revision,
     /// Maximum wait for a change.
     wait: Duration,
     /// Maximum age of the reader's last read of the table.
@@ -486,7 +497,7 @@
 
     /// Reads the changes after a revision, or all rows without one, from the reader of the zone or
     /// from another one if that fails. A reader that fails is not used again for a while.
-    pub async fn changes(&self, after: Option<u64>, wait: Duration) -> Result<Relayed, Error> {
+    pub async fn changes(&self, after: Option<Revision>, wait: Duration) -> Result<Relayed, Error> {
         let readers = self.edge.readers();
         let mut outcome = Err(Error::NoReader);
         for _ in 0..MAX_READERS {
@@ -512,7 +523,12 @@
     }
 
     /// Sends one query to a reader; fails if its data is too old.
-    async fn read(&self, reader: SocketAddr, after: u64, wait: Duration) -> Result<Relayed, Error> {
+    async fn read(
+        &self,
+        reader: SocketAddr,
+        after: Revision,
+        wait: Duration,
+    ) -> Result<Relayed, Error> {
         let query = Query {
             table: self.table,
             after,
@@ -531,6 +547,9 @@
         if age > self.max_age {
             return Err(Error::Stale(age));
         }
+        if !self.edge.eras.observe(page.revision) {
+            return Err(Error::EarlierEra(revision::era(page.revision)));
+        }
         if page.clock > 0 {
             let millis = page.clock.saturating_add(page.age_ms);
             self.edge.guard.observe_clock(clock::boot(), millis);
--- a/crates/edge/tests/support/store.rs
+++ b/crates/edge/tests/support/store.rs
@@ -5,6 +5,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use agate_model::id::Revision;
+use agate_model::revision;
 use agate_store::Error;
 use agate_store::interface::{Change, Changes, Feed, ResponseFuture, Tables};
 use agate_wire::table::{Commit, Conflict, Page, Row, Transaction, Write};
@@ -15,15 +17,26 @@
 /// Largest value of a row, in bytes.
 pub const ROW_BYTES: usize = 64 << 10;
 
+/// Rows of a store, and how they came about.
+#[derive(Clone, Default)]
+pub struct Contents {
+    /// Value and revision of each row, by table and key.
+    rows: BTreeMap<(String, String), (Bytes, Revision)>,
+    /// All changes with their tables, oldest first.
+    history: Vec<(String, Change)>,
+    /// Revision of the last change.
+    revision: Revision,
+}
+
 /// Store in memory that keeps the history of its rows.
 #[derive(Default)]
 pub struct Store {
     /// Value and revision of each row, by table and key.
-    rows: RefCell<BTreeMap<(String, String), (Bytes, u64)>>,
+    rows: RefCell<BTreeMap<(String, String), (Bytes, Revision)>>,
     /// All changes with their tables, oldest first.
     history: RefCell<Vec<(String, Change)>>,
     /// Revision of the last change.
-    revision: Cell<u64>,
+    revision: Cell<Revision>,
     /// Notified after each change.
     changed: Notify,
     /// Calls fail while this is set.
@@ -66,6 +79,35 @@
         self.changed.notify_waiters();
     }
 
+    /// Returns a copy, from which the store may return later.
+    pub fn copy(&self) -> Contents {
+        Contents {
+            rows: self.rows.borrow().clone(),
+            history: self.history.borrow().clone(),
+            revision: self.revision.get(),
+        }
+    }
+
+    /// Returns from a copy: what was written since is gone, and a new era begins. As clients see it, what the copy has is of
+    /// the new era too. Waiting reads fail.
+    pub fn return_from(&self, copy: Contents) {
+        let era = revision::era(self.revision.get()) + 1;
+        let renew = |old| revision::join(era, revision::number(old)).expect("eras are small");
+        let rows = copy.rows.into_iter();
+        *self.rows.borrow_mut() = rows
+            .map(|(key, (value, revision))| (key, (value, renew(revision))))
+            .collect();
+        let history = copy.history.into_iter();
+        *self.history.borrow_mut() = history
+            .map(|(table, change)| {
+                let revision = renew(change.revision);
+                (table, Change { revision, ..change })
+            })
+            .collect();
+        self.revision.set(renew(copy.revision));
+        self.changed.notify_waiters();
+    }
+
     /// Returns the number of commits, snapshots and calls for changes so far.
     pub fn call_count(&self) -> usize {
         let snapshots: usize = self.snapshots.borrow().values().sum();
@@ -96,7 +138,7 @@
     }
 
     /// Returns the changes of a table after a revision.
-    fn since(&self, table: &str, after: u64) -> Vec<Change> {
+    fn since(&self, table: &str, after: Revision) -> Vec<Change> {
         let history = self.history.borrow();
         let newer = history
             .iter()
@@ -197,13 +239,17 @@
     fn changes<'a>(
         &'a self,
         table: &'a str,
-        after: u64,
+        after: Revision,
         wait: Duration,
     ) -> ResponseFuture<'a, Option<Changes>> {
         Box::pin(async move {
             *self.calls.borrow_mut().entry(table.to_owned()).or_default() += 1;
             self.check()?;
             let deadline = Instant::now() + wait;
+            let era = revision::era(self.revision.get());
+            if revision::era(after) != era {
+                return Ok(None);
+            }
             while self.since(table, after).is_empty() && Instant::now() < deadline {
                 let _ = timeout_at(deadline, self.changed.notified()).await;
             }
@@ -211,6 +257,9 @@
                 std::future::pending::<()>().await;
             }
             self.check()?;
+            if revision::era(self.revision.get()) != era {
+                return Err(Error::Unknown("the test store was away".to_owned()));
+            }
             Ok(Some(Changes {
                 rows: self.since(table, after),
                 revision: self.revision.get(),
@@ -307,7 +356,7 @@
     fn changes<'a>(
         &'a self,
         table: &'a str,
-        after: u64,
+        after: Revision,
         wait: Duration,
     ) -> ResponseFuture<'a, Option<Changes>> {
         Box::pin(async move {
--- a/crates/lease/src/candidate.rs
+++ b/crates/lease/src/candidate.rs
@@ -2,7 +2,7 @@
 
 use std::time::{Duration, Instant};
 
-use agate_model::id::{HostId, Incarnation};
+use agate_model::id::{HostId, Incarnation, Revision};
 
 use crate::holder::Holder;
 use crate::row::{Entry, Nonce, Row};
@@ -33,7 +33,7 @@
 /// A revision of the row and the time at which this process first read it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 struct Observation {
-    revision: u64,
+    revision: Revision,
     since: Instant,
 }
 
@@ -51,7 +51,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Attempt {
     /// Revision that the row must have; `None` if it must be absent.
-    pub check: Option<u64>,
+    pub check: Option<Revision>,
     /// Row to write: the next epoch, with this process as the holder.
     pub row: Row,
     terms: Terms,
@@ -118,7 +118,7 @@
 
 impl Attempt {
     /// Returns the holder. To be called once the store has confirmed the commit, at `revision`.
-    pub fn committed(self, revision: u64) -> Holder {
+    pub fn committed(self, revision: Revision) -> Holder {
         Holder::new(self.terms, self.row, revision, self.started)
     }
 
--- a/crates/lease/src/holder.rs
+++ b/crates/lease/src/holder.rs
@@ -2,7 +2,7 @@
 
 use std::time::Instant;
 
-use agate_model::id::Epoch;
+use agate_model::id::{Epoch, Revision};
 
 use crate::permit::Ticket;
 use crate::row::{Entry, Row};
@@ -22,7 +22,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Renewal {
     /// Revision that the row must have.
-    pub check: u64,
+    pub check: Revision,
     /// Row to write; only its count of renewals and `released` differ from the last one.
     pub row: Row,
 }
@@ -39,13 +39,13 @@
 pub struct Holder {
     terms: Terms,
     row: Row,
-    revision: u64,
+    revision: Revision,
     until: Instant,
     pending: Option<Pending>,
 }
 
 impl Holder {
-    pub(crate) fn new(terms: Terms, row: Row, revision: u64, started: Instant) -> Self {
+    pub(crate) fn new(terms: Terms, row: Row, revision: Revision, started: Instant) -> Self {
         Self {
             terms,
             row,
@@ -61,7 +61,7 @@
     }
 
     /// Returns the newest revision of the row that this process knows of.
-    pub fn revision(&self) -> u64 {
+    pub fn revision(&self) -> Revision {
         self.revision
     }
 
@@ -91,7 +91,7 @@
     }
 
     /// Records that the last renewal was committed at `revision`, which extends the term.
-    pub fn renewed(&mut self, revision: u64) {
+    pub fn renewed(&mut self, revision: Revision) {
         self.revision = revision;
         if let Some(pending) = self.pending.take() {
             self.until = pending.started + (self.terms.term - self.terms.margin);
--- a/crates/lease/src/permit.rs
+++ b/crates/lease/src/permit.rs
@@ -2,14 +2,14 @@
 
 use std::time::{Duration, Instant};
 
-use agate_model::id::Epoch;
+use agate_model::id::{Epoch, Revision};
 
 /// Permission to record one order in a transaction. The transaction must check that the lease's
 /// row has [`Ticket::revision`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub struct Ticket {
     pub(crate) epoch: Epoch,
-    pub(crate) revision: u64,
+    pub(crate) revision: Revision,
     pub(crate) until: Instant,
 }
 
@@ -20,7 +20,7 @@
     }
 
     /// Returns the revision of the lease's row that the transaction must check.
-    pub fn revision(&self) -> u64 {
+    pub fn revision(&self) -> Revision {
         self.revision
     }
 
--- a/crates/lease/src/row.rs
+++ b/crates/lease/src/row.rs
@@ -1,6 +1,6 @@
 //! The row of the store that records the lease.
 
-use agate_model::id::{Epoch, HostId, Incarnation};
+use agate_model::id::{Epoch, HostId, Incarnation, Revision};
 
 /// Name of the table that holds the lease's row.
 pub const TABLE: &str = "lease";
@@ -33,5 +33,5 @@
     /// Lease that the row records.
     pub row: Row,
     /// Revision of the commit that wrote the row.
-    pub revision: u64,
+    pub revision: Revision,
 }
--- a/crates/model/src/id.rs
+++ b/crates/model/src/id.rs
@@ -29,6 +29,10 @@
 pub type Version = u64;
 /// Lease epoch, which is also the fencing token; grows with every change of the lease holder.
 pub type Epoch = u64;
+/// Number of returns of a store from an older copy, as the store counts them; 0 for a store that does not count.
+pub type Era = u64;
+/// Revision of a commit to a store: its era and its number, see [`crate::revision`].
+pub type Revision = u64;
 /// Start of a reporting window, in seconds since the Unix epoch.
 pub type Window = u64;
 /// Priority of a class; 0 is the highest.
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod pool;
 pub mod refusal;
 pub mod resource;
+pub mod revision;
 pub mod route;
 pub mod snapshot;
 pub mod version;
--- a/crates/store/src/interface.rs
+++ b/crates/store/src/interface.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use agate_model::endpoint::Endpoint;
+use agate_model::id::Revision;
 use agate_wire::engine::{self, Fenced, Load};
 use agate_wire::order::{Machine, Order, Receipt};
 use agate_wire::platform::{Listing, Report};
@@ -16,6 +17,9 @@
 pub type ResponseFuture<'a, T> = LocalBoxFuture<'a, Result<T, Error>>;
 
 /// Transactional table store.
+///
+/// A store may lose its newest commits by returning from an older copy if its revisions name an era, see
+/// [`agate_model::revision`]. One whose revisions do not is taken to lose nothing that it has acknowledged.
 pub trait Tables {
     /// Returns a row; `None` if it does not exist.
     fn get<'a>(&'a self, table: &'a str, key: &'a str) -> ResponseFuture<'a, Option<Row>>;
@@ -31,7 +35,8 @@
     ) -> ResponseFuture<'a, Page>;
 
     /// Commits a transaction. If a check fails, nothing is written and the error is
-    /// [`Error::Conflict`].
+    /// [`Error::Conflict`]. A check of an earlier era than that of the commit may have held for another
+    /// row, which has got the same number.
     fn commit<'a>(&'a self, transaction: &'a Transaction) -> ResponseFuture<'a, Commit>;
 }
 
@@ -43,7 +48,7 @@
     /// New value; `None` if the row was removed.
     pub value: Option<Bytes>,
     /// Revision of the commit that wrote or removed the row.
-    pub revision: u64,
+    pub revision: Revision,
 }
 
 /// Changes of a table up to a revision.
@@ -52,7 +57,7 @@
     /// Changed rows in the order of their commits, or all rows by key in a snapshot.
     pub rows: Vec<Change>,
     /// Revision of the newest commit that the changes cover.
-    pub revision: u64,
+    pub revision: Revision,
     /// Monotonic clock of the store when it responded, in milliseconds.
     pub clock: u64,
 }
@@ -64,11 +69,12 @@
     fn snapshot<'a>(&'a self, table: &'a str) -> ResponseFuture<'a, Changes>;
 
     /// Returns the changes after the revision `after`, and waits up to `wait` for the first one.
-    /// Returns `None` if the store no longer holds the history since that revision.
+    /// Returns `None` if the store no longer holds the history since that revision, or has returned from an
+    /// older copy since.
     fn changes<'a>(
         &'a self,
         table: &'a str,
-        after: u64,
+        after: Revision,
         wait: Duration,
     ) -> ResponseFuture<'a, Option<Changes>>;
 
--- a/crates/wire/src/table.rs
+++ b/crates/wire/src/table.rs
@@ -5,6 +5,7 @@
 //! - `POST /tables/transactions` takes [`Transaction`]; returns [`Commit`], or
 //!   409 with [`Conflict`] if a check failed; then nothing was written.
 
+use agate_model::id::Revision;
 use serde::{Deserialize, Serialize};
 
 /// A stored row with its revision.
@@ -15,7 +16,7 @@
     /// Contents of the row, at most 256 KiB.
     pub value: String,
     /// Revision of the commit that last wrote the row.
-    pub revision: u64,
+    pub revision: Revision,
 }
 
 /// Consecutive part of a table, ordered by key.
@@ -24,7 +25,7 @@
     /// Rows in ascending order of their keys.
     pub rows: Vec<Row>,
     /// Revision of the commit whose state the page shows.
-    pub revision: u64,
+    pub revision: Revision,
     /// Whether more rows with the prefix follow this page.
     pub more: bool,
 }
@@ -37,7 +38,7 @@
     /// Key of the row within the table.
     pub key: String,
     /// Revision that the row must have; `None` requires that the row does not exist.
-    pub revision: Option<u64>,
+    pub revision: Option<Revision>,
 }
 
 /// Write or deletion of one row.
@@ -64,7 +65,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Commit {
     /// Revision of the rows that were written; it grows with every commit.
-    pub revision: u64,
+    pub revision: Revision,
 }
 
 /// The first check that failed.
