Lease: tenures across a return of the store from an older copy

A lease granted before the return and again after it from the older copy gave two holders one fencing token: the epoch was the one of the row found, and one more. Epochs now also exceed every revision of the store that is known, so those of a later era are above all earlier ones. An attempt counts only in the era for which its epoch was chosen. A renewal in a new era counts only while the term goes on: else another process may have held the lease in what is lost. A candidate waits anew in each era, also if the row is absent or released.

--- a/crates/edge/src/duty/lease.rs
+++ b/crates/edge/src/duty/lease.rs
@@ -10,6 +10,7 @@
 
 use agate_lease::{Attempt, Candidate, Entry, Holder, Permit, Settlement, Terms, Verdict};
 use agate_model::id::Revision;
+use agate_model::revision;
 use agate_store::Error;
 use agate_store::interface::Change;
 use agate_wire::lease::Row;
@@ -172,6 +173,7 @@
         return None;
     }
     let now = clock::steady();
+    candidate.observe_revision(edge.newest_revision.get());
     match candidate.observe(state.seen.as_ref(), now) {
         Verdict::Wait(_) => None,
         Verdict::Acquire => {
@@ -185,9 +187,10 @@
 /// nothing was written; the caller retries.
 async fn acquire(edge: &Edge, attempt: &Attempt) -> Option<Settlement> {
     match commit(edge, attempt.check, attempt.row.clone().into()).await {
-        Ok(revision) => Some(Settlement::Held(Box::new(
-            attempt.clone().committed(revision),
-        ))),
+        Ok(revision) => Some(match attempt.clone().committed(revision) {
+            Ok(holder) => Settlement::Held(Box::new(holder)),
+            Err(_) => Settlement::Lost,
+        }),
         Err(Error::Unreached(_) | Error::Refused { .. }) => None,
         Err(Error::Conflict(_) | Error::Unknown(_)) => {
             let found = read(edge).await.ok()?;
@@ -201,17 +204,30 @@
 /// Renews the lease. Returns `false` once it is known to be lost; `true` also if the outcome of
 /// the renewal is unknown.
 async fn renew(edge: &Edge) -> bool {
+    let revision = |edge: &Edge| {
+        let state = edge.lease.state.borrow();
+        state.holder.as_ref().map_or(0, Holder::revision)
+    };
+    let before = revision(edge);
+    let is_held = try_renew(edge).await;
+    // The row was found under the revision that it has in another era, which has not extended the term.
+    match is_held && !revision::is_same_era(before, revision(edge)) {
+        true => try_renew(edge).await,
+        false => is_held,
+    }
+}
+
+/// Renews the lease once, see [`renew`].
+async fn try_renew(edge: &Edge) -> bool {
     let renewal = match &mut edge.lease.state.borrow_mut().holder {
         Some(holder) => holder.renew(clock::steady()),
         None => return false,
     };
     match commit(edge, Some(renewal.check), renewal.row.into()).await {
-        Ok(revision) => {
-            if let Some(holder) = &mut edge.lease.state.borrow_mut().holder {
-                holder.renewed(revision);
-            }
-            true
-        }
+        Ok(revision) => match &mut edge.lease.state.borrow_mut().holder {
+            Some(holder) => holder.renewed(revision, clock::steady()).is_ok(),
+            None => false,
+        },
         Err(err @ (Error::Unreached(_) | Error::Refused { .. })) => {
             tracing::warn!(event = "lease_not_renewed", error = %err);
             true
@@ -222,7 +238,7 @@
                 return true;
             };
             match &mut edge.lease.state.borrow_mut().holder {
-                Some(holder) => holder.settle(found.as_ref()).is_ok(),
+                Some(holder) => holder.settle(found.as_ref(), clock::steady()).is_ok(),
                 None => false,
             }
         }
--- a/crates/lease/src/holder.rs
+++ b/crates/lease/src/holder.rs
@@ -3,15 +3,17 @@
 use std::time::Instant;
 
 use agate_model::id::{Epoch, Revision};
+use agate_model::revision;
 
 use crate::permit::Ticket;
 use crate::row::{Entry, Row};
 use crate::terms::Terms;
 
 /// The row no longer shows this tenure: another process has acquired the lease, the lease was
-/// released, or the row is absent.
+/// released, or the row is absent. Or the store has returned from an older copy, and another process may have
+/// held the lease in what it has lost.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
-#[error("the lease row is no longer of this tenure: found epoch {epoch} (0: no row)")]
+#[error("the lease row is no longer of this tenure: epoch {epoch} (0: no row)")]
 pub struct Lost {
     /// Epoch of the row that was found; 0 if the row is absent.
     pub epoch: Epoch,
@@ -90,17 +92,31 @@
         }
     }
 
-    /// Records that the last renewal was committed at `revision`, which extends the term.
-    pub fn renewed(&mut self, revision: Revision) {
-        self.revision = revision;
+    /// Records that the last renewal was committed at `revision`, which extends the term. `now` is taken after the
+    /// response arrived.
+    pub fn renewed(&mut self, revision: Revision, now: Instant) -> Result<(), Lost> {
+        self.move_to(revision, now)?;
         if let Some(pending) = self.pending.take() {
             self.until = pending.started + (self.terms.term - self.terms.margin);
         }
+        Ok(())
+    }
+
+    /// Records the revision of the row. If the store has returned from an older copy, only a holder whose term goes on
+    /// can know that no process had taken over in what is lost.
+    fn move_to(&mut self, revision: Revision, now: Instant) -> Result<(), Lost> {
+        if !revision::is_same_era(revision, self.revision) && !self.is_active(now) {
+            return Err(Lost {
+                epoch: self.epoch(),
+            });
+        }
+        self.revision = revision;
+        Ok(())
     }
 
     /// Resolves the last renewal from the row (`None` if absent) read after a lost response or a
-    /// conflict. An earlier renewal than the last does not extend the term.
-    pub fn settle(&mut self, found: Option<&Entry>) -> Result<(), Lost> {
+    /// conflict, before `now`. An earlier renewal than the last does not extend the term.
+    pub fn settle(&mut self, found: Option<&Entry>, now: Instant) -> Result<(), Lost> {
         let Some(entry) = found else {
             return Err(Lost { epoch: 0 });
         };
@@ -110,10 +126,11 @@
             });
         }
         match self.pending {
-            Some(pending) if pending.renewals == entry.row.renewals => self.renewed(entry.revision),
-            _ => self.revision = entry.revision,
+            Some(pending) if pending.renewals == entry.row.renewals => {
+                self.renewed(entry.revision, now)
+            }
+            _ => self.move_to(entry.revision, now),
         }
-        Ok(())
     }
 
     /// Returns the write that releases the lease, for a holder with nothing in flight.
--- a/crates/lease/tests/model.rs
+++ b/crates/lease/tests/model.rs
@@ -278,7 +278,7 @@
             Role::Holder(holder) => {
                 let mut settled = state.clone();
                 if let Role::Holder(holder) = &mut settled.processes[process].role
-                    && holder.settle(state.row.as_ref()).is_err()
+                    && holder.settle(state.row.as_ref(), now).is_err()
                 {
                     settled.processes[process].role = self.candidate(process);
                 }
@@ -328,7 +328,9 @@
     fn started_holder(&self, mut holder: Holder, now: Instant) -> Holder {
         if self.variant == Variant::TermFromResponse {
             let renewal = holder.renew(now);
-            holder.renewed(renewal.check);
+            holder
+                .renewed(renewal.check, now)
+                .expect("the era is the same");
         }
         holder
     }
@@ -428,10 +430,11 @@
         match role {
             Role::Acquiring(attempt) if attempt.row == entry.row => {
                 let holder = attempt.clone().committed(entry.revision);
+                let holder = holder.expect("the era is the same");
                 *role = Role::Holder(self.started_holder(holder, now));
             }
             Role::Holder(holder) if !entry.row.released => {
-                let _ = holder.settle(Some(entry));
+                let _ = holder.settle(Some(entry), now);
             }
             _ => {}
         }
--- a/crates/lease/tests/rule.rs
+++ b/crates/lease/tests/rule.rs
@@ -28,7 +28,8 @@
 }
 
 fn holder(now: Instant) -> Holder {
-    candidate().acquire(None, "n1".to_owned(), now).committed(1)
+    let attempt = candidate().acquire(None, "n1".to_owned(), now);
+    attempt.committed(1).expect("the era is the same")
 }
 
 #[test]
@@ -81,7 +82,7 @@
     assert!(holder.is_active(now + 8 * SECOND));
     assert!(!holder.is_active(now + 9 * SECOND));
     holder.renew(now + 5 * SECOND);
-    holder.renewed(2);
+    holder.renewed(2, now).expect("the era is the same");
     assert!(holder.is_active(now + 13 * SECOND));
     assert!(!holder.is_active(now + 14 * SECOND));
 }
@@ -96,7 +97,7 @@
         row: first.row,
         revision: 2,
     };
-    assert_eq!(holder.settle(Some(&entry)), Ok(()));
+    assert_eq!(holder.settle(Some(&entry), now), Ok(()));
     assert_eq!(holder.revision(), 2);
     assert!(!holder.is_active(now + 9 * SECOND));
 }
@@ -105,7 +106,7 @@
 fn row_of_another_holder_ends_the_tenure() {
     let mut holder = holder(Instant::now());
     assert_eq!(
-        holder.settle(Some(&foreign_entry(9, false))),
+        holder.settle(Some(&foreign_entry(9, false)), Instant::now()),
         Err(Lost { epoch: 4 })
     );
 }
@@ -116,7 +117,7 @@
     let mut holder = holder(now);
     let permit = holder.ticket(now).expect("the holder is active").recorded();
     holder.renew(now + 5 * SECOND);
-    holder.renewed(2);
+    holder.renewed(2, now).expect("the era is the same");
     assert!(permit.is_valid(now + 8 * SECOND));
     assert!(!permit.is_valid(now + 9 * SECOND));
     assert!(holder.ticket(now + 14 * SECOND).is_none());
--- a/crates/steer/src/duty/lease.rs
+++ b/crates/steer/src/duty/lease.rs
@@ -127,7 +127,10 @@
         };
         let attempt = attempt.clone();
         match commit(context, attempt.check, attempt.row.clone()).await {
-            Ok(revision) => self.hold(context, attempt.committed(revision)),
+            Ok(revision) => match attempt.committed(revision) {
+                Ok(holder) => self.hold(context, holder),
+                Err(_) => self.retry(context),
+            },
             Err(Error::Unreached(_) | Error::Refused { .. }) => RETRY_DELAY,
             Err(Error::Conflict(_) | Error::Unknown(_)) => self.settle(context, &attempt).await,
         }
@@ -140,14 +143,17 @@
         match attempt.settle(found.as_ref()) {
             Settlement::Held(holder) => self.hold(context, *holder),
             Settlement::Unchanged => RETRY_DELAY,
-            Settlement::Lost => {
-                count(&context.duty.metrics.lease, "raced");
-                self.role = candidate(context);
-                Duration::ZERO
-            }
+            Settlement::Lost => self.retry(context),
         }
     }
 
+    /// Becomes a candidate again, since the attempt can't succeed any more.
+    fn retry(&mut self, context: &Context) -> Duration {
+        count(&context.duty.metrics.lease, "raced");
+        self.role = candidate(context);
+        Duration::ZERO
+    }
+
     fn hold(&mut self, context: &Context, holder: agate_lease::Holder) -> Duration {
         tracing::info!(event = "lease_acquired", epoch = holder.epoch());
         count(&context.duty.metrics.lease, "acquired");
@@ -177,7 +183,7 @@
         let tenure = &context.duty.tenure;
         match commit(context, Some(renewal.check), renewal.row).await {
             Ok(revision) => {
-                tenure.with(|holder| holder.renewed(revision));
+                tenure.renewed(revision);
                 Ok(())
             }
             Err(Error::Conflict(_) | Error::Unknown(_)) => {
--- a/crates/steer/src/duty/tenure.rs
+++ b/crates/steer/src/duty/tenure.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use agate_lease::{Entry, Holder, Lost, Permit, Row, row};
-use agate_model::id::Epoch;
+use agate_model::id::{Epoch, Revision};
 use agate_store::Error;
 use agate_store::interface::Tables;
 use agate_wire::lease;
@@ -68,10 +68,19 @@
         self.holder.borrow_mut().as_mut().map(change)
     }
 
+    /// Records that the last renewal was committed at `revision`. Ends the tenure if another process may have held the
+    /// lease meanwhile.
+    pub fn renewed(&self, revision: Revision) {
+        if let Some(Err(lost)) = self.with(|holder| holder.renewed(revision, now())) {
+            self.end();
+            tracing::warn!(event = "lease_lost", epoch = lost.epoch);
+        }
+    }
+
     /// Resolves the last renewal from the lease's row (`None` if absent). Ends the tenure if
     /// another process holds the lease.
     pub fn settle(&self, found: Option<&Entry>) -> Result<(), Lost> {
-        let outcome = self.with(|holder| holder.settle(found));
+        let outcome = self.with(|holder| holder.settle(found, now()));
         if let Some(Err(lost)) = outcome {
             self.end();
             tracing::warn!(event = "lease_lost", epoch = lost.epoch);
