Duty: a window that may have been reported is not counted anew

Counts were frozen in the store before they were reported. A return from an older copy lost them, and the next holder counted the window again: two reports with different figures. A process now keeps what it has frozen, and writes it again after a return. A new holder reports a window that ended before the return only as it finds it frozen; else it says `usage_lost`.

--- a/crates/edge/src/duty/usage.rs
+++ b/crates/edge/src/duty/usage.rs
@@ -1,9 +1,11 @@
 //! Reports usage once for each window. The counts of a window are frozen in the store before they
 //! are sent, so that a retry by any lease holder sends the same counts.
 
+use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
 
+use agate_model::id::{Epoch, Era};
 use agate_store::Error;
 use agate_wire::table::{Check, Transaction, Write};
 use serde::{Deserialize, Serialize};
@@ -40,6 +42,39 @@
 struct Head {
     /// Last window that was reported.
     window: u64,
+    /// Era of the store in which the row was written.
+    #[serde(default)]
+    era: Era,
+}
+
+/// Counts of the windows that this process has frozen or read as frozen. A store that returns from an older copy may
+/// have lost them after they were reported.
+#[derive(Debug, Default)]
+pub struct Sealed {
+    windows: BTreeMap<u64, Counts>,
+}
+
+impl Sealed {
+    /// Inserts the counts of a window. Returns whether they are those known before, if any.
+    fn insert(&mut self, window: u64, counts: &Counts) -> bool {
+        let known = self.windows.entry(window);
+        let is_same = known.or_insert_with(|| counts.clone()) == counts;
+        let oldest = window.saturating_sub(KEPT_WINDOWS);
+        self.windows = self.windows.split_off(&oldest);
+        is_same
+    }
+}
+
+/// What a holder has reported and may report.
+#[derive(Clone, Copy, Debug)]
+struct Progress {
+    /// Epoch of the lease.
+    epoch: Epoch,
+    /// Next window to report.
+    next: u64,
+    /// First window that no earlier holder can have reported; those before are reported only as they are found
+    /// frozen.
+    first_open: u64,
 }
 
 /// Contents of the row of a frozen window.
@@ -51,56 +86,108 @@
 
 /// Reports windows while this host holds the lease, until the task is dropped.
 pub async fn run(edge: Rc<Edge>) {
-    // Epoch of the lease, and the next window to report.
-    let mut progress = None;
+    let mut progress: Option<Progress> = None;
+    let mut era = edge.eras.newest();
     loop {
         sleep(CHECK_INTERVAL).await;
+        if era != edge.eras.newest() && write_again(&edge).await {
+            era = edge.eras.newest();
+        }
         let Some(permit) = edge.lease.permit() else {
             progress = None;
             continue;
         };
-        let next = match progress {
-            Some((epoch, next)) if epoch == permit.epoch() => next,
-            _ => match first_window(&edge).await {
-                Ok(next) => next,
+        let mut current = match progress {
+            Some(progress) if progress.epoch == permit.epoch() => progress,
+            _ => match start(&edge, permit.epoch()).await {
+                Ok(progress) => progress,
                 Err(err) => {
                     tracing::warn!(event = "usage_head_unknown", error = %err);
                     continue;
                 }
             },
         };
-        progress = Some((permit.epoch(), next));
-        if !is_due(&edge, next) {
-            continue;
-        }
-        match report(&edge, next).await {
-            Ok(()) => progress = Some((permit.epoch(), next + 1)),
-            Err(err) => {
-                tracing::warn!(event = "usage_not_reported", window = next, error = %err);
-                count(&edge.metrics.calls, "report_failed");
-                if is_missed(&edge, next) {
-                    tracing::error!(event = "usage_missed", window = next);
-                    progress = Some((permit.epoch(), next + 1));
+        if is_due(&edge, current.next) {
+            match report(&edge, current).await {
+                Ok(()) => current.next += 1,
+                Err(err) => {
+                    let window = current.next;
+                    tracing::warn!(event = "usage_not_reported", window, error = %err);
+                    count(&edge.metrics.calls, "report_failed");
+                    if is_missed(&edge, window) {
+                        tracing::error!(event = "usage_missed", window);
+                        current.next += 1;
+                    }
+                    sleep(RETRY_DELAY).await;
                 }
-                sleep(RETRY_DELAY).await;
             }
         }
+        progress = Some(current);
     }
 }
 
-/// Returns the first window that this holder reports: the one after the last reported window, but
-/// none older than `KEPT_WINDOWS`, or the previous window if none was reported.
-async fn first_window(edge: &Edge) -> Result<u64, Error> {
+/// Returns what a new holder reports first: the window after the last reported one, but none older than
+/// `KEPT_WINDOWS`, or the previous window if none was reported. If the store has returned from an older copy since the
+/// last report was recorded, later windows may have been reported, up to the one in which it returned.
+async fn start(edge: &Edge, epoch: Epoch) -> Result<Progress, Error> {
     let found = edge.remote.tables.get(TABLE, HEAD_KEY).await?;
     let current = edge.window();
-    let Some(row) = found else {
-        return Ok(current.saturating_sub(1));
-    };
-    let head: Head = serde_json::from_str(&row.value).map_err(|err| {
-        Error::Unknown(format!("malformed row {HEAD_KEY} in table {TABLE}: {err}"))
-    })?;
+    let head: Option<Head> = found
+        .map(|row| serde_json::from_str(&row.value))
+        .transpose()
+        .map_err(|err| {
+            Error::Unknown(format!("malformed row {HEAD_KEY} in table {TABLE}: {err}"))
+        })?;
     let kept = current.saturating_sub(KEPT_WINDOWS);
-    Ok((head.window + 1).clamp(kept, current))
+    let next = match &head {
+        Some(head) => (head.window + 1).clamp(kept, current),
+        None => current.saturating_sub(1),
+    };
+    let is_certain = head.map_or(0, |head| head.era) == edge.eras.newest();
+    let first_open = match is_certain {
+        true => next,
+        false => next.max(edge.window_at(edge.eras.since())),
+    };
+    if first_open > next {
+        tracing::warn!(event = "usage_uncertain", from = next, until = first_open);
+    }
+    Ok(Progress {
+        epoch,
+        next,
+        first_open,
+    })
+}
+
+/// Writes the windows that this process knows to be frozen again, as far as the store has lost them when it returned from
+/// an older copy. Returns whether that is done.
+async fn write_again(edge: &Edge) -> bool {
+    let windows = edge.sealed.borrow().windows.clone();
+    for (window, counts) in windows {
+        let frozen = Frozen { counts };
+        let value = match serde_json::to_string(&frozen) {
+            Ok(value) => value,
+            Err(err) => {
+                tracing::error!(event = "usage_not_written_again", window, error = %err);
+                continue;
+            }
+        };
+        let transaction = Transaction {
+            checks: vec![absent(window)],
+            writes: vec![write(key(window), Some(value))],
+        };
+        match edge.remote.tables.commit(&transaction).await {
+            Ok(_) => {
+                tracing::info!(event = "usage_written_again", window);
+                count(&edge.metrics.changes, "usage_written_again");
+            }
+            Err(Error::Conflict(_)) => {}
+            Err(err) => {
+                tracing::warn!(event = "usage_not_written_again", window, error = %err);
+                return false;
+            }
+        }
+    }
+    true
 }
 
 /// Returns the end of a window in milliseconds of true time since the Unix epoch.
@@ -145,9 +232,22 @@
     edge.true_millis() >= end_millis(edge, window) + millis(late)
 }
 
-/// Freezes the counts of a window and reports them under the current lease.
-async fn report(edge: &Edge, window: u64) -> Result<(), Error> {
-    let counts = freeze(edge, window).await?;
+/// Freezes the counts of a window and reports them under the current lease. Those of a window that may have been reported
+/// are only reported as they were frozen.
+async fn report(edge: &Edge, progress: Progress) -> Result<(), Error> {
+    let window = progress.next;
+    let counts = match window < progress.first_open {
+        true => match read_frozen(edge, window).await? {
+            Some(counts) => counts,
+            None => {
+                tracing::error!(event = "usage_lost", window);
+                count(&edge.metrics.changes, "usage_lost");
+                return Ok(());
+            }
+        },
+        false => freeze(edge, window).await?,
+    };
+    edge.sealed.borrow_mut().insert(window, &counts);
     let expired = || {
         Error::Unreached(
             "the report was not sent: this host does not hold a valid lease".to_owned(),
@@ -173,26 +273,35 @@
     Ok(())
 }
 
+/// Returns the error for counts that can't be encoded or decoded.
+fn malformed(window: u64, err: &serde_json::Error) -> Error {
+    Error::Unknown(format!(
+        "malformed counts of window {window} in table {TABLE}: {err}"
+    ))
+}
+
+/// Returns the frozen counts of a window; `None` if the store has none.
+async fn read_frozen(edge: &Edge, window: u64) -> Result<Option<Counts>, Error> {
+    let found = edge.remote.tables.get(TABLE, &key(window)).await?;
+    let frozen = found.map(|row| serde_json::from_str::<Frozen>(&row.value));
+    let frozen = frozen.transpose().map_err(|err| malformed(window, &err))?;
+    Ok(frozen.map(|frozen| frozen.counts))
+}
+
 /// Freezes the counts of a window unless they are frozen already. Returns the frozen counts.
 async fn freeze(edge: &Edge, window: u64) -> Result<Counts, Error> {
-    let counts = edge.ledger.borrow().sum(window);
-    let unreadable = |err| {
-        Error::Unknown(format!(
-            "malformed counts of window {window} in table {TABLE}: {err}"
-        ))
-    };
+    let sealed = edge.sealed.borrow().windows.get(&window).cloned();
+    let counts = sealed.unwrap_or_else(|| edge.ledger.borrow().sum(window));
+    let unreadable = |err| malformed(window, &err);
     let frozen = Frozen { counts };
     let value = serde_json::to_string(&frozen).map_err(unreadable)?;
     let head = Head {
         window: window.saturating_sub(1),
+        era: edge.eras.newest(),
     };
     let head = serde_json::to_string(&head).map_err(unreadable)?;
     let transaction = Transaction {
-        checks: vec![Check {
-            table: TABLE.to_owned(),
-            key: key(window),
-            revision: None,
-        }],
+        checks: vec![absent(window)],
         writes: vec![
             write(key(window), Some(value)),
             write(HEAD_KEY.to_owned(), Some(head)),
@@ -205,15 +314,12 @@
             Ok(frozen.counts)
         }
         Err(Error::Conflict(_) | Error::Unknown(_)) => {
-            let found = edge.remote.tables.get(TABLE, &key(window)).await?;
             let missing = || {
                 Error::Unreached(format!(
                     "no frozen counts of window {window} in table {TABLE}"
                 ))
             };
-            let row = found.ok_or_else(missing)?;
-            let frozen: Frozen = serde_json::from_str(&row.value).map_err(unreadable)?;
-            Ok(frozen.counts)
+            read_frozen(edge, window).await?.ok_or_else(missing)
         }
         Err(err) => Err(err),
     }
@@ -224,6 +330,15 @@
     format!("{window:020}")
 }
 
+/// Returns the condition that the counts of a window are not frozen.
+fn absent(window: u64) -> Check {
+    Check {
+        table: TABLE.to_owned(),
+        key: key(window),
+        revision: None,
+    }
+}
+
 fn write(key: String, value: Option<String>) -> Write {
     Write {
         table: TABLE.to_owned(),
--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -18,6 +18,7 @@
 use crate::clock::{self, StoreClock};
 use crate::config::{Config, ServiceId};
 use crate::duty::lease::Lease;
+use crate::duty::usage::Sealed;
 use crate::era::{Eras, Ordered};
 use crate::estimate;
 use crate::evacuation::Evacuations;
@@ -130,6 +131,8 @@
     pub usage: RefCell<Counters>,
     /// Work offered to each service since the process started.
     pub offers: RefCell<HashMap<ServiceId, Offer>>,
+    /// Usage windows whose counts this process has frozen.
+    pub sealed: RefCell<Sealed>,
     /// State of the lease on the duties.
     pub lease: Lease,
     /// Revision up to which the configuration in force is the newest one written; `None` before there is
@@ -193,6 +196,7 @@
             outage: Outage::default(),
             usage: RefCell::default(),
             offers: RefCell::default(),
+            sealed: RefCell::default(),
             lease: Lease::default(),
             config_revision: Cell::new(None),
             evacuations: RefCell::default(),
@@ -582,8 +586,14 @@
 
     /// Returns the number of the current usage window, counted from the Unix epoch.
     pub fn window(&self) -> u64 {
+        self.window_at(Instant::now())
+    }
+
+    /// Returns the number of the usage window at an instant that is not in the future.
+    pub fn window_at(&self, at: Instant) -> u64 {
         let length = self.settings.borrow().bounds.window.as_millis().max(1);
-        let millis = u128::try_from(self.true_millis()).unwrap_or(0);
+        let millis = self.true_millis() - clock::millis(at.elapsed());
+        let millis = u128::try_from(millis).unwrap_or(0);
         u64::try_from(millis / length).unwrap_or(0)
     }
 
--- a/crates/edge/src/era.rs
+++ b/crates/edge/src/era.rs
@@ -23,8 +23,8 @@
 /// Newest known era of the store.
 pub struct Eras {
     newest: watch::Sender<Option<Era>>,
-    /// When the newest era became known; `None` if no return of the store was noticed.
-    returned: Cell<Option<Instant>>,
+    /// When the newest era became known.
+    since: Cell<Instant>,
     gauge: Gauge,
     changes: Family<Outcome, Counter>,
 }
@@ -35,7 +35,7 @@
     pub fn new(gauge: Gauge, changes: Family<Outcome, Counter>) -> Rc<Self> {
         Rc::new(Self {
             newest: watch::Sender::new(None),
-            returned: Cell::new(None),
+            since: Cell::new(Instant::now()),
             gauge,
             changes,
         })
@@ -46,9 +46,9 @@
         self.newest.borrow().unwrap_or(0)
     }
 
-    /// Returns when this process noticed the last return of the store; `None` if it noticed none.
-    pub fn returned(&self) -> Option<Instant> {
-        self.returned.get()
+    /// Returns when the newest era became known to this process. The store had returned by then.
+    pub fn since(&self) -> Instant {
+        self.since.get()
     }
 
     /// Records the era of a revision that the store or another host has named. Returns whether it is the
@@ -64,8 +64,8 @@
         if let Some(before) = before {
             tracing::warn!(event = "store_returned", era, before);
             count(&self.changes, "store_returned");
-            self.returned.set(Some(Instant::now()));
         }
+        self.since.set(Instant::now());
         true
     }
 
