--- a/crates/edge/src/era.rs
+++ b/crates/edge/src/era.rs
@@ -61,9 +61,12 @@
         }
         self.newest.send_replace(Some(era));
         self.gauge.set(i64::try_from(era).unwrap_or(i64::MAX));
-        if let Some(before) = before {
-            tracing::warn!(event = "store_returned", era, before);
-            count(&self.changes, "store_returned");
+        match before {
+            Some(before) => {
+                tracing::warn!(event = "store_returned", era, before);
+                count(&self.changes, "store_returned");
+            }
+            None => tracing::info!(event = "store_era", era),
         }
         self.since.set(Instant::now());
         true
