Edge: a version that the store has lost is not taken for withdrawn

Cause: evidence compared revisions alone. In the new era the copy's row has one revision for all hosts, whether they have the lost version in force or not, so each of them confirmed the others, and the store confirmed all.

Change: a host names in its row what it has in force, and the era in which the row was built. Evidence of a new era counts once all live hosts have written their rows in it; what was known before the return stays valid up to its age limit. Evidence names the version. A host that hears of a newer version which a later revision of the store does not have is not current until it has got it from that host (GET /version between hosts). Rows that name no era, of builds before this one, do not delay anything, nor does a store that names none. `tests/hosts.rs` and `tests/transfer.rs`: the two new fields in the rows that they build.

--- a/crates/edge/src/config/patch.rs
+++ b/crates/edge/src/config/patch.rs
@@ -62,7 +62,8 @@
 pub struct Patch {
     /// Revision that wrote the version to which the patch applies; `None` if it applies to none.
     base: Option<Revision>,
-    version: Version,
+    /// Version that results.
+    pub version: Version,
     limits: Limits,
     /// Services that were added or changed.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
--- a/crates/edge/src/edge.rs
+++ b/crates/edge/src/edge.rs
@@ -42,6 +42,7 @@
 use crate::stop::Stop;
 use crate::subset::{Profile, Recent, Subset, Sums};
 use crate::usage::Counters;
+use crate::version::Heard;
 
 /// Subtracted from the bound on withdrawn keys, for the time that a request takes from the last
 /// check to the endpoint.
@@ -148,8 +149,11 @@
     pub memory: Rc<Memory>,
     /// Estimate of the store's clock from its responses.
     pub store_clock: Cell<StoreClock>,
+    /// Versions of the configuration that other hosts have in force.
+    pub heard: Heard,
+    /// Evidence that the configuration in force is the newest.
+    pub evidence: Cell<Evidence>,
     config: RefCell<Option<Rc<Config>>>,
-    evidence: Cell<Evidence>,
     budgets: RefCell<HashMap<ServiceId, Budget>>,
     queues: RefCell<HashMap<ServiceId, Rc<Queue>>>,
     profiles: RefCell<HashMap<ServiceId, Profile>>,
@@ -204,8 +208,9 @@
             newest_revision: Cell::new(0),
             memory,
             store_clock: Cell::default(),
-            config: RefCell::default(),
+            heard: Heard::default(),
             evidence: Cell::default(),
+            config: RefCell::default(),
             budgets: RefCell::default(),
             queues: RefCell::default(),
             profiles: RefCell::default(),
@@ -256,19 +261,33 @@
             .borrow_mut()
             .set_cold_starts(cold_starts.collect());
         *self.config.borrow_mut() = Some(Rc::new(config));
-        self.config_revision.set(Some(revision));
+        // Another host's version may be one that the store has lost: the row of a later revision is older.
+        let newest = self.config_revision.get().max(Some(revision));
+        self.config_revision.set(newest);
     }
 
-    /// Records that the store held no newer configuration or evacuation at `at`, in time since boot.
+    /// Records that the store, in its present era, held no newer configuration or evacuation at `at`, in time
+    /// since boot. It counts once this host knows what the others had in force when the era began.
     pub fn confirm(&self, at: Duration) {
+        self.settle();
         let mut evidence = self.evidence.get();
-        evidence.confirm(at);
+        match self.is_settled() {
+            true => evidence.confirm(at),
+            false => evidence.suppose(self.eras.newest(), at),
+        }
         self.evidence.set(evidence);
     }
 
-    /// Returns the age of the evidence that the configuration is the newest; `None` without any.
+    /// Returns the age of the evidence that the configuration is the newest; `None` without any, or if it is
+    /// known not to be.
     pub fn evidence_age(&self) -> Option<Duration> {
-        self.evidence.get().age(clock::boot())
+        let age = self.evidence.get().age(clock::boot());
+        age.filter(|_| !self.lacks_version())
+    }
+
+    /// Returns whether there is evidence younger than `limit`.
+    fn has_evidence(&self, limit: Duration) -> bool {
+        self.evidence_age().is_some_and(|age| age < limit)
     }
 
     /// Returns whether requests with a key may be served: the evidence is young enough to meet the
@@ -280,12 +299,12 @@
             .bounds
             .withdraw
             .saturating_sub(TRANSIT_MARGIN);
-        self.evidence.get().is_fresh(clock::boot(), limit) || sabotage::is(Variant::StaleKeys)
+        self.has_evidence(limit) || sabotage::is(Variant::StaleKeys)
     }
 
     /// Returns whether a response may state that a route or key does not exist.
     pub fn may_deny(&self) -> bool {
-        self.evidence.get().is_fresh(clock::boot(), MAX_DENIAL_AGE)
+        self.has_evidence(MAX_DENIAL_AGE)
     }
 
     /// Returns whether callers may be sent to this host: configuration and endpoints were read, and
--- a/crates/edge/src/era.rs
+++ b/crates/edge/src/era.rs
@@ -46,6 +46,19 @@
         self.newest.borrow().unwrap_or(0)
     }
 
+    /// Returns the newest known era; `None` before the first.
+    pub fn known(&self) -> Option<Era> {
+        *self.newest.borrow()
+    }
+
+    /// Waits until a later era than `era` is known; never returns without one.
+    pub async fn wait_return(&self, era: Option<Era>) {
+        match era.and_then(|era| revision::join(era, 0)) {
+            Some(revision) => self.wait_later(revision).await,
+            None => std::future::pending().await,
+        }
+    }
+
     /// Returns when the newest era became known to this process. The store had returned by then.
     pub fn since(&self) -> Instant {
         self.since.get()
--- a/crates/edge/src/follow/config.rs
+++ b/crates/edge/src/follow/config.rs
@@ -139,17 +139,21 @@
     /// Puts a version in force that another host published.
     fn apply_patch(edge: &Edge, change: &Change) -> Result<(), Unpatched> {
         let known = edge.config_revision.get().zip(edge.config());
-        let is_known = known
-            .as_ref()
-            .is_some_and(|(known, _)| *known >= change.revision);
-        let Some(value) = change.value.as_ref().filter(|_| !is_known) else {
+        let Some(value) = change.value.as_ref() else {
             return Ok(());
         };
         let started = Instant::now();
+        let patch = Patch::decode(value)?;
+        let is_known = known.as_ref().is_some_and(|(known, config)| {
+            *known >= change.revision && config.version >= patch.version
+        });
+        if is_known {
+            return Ok(());
+        }
         let base = known
             .as_ref()
             .map(|(revision, config)| (*revision, &**config));
-        let config = Patch::decode(value)?.apply(base)?;
+        let config = patch.apply(base)?;
         record_decoding(value, started);
         edge.configure(config, change.revision);
         Ok(())
@@ -159,10 +163,10 @@
     fn offer(&mut self, edge: &Edge) -> Option<(Revision, Rc<Config>)> {
         let (revision, config) = edge.config_revision.get().zip(edge.config())?;
         let before = self.offered.replace((revision, config.clone()));
-        if before
-            .as_ref()
-            .is_none_or(|(before, _)| *before != revision)
-        {
+        let is_same = |(known, before): &(Revision, Rc<Config>)| {
+            *known == revision && before.version == config.version
+        };
+        if !before.as_ref().is_some_and(is_same) {
             let whole = Whole {
                 edge: self.edge.clone(),
                 key: self.key,
--- a/crates/edge/src/follow/hosts.rs
+++ b/crates/edge/src/follow/hosts.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use agate_model::id::Epoch;
+use agate_model::revision;
 use agate_store::interface::{Change, Changes};
 use tokio::time::Instant;
 
@@ -44,6 +45,7 @@
 impl HostSink {
     /// Takes over what another host says of prompts and limits, if that is new.
     fn learn(edge: &Edge, row: &Row) {
+        edge.hear_row(row);
         let is_known = edge.hosts.borrow().has_evidence(row);
         if !is_known && row.incarnation != edge.incarnation {
             edge.learn_evidence(vec![row.evidence.clone()]);
@@ -120,6 +122,8 @@
         if relayed.is_snapshot {
             edge.hosts.borrow_mut().clear();
         }
+        let era = revision::era(relayed.changes.revision);
+        edge.hosts.borrow_mut().enter(era);
         for change in &relayed.changes.rows {
             match &change.value {
                 None => edge.hosts.borrow_mut().remove(&change.key),
@@ -150,6 +154,8 @@
         for change in &changes.rows {
             Self::apply(edge, change);
         }
+        let era = revision::era(changes.revision);
+        edge.hosts.borrow_mut().enter(era);
     }
 
     fn change(&mut self, edge: &Edge, change: Change) {
@@ -157,11 +163,12 @@
     }
 
     fn is_urgent(&self, edge: &Edge) -> bool {
-        edge.takes_urgent_read()
+        !edge.is_settled() || edge.takes_urgent_read()
     }
 
     fn confirmed(&mut self, edge: &Edge, _at: Duration, clock: u64) {
         edge.hosts.borrow_mut().observe(Instant::now(), clock);
+        edge.settle();
         edge.lease.mark_read();
     }
 }
--- a/crates/edge/src/handover.rs
+++ b/crates/edge/src/handover.rs
@@ -7,10 +7,11 @@
 
 use std::cell::RefCell;
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use actix_http::Method;
-use agate_model::id::Revision;
+use agate_model::id::{Revision, Version};
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 use tokio::time::Instant;
@@ -20,6 +21,7 @@
 use crate::peer::{Client, Error, MAX_READERS, Request};
 use crate::share::{self, Digest};
 use crate::subset::Sums;
+use crate::version::Held;
 use crate::{hosts, ledger};
 
 /// Path of the request that hands a heartbeat over.
@@ -50,6 +52,10 @@
 pub struct Evidence {
     /// Revision that wrote the configuration in force at the reader.
     pub revision: Revision,
+    /// Version in force at the reader; `None` if it does not tell. After the store has returned from an older copy,
+    /// one revision may stand for different versions.
+    #[serde(default)]
+    pub version: Option<Version>,
     /// Time since the store was known to hold nothing newer, in milliseconds.
     pub age_ms: u64,
     /// Revision of the newest evacuation that the reader knows, 0 for none; `None` if it does not tell.
@@ -60,9 +66,10 @@
 impl Evidence {
     /// Returns the present evidence of this host; `None` without any.
     pub fn of(edge: &Edge) -> Option<Self> {
-        let newest = edge.config_revision.get().zip(edge.evidence_age());
-        newest.map(|(revision, age)| Self {
-            revision,
+        let newest = edge.held().zip(edge.evidence_age());
+        newest.map(|(held, age)| Self {
+            revision: held.revision,
+            version: Some(held.version),
             age_ms: u64::try_from(age.as_millis()).unwrap_or(u64::MAX),
             evacuations: Some(edge.evacuations.borrow().newest()),
         })
@@ -158,6 +165,10 @@
             return None;
         }
     };
+    edge.hear_row(&heartbeat.host);
+    if edge.hosts.borrow().lacks_era(&heartbeat.host) {
+        edge.guard.hurry();
+    }
     // Hosts of other zones learn it with the next write of this host.
     let is_known = edge.hosts.borrow().has_evidence(&heartbeat.host);
     if !is_known && edge.learn_evidence(vec![heartbeat.host.evidence.clone()]) {
@@ -206,7 +217,7 @@
             edge.learn(&receipt.sums);
             edge.learn_endpoints(&receipt.endpoints, &heartbeat.endpoints);
             if let Some(newest) = &receipt.newest {
-                confirm(edge, sent_at, newest);
+                confirm(edge, reader, sent_at, newest);
             }
             break;
         }
@@ -214,15 +225,23 @@
     outcome
 }
 
-/// Applies the evidence of another host. Its age counts from the time at which the request was sent, so
+/// Applies the evidence of the host at `address`. Its age counts from the time at which the request was sent, so
 /// that the duration of the call makes it older and never younger.
-pub fn confirm(edge: &Edge, sent_at: Duration, newest: &Evidence) {
+pub fn confirm(edge: &Edge, address: SocketAddr, sent_at: Duration, newest: &Evidence) {
     if !edge.eras.observe(newest.revision) {
         return;
     }
-    let Some(own) = edge.config_revision.get() else {
+    let Some(Held {
+        version,
+        revision: own,
+    }) = edge.held()
+    else {
         return;
     };
+    if let Some(version) = newest.version {
+        let revision = newest.revision;
+        edge.hear(address, Held { version, revision });
+    }
     let evacuations = newest.evacuations.unwrap_or(0);
     let lacks_evacuation = !edge.evacuations.borrow().is_complete(evacuations);
     if newest.revision > own || lacks_evacuation {
@@ -231,7 +250,8 @@
         edge.outage.hasten(Instant::now());
     }
     let is_telling = newest.evacuations.is_some() || edge.settings.borrow().evacuation.is_none();
-    if newest.revision == own && !lacks_evacuation && is_telling {
+    let is_same = newest.revision == own && newest.version == Some(version);
+    if is_same && !lacks_evacuation && is_telling {
         edge.confirm(sent_at.saturating_sub(Duration::from_millis(newest.age_ms)));
     }
 }
--- a/crates/edge/src/heartbeat.rs
+++ b/crates/edge/src/heartbeat.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use agate_model::id::Revision;
+use agate_model::id::{Era, Revision};
 use agate_model::revision;
 use agate_store::Error;
 use agate_wire::table::{Check, Transaction, Write};
@@ -95,11 +95,14 @@
         waiting_since: None,
         last_write: None,
     };
+    // Era of the last heartbeat.
+    let mut era = None;
     // The random delay spreads the writes of hosts that start at the same time.
     let mut delay = HANDOVER_INTERVAL.mul_f64(rand::random_range(0.1..0.6));
     loop {
-        let wake = wait(&edge, delay).await;
+        let wake = wait(&edge, delay, era).await;
         let mut own = heartbeat(&edge, false);
+        era = own.host.era;
         let receipt = handover::deliver(&edge, &link, &own).await;
         publisher.record(receipt.as_ref().ok());
         // The readers probe the store already.
@@ -174,14 +177,14 @@
 enum Wake {
     /// The interval is over.
     Due,
-    /// Other hosts need to know what this one knows of prompts.
+    /// Other hosts need to know what this one knows of prompts, or has in force after the store has returned.
     Urgent,
     /// It is to be written to the store to probe that: there is an outage and it is this task's turn.
     Probe,
 }
 
-/// Waits until the next heartbeat is needed.
-async fn wait(edge: &Edge, delay: Duration) -> Wake {
+/// Waits until the next heartbeat is needed; the last one was built in `era`.
+async fn wait(edge: &Edge, delay: Duration, era: Option<Era>) -> Wake {
     let has_outage = edge.outage.is_active();
     let urgent = async {
         sleep(URGENT_INTERVAL).await;
@@ -190,6 +193,8 @@
     tokio::select! {
         () = sleep(delay) => Wake::Due,
         () = urgent => Wake::Urgent,
+        // Other hosts wait for what this one has in force.
+        () = edge.eras.wait_return(era) => Wake::Urgent,
         () = edge.wait_for_probe(), if has_outage => match edge.outage.is_active() {
             true => Wake::Probe,
             false => Wake::Due,
@@ -376,6 +381,8 @@
         weight: settings.weight,
         offset: store.map(|store| clock::wall_millis() - store),
         at,
+        era: edge.eras.known(),
+        held: edge.held(),
         evidence: edge.evidence_report(),
         limits: edge.limit_report(),
         endpoints: Digest::default(),
--- a/crates/edge/src/hosts.rs
+++ b/crates/edge/src/hosts.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use agate_model::id::{HostId, Incarnation, ZoneId};
+use agate_model::id::{Era, HostId, Incarnation, ZoneId};
 use agate_poison::report::Report;
 use agate_store::interface::Change;
 use bytes::Bytes;
@@ -16,6 +16,7 @@
 use crate::outage::RECOVERY_TIME;
 use crate::relay;
 use crate::share::Digest;
+use crate::version::Held;
 
 /// Table of the host rows.
 pub const TABLE: &str = "hosts";
@@ -51,6 +52,12 @@
     pub offset: Option<i64>,
     /// The store's clock at which the row was built, in milliseconds; 0 if not known.
     pub at: u64,
+    /// Era of the store in which the row was built; `None` if not known.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub era: Option<Era>,
+    /// What the host had in force when the row was built; `None` if not known.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub held: Option<Held>,
     /// What the host knows of prompts that crash endpoints.
     #[serde(default, skip_serializing_if = "Report::is_empty")]
     pub evidence: Report,
@@ -75,10 +82,16 @@
             (Some(left), Some(right)) => left.abs_diff(right) <= OFFSET_TOLERANCE,
             (left, right) => left == right,
         };
+        // Versions of one era are known from the store.
+        let held = match self.era == other.era {
+            true => other.held,
+            false => self.held,
+        };
         let (at, offset) = (other.at, other.offset);
         let row = Self {
             at,
             offset,
+            held,
             endpoints: other.endpoints.clone(),
             ..self.clone()
         };
@@ -98,6 +111,10 @@
     clock: u64,
     /// After an outage: the store's clock before it, and until when ages are measured against that.
     frozen: Option<(u64, Instant)>,
+    /// Era in which rows were last read; `None` before the first read.
+    era: Option<Era>,
+    /// Whether rows were read in an earlier era too.
+    has_returned: bool,
     /// Largest number of live hosts so far.
     peak: usize,
     /// Number of hosts that share budgets and when it was counted, since each request asks for it.
@@ -138,6 +155,12 @@
         }
     }
 
+    /// Returns whether a row is the first one of its incarnation since the store has returned.
+    pub fn lacks_era(&self, row: &Row) -> bool {
+        let known = self.rows.get(&row.key());
+        known.is_some_and(|known| known.era.is_some() && known.era < row.era)
+    }
+
     /// Returns whether a row says of limits what the known one of the same incarnation says.
     pub fn has_limits(&self, row: &Row) -> bool {
         let known = self.rows.get(&row.key());
@@ -239,6 +262,41 @@
         newest.into_values().collect()
     }
 
+    /// Records that all rows were read in an era of the store.
+    pub fn enter(&mut self, era: Era) {
+        self.has_returned |= self.era.replace(era).is_some_and(|before| before < era);
+    }
+
+    /// Returns whether all rows were read in `era`, and all hosts that may be live, but for the incarnation `own`,
+    /// have written theirs in it. `since` is when the era became known. Rows of builds that name no era do not count.
+    pub fn have_named(&self, now: Instant, era: Era, own: &str, since: Instant) -> bool {
+        if era == 0 {
+            return true;
+        }
+        if self.era != Some(era) {
+            return false;
+        }
+        let has_named =
+            |row: &&Row| row.incarnation == own || row.era.is_none_or(|named| named >= era);
+        // The copy's rows may be older than those of live hosts, so they do not tell which hosts are live.
+        let is_early = now.saturating_duration_since(since) < HOST_TIMEOUT;
+        let may_lack = !self.has_returned && is_early;
+        let live = self.live(now);
+        live.iter().all(has_named) && (!may_lack || self.newest().values().all(has_named))
+    }
+
+    /// Returns the row of the newest incarnation of each host, whether that is live or not.
+    fn newest(&self) -> HashMap<&HostId, &Row> {
+        let mut newest: HashMap<&HostId, &Row> = HashMap::new();
+        for row in self.rows.values() {
+            let current = newest.entry(&row.host).or_insert(row);
+            if row.at > current.at {
+                *current = row;
+            }
+        }
+        newest
+    }
+
     /// Returns the number of hosts that share budgets: the live ones, and at least half of the
     /// largest number that was ever live, because hosts whose rows are missing may still serve.
     pub fn sharing_hosts(&mut self, now: Instant) -> usize {
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -48,3 +48,4 @@
 pub mod stop;
 pub mod subset;
 pub mod usage;
+pub mod version;
--- a/crates/edge/src/relay.rs
+++ b/crates/edge/src/relay.rs
@@ -29,7 +29,7 @@
 use crate::metrics::Table;
 use crate::peer::{self, Error, MAX_READERS, OUTAGE_STATUS, Request};
 use crate::server::Incoming;
-use crate::{handover, headers, limits, response};
+use crate::{handover, headers, limits, response, version};
 
 /// Number of changes kept for each table. A host that needs older ones gets all rows.
 const MAX_CHANGES: usize = 4096;
@@ -373,6 +373,10 @@
         if target == limits::PATH {
             return encode(self.edge.reply_to(&incoming.body));
         }
+        // So does a version that the store has lost.
+        if target == version::PATH {
+            return encode(version::Whole::of(&self.edge));
+        }
         // The other host must switch to a reader that can reach the store.
         if self.edge.outage.is_active() {
             return response::Response::bare(OUTAGE_STATUS);
@@ -555,7 +559,7 @@
             self.edge.guard.observe_clock(clock::boot(), millis);
         }
         if let Some(newest) = &page.newest {
-            handover::confirm(&self.edge, sent_at, newest);
+            handover::confirm(&self.edge, reader, sent_at, newest);
         }
         let rows: Result<Vec<Change>, Error> =
             page.rows.into_iter().map(Change::try_from).collect();
--- a/crates/edge/src/run.rs
+++ b/crates/edge/src/run.rs
@@ -16,7 +16,7 @@
 use crate::sabotage::{self, Variant};
 use crate::server::{self, Handler, Unanswered};
 use crate::settings::Settings;
-use crate::{cold, duty, follow, heartbeat, metrics, relay};
+use crate::{cold, duty, follow, heartbeat, metrics, relay, version};
 
 /// Interval between two sweeps of idle connections.
 const SWEEP_INTERVAL: Duration = Duration::from_millis(700);
@@ -67,6 +67,7 @@
         tasks.push(actix_rt::spawn(heartbeat::run(edge.clone())));
         tasks.push(actix_rt::spawn(sweep(edge.clone())));
         tasks.push(actix_rt::spawn(cold::run(edge.clone())));
+        tasks.push(actix_rt::spawn(version::run(edge.clone())));
         if edge.remote.duties.is_some() {
             tasks.push(actix_rt::spawn(duty::lease::run(edge.clone())));
             tasks.push(actix_rt::spawn(follow::ledger(edge.clone())));
--- a/crates/edge/tests/hosts.rs
+++ b/crates/edge/tests/hosts.rs
@@ -22,6 +22,8 @@
         leaving: false,
         weight: 1.0,
         offset: None,
+        era: None,
+        held: None,
         evidence: Report::default(),
         limits: Vec::new(),
         endpoints: Digest::default(),
--- a/crates/edge/tests/transfer.rs
+++ b/crates/edge/tests/transfer.rs
@@ -86,6 +86,8 @@
         leaving: false,
         weight: 10.0,
         offset: None,
+        era: None,
+        held: None,
         evidence: Report::default(),
         limits: Vec::new(),
         endpoints: Digest::default(),
