Edge: tests of a reader in an earlier era and of the rows that are waited for

A reader that has not noticed the return is asked, and what it has is not put in force; the same response in the present era is. Rows of hosts: which ones a host waits for after a return, and that a change of version alone is not handed on. No change of code.

They came after the code that they test and were not seen to fail for its lack.

--- a/crates/edge/tests/config_return.rs
+++ b/crates/edge/tests/config_return.rs
@@ -2,15 +2,22 @@
 
 mod support;
 
+use std::cell::Cell;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use agate_edge::clock;
+use agate_edge::config::{Config, Limits, Patch};
 use agate_edge::handover::{self, Evidence};
+use agate_edge::hosts;
 use agate_edge::settings::Settings;
 use agate_model::revision;
 use rstest::rstest;
+use serde_json::json;
 use support::{Connection, Harness, KEY, Server, Step, request, settings, status};
+use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
+use tokio::net::TcpListener;
 use tokio::time::{Instant, sleep};
 
 const OK: &str = "HTTP/1.1 200 OK\r\nx-id: {id}\r\nx-signed: 1\r\ncontent-length: 4\r\n\r\nfine";
@@ -245,3 +252,88 @@
     handover::confirm(edge, address, clock::boot(), &evidence(own, Some(3)));
     assert!(!edge.is_current(), "a newer version is known");
 }
+
+/// Returns the response of a reader that has read another version at `revision`.
+fn page(revision: u64) -> String {
+    let patch = Patch::new(None, &Config::new(9, Limits::default(), [], None, []));
+    let row = json!({
+        "key": "config",
+        "value": {"text": patch.encode().expect("a patch")},
+        "revision": revision,
+    });
+    let page = json!({
+        "rows": [row],
+        "is_snapshot": true,
+        "revision": revision,
+        "clock": 1000,
+        "age_ms": 0,
+    });
+    let body = page.to_string();
+    let length = body.len();
+    format!("HTTP/1.1 200 OK\r\nconnection: close\r\ncontent-length: {length}\r\n\r\n{body}")
+}
+
+/// Another host, which hands on nothing but the configuration.
+struct Reader {
+    address: SocketAddr,
+    /// Whether it was asked for that.
+    asked: Rc<Cell<bool>>,
+}
+
+impl Reader {
+    /// Starts a reader that responds with `page`.
+    async fn start(page: String) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+        let address = listener.local_addr().expect("an address");
+        let asked: Rc<Cell<bool>> = Rc::default();
+        let is_asked = asked.clone();
+        actix_rt::spawn(async move {
+            while let Ok((mut stream, _)) = listener.accept().await {
+                let mut head = vec![0; 4096];
+                let length = stream.read(&mut head).await.unwrap_or(0);
+                let response = match head[..length].starts_with(b"GET /operations/") {
+                    true => page.as_str(),
+                    false => "HTTP/1.1 503 X\r\nconnection: close\r\ncontent-length: 0\r\n\r\n",
+                };
+                is_asked.set(is_asked.get() || response == page);
+                // A host that has left does not read the response.
+                let _ = stream.write_all(response.as_bytes()).await;
+            }
+        });
+        Self { address, asked }
+    }
+}
+
+// Guards against: rows that the store has lost are taken over from a reader that has not noticed the return.
+#[rstest]
+#[case::earlier_era(0, 1)]
+#[case::same_era(1, 9)]
+#[actix_rt::test]
+async fn a_reader_in_an_earlier_era_is_not_read_from(#[case] era: u64, #[case] expected: u64) {
+    let endpoint = Server::start(vec![vec![Step::Write(OK)]]).await;
+    let store = Harness::store(&[&endpoint]);
+    store.return_from(store.copy());
+    let host = start(Connection::new(store.clone()), "a1", "a").await;
+    let edge = host.0.program.edge();
+    assert_eq!(edge.eras.newest(), 1);
+    let revision = revision::join(era, 1_000).expect("small numbers");
+    let reader = Reader::start(page(revision)).await;
+    let row = json!({
+        "host": "big",
+        "incarnation": "1",
+        "zone": "a",
+        "address": endpoint.address,
+        "relay": reader.address,
+        "ready": true,
+        "weight": 10.0,
+        "offset": null,
+        "at": 1_u64 << 40,
+    });
+    store.put(hosts::TABLE, "host/big/1", Some(&row.to_string()));
+    // Ends the long poll of the store.
+    sleep(Duration::from_millis(2_500)).await;
+    store.put("settings", "unrelated", Some("x"));
+    sleep(Duration::from_millis(1_500)).await;
+    assert!(reader.asked.get(), "the reader is not asked");
+    assert_eq!(version(&host), Some(expected));
+}
--- a/crates/edge/tests/hosts.rs
+++ b/crates/edge/tests/hosts.rs
@@ -5,6 +5,7 @@
 
 use agate_edge::hosts::{Hosts, Row};
 use agate_edge::share::Digest;
+use agate_edge::version::Held;
 use agate_poison::report::Report;
 use agate_store::interface::Change;
 use bytes::Bytes;
@@ -215,3 +216,94 @@
     let names: Vec<&str> = readers.values().map(|row| row.host.as_str()).collect();
     assert_eq!(names, ["two"]);
 }
+
+/// Returns what is known of hosts after `rows` were read in era 1, and then in era 2 without a change, if the process has
+/// lived through the return.
+fn read(rows: &[Row], clock: u64, has_returned: bool) -> Hosts {
+    let mut hosts = Hosts::default();
+    if has_returned {
+        hosts.enter(1);
+    }
+    for row in rows {
+        hosts.insert(row.clone());
+    }
+    hosts.enter(2);
+    hosts.observe(Instant::now(), clock);
+    hosts
+}
+
+// Guards against: evidence counts before a host that may have a newer version in force has told, or never counts since a
+// host has ended (issue 61).
+#[rstest]
+#[case::live_in_the_earlier_era(Some(1), 10_000, true, false)]
+#[case::live_in_this_era(Some(2), 10_000, true, true)]
+#[case::live_and_names_no_era(None, 10_000, true, true)]
+#[case::lapsed(Some(1), 4_000, true, true)]
+#[case::lapsed_in_the_copy(Some(1), 4_000, false, false)]
+#[case::lapsed_in_the_copy_without_an_era(None, 4_000, false, true)]
+#[tokio::test(start_paused = true)]
+async fn hosts_that_may_be_live_have_named_their_versions(
+    #[case] era: Option<u64>,
+    #[case] at: u64,
+    #[case] has_returned: bool,
+    #[case] expected: bool,
+) {
+    let since = Instant::now();
+    let other = Row {
+        era,
+        ..row("two", "y", at)
+    };
+    let own = row("one", "x", 10_000);
+    let hosts = read(&[own, other], 10_000, has_returned);
+    assert_eq!(hosts.have_named(since, 2, "x", since), expected);
+    // Rows of the era that is asked for were not read yet.
+    assert!(!hosts.have_named(since, 3, "x", since));
+    // A store that names no era.
+    assert!(hosts.have_named(since, 0, "x", since));
+    if at == 4_000 {
+        let lapsed = since + Duration::from_millis(3_500);
+        assert!(hosts.have_named(lapsed, 2, "x", since));
+    }
+}
+
+// Guards against: a host that was started anew waits for the row of the incarnation before.
+#[test]
+fn a_restarted_host_counts_by_its_newest_incarnation() {
+    let now = Instant::now();
+    let rows = [(1, "y", 9_000), (2, "z", 9_500)].map(|(era, incarnation, at)| Row {
+        era: Some(era),
+        ..row("two", incarnation, at)
+    });
+    for has_returned in [true, false] {
+        let hosts = read(&rows, 10_000, has_returned);
+        assert!(hosts.have_named(now, 2, "x", now));
+    }
+}
+
+// Guards against: each change of the configuration hands on the rows of all hosts, or a return does not.
+#[test]
+fn a_version_is_handed_on_with_an_era_only() {
+    let now = Instant::now();
+    let held = |version| Held {
+        version,
+        revision: version,
+    };
+    let named = |era, version| Row {
+        era: Some(era),
+        held: Some(held(version)),
+        ..row("two", "y", 10_000)
+    };
+    let published = |row: &Row| {
+        let change = Change {
+            key: row.key(),
+            value: Some(Bytes::from(serde_json::to_vec(row).expect("a row"))),
+            revision: 1,
+        };
+        BTreeMap::from([(row.key(), change)])
+    };
+    let known = published(&named(1, 7));
+    for (next, expected) in [(named(1, 8), 0), (named(2, 7), 1), (named(2, 8), 1)] {
+        let hosts = read(&[next], 10_000, true);
+        assert_eq!(hosts.differences(now, &known).len(), expected);
+    }
+}
