Endpoints: statements that an older copy of the store has lost

After a return of the store from an older copy, an endpoint that the copy lists as ready got requests although it had said that it drains, or its row had been removed; hosts that read from another one dropped endpoints that the copy lacks.

Statements of an incarnation are now ordered by their number (`Sequence` of the platform's rows; missing or malformed is unknown, and then a row of the same incarnation does not take back that an endpoint leaves). After a return, a row that is older than what this host knew of the endpoint, listed or removed, does not count until a newer one, or until it has stood for the bounds of drain and grace. Rows that the copy lacks are held as after an outage. A change of the number alone is still no change of the list.

Existing tests: endpoints in them have one more field, and the rows of the test platform may end with a number.

--- a/crates/edge/src/follow/endpoints.rs
+++ b/crates/edge/src/follow/endpoints.rs
@@ -10,7 +10,10 @@
 
 use super::{Sink, follower};
 use crate::edge::Edge;
+use crate::metrics::count;
+use crate::recall::Recall;
 use crate::removal::{Decision, Removals};
+use crate::roster::Endpoint;
 
 /// Duration of a long poll for a change of the list of endpoints.
 const ENDPOINT_WAIT: Duration = Duration::from_millis(600);
@@ -27,14 +30,14 @@
 /// Follows the list of endpoints until the task is dropped.
 pub async fn endpoints(edge: Rc<Edge>) {
     let table = edge.remote.decoder.endpoint_table();
-    let hold = edge
-        .settings
-        .borrow()
-        .bounds
-        .drain
-        .saturating_sub(HOLD_MARGIN);
+    let (drain, grace) = {
+        let bounds = &edge.settings.borrow().bounds;
+        (bounds.drain, bounds.grace)
+    };
     let sink = EndpointSink {
-        lapses: Removals::new(hold),
+        lapses: Removals::new(drain.saturating_sub(HOLD_MARGIN)),
+        // An endpoint that leaves serves on while it drains, and has ended after its grace.
+        recall: Recall::new(drain + grace),
     };
     follower(
         edge,
@@ -52,6 +55,8 @@
 struct EndpointSink {
     /// Removed rows whose endpoints are still kept.
     lapses: Removals,
+    /// Statements that the store may have lost.
+    recall: Recall,
 }
 
 impl EndpointSink {
@@ -62,35 +67,65 @@
         match edge.remote.decoder.endpoint(&change.key, value) {
             Ok(endpoint) => {
                 self.lapses.restore(&change.key);
-                let change = edge.roster.borrow_mut().insert(endpoint);
-                if let Some(change) = change {
-                    edge.apply(&change);
+                let known = edge.roster.borrow().get(&change.key).cloned();
+                if self
+                    .recall
+                    .admit(Instant::now(), known.as_deref(), &endpoint)
+                {
+                    list_endpoint(edge, endpoint);
+                } else if known.is_none_or(|known| !known.is_same_content(&endpoint)) {
+                    report_outdated(edge, &endpoint);
                 }
             }
             Err(fault) => {
                 tracing::warn!(event = "endpoint_malformed", row = change.key, fault = %fault);
-                drop_endpoint(edge, &change.key);
+                self.drop_endpoint(edge, &change.key);
             }
         }
     }
 
     /// Removes an endpoint, or holds it for a while if its row may have been lost by an outage.
     fn remove(&mut self, edge: &Edge, id: &EndpointId) {
+        self.recall.forget_outdated(id);
         match self.lapses.remove(Instant::now(), id) {
-            Decision::Apply => drop_endpoint(edge, id),
+            Decision::Apply => self.drop_endpoint(edge, id),
             Decision::Hold => tracing::info!(event = "endpoint_lapsed", endpoint = id),
         }
     }
+
+    /// Removes an endpoint from the list at once.
+    fn drop_endpoint(&mut self, edge: &Edge, id: &str) {
+        let known = edge.roster.borrow().get(id).cloned();
+        if let Some(known) = known {
+            self.recall.record_removed((*known).clone());
+        }
+        let change = edge.roster.borrow_mut().remove(id);
+        if let Some(change) = change {
+            edge.apply(&change);
+        }
+    }
 }
 
-/// Removes an endpoint from the list at once.
-fn drop_endpoint(edge: &Edge, id: &str) {
-    let change = edge.roster.borrow_mut().remove(id);
+/// Adds an endpoint to the list, or replaces it.
+fn list_endpoint(edge: &Edge, endpoint: Endpoint) {
+    let change = edge.roster.borrow_mut().insert(endpoint);
     if let Some(change) = change {
         edge.apply(&change);
     }
 }
 
+/// Counts and logs a row that does not count yet.
+fn report_outdated(edge: &Edge, endpoint: &Endpoint) {
+    count(&edge.metrics.changes, "endpoint_outdated");
+    tracing::info!(
+        event = "endpoint_statement_outdated",
+        endpoint = endpoint.id,
+        number = endpoint.number,
+        draining = endpoint.draining,
+        reason = "a newer statement was known before the store returned",
+    );
+}
+
 impl Sink for EndpointSink {
     fn start_batch(&mut self) {
         self.lapses.start_response();
@@ -99,6 +134,9 @@
     fn snapshot(&mut self, edge: &Edge, changes: Changes, is_behind: bool) {
         let listed: HashSet<&String> = changes.rows.iter().map(|change| &change.key).collect();
         let known: Vec<String> = edge.roster.borrow().ids().cloned().collect();
+        if !is_behind {
+            self.recall.retain_listed(&listed);
+        }
         for id in known.iter().filter(|id| !is_behind && !listed.contains(id)) {
             self.remove(edge, id);
         }
@@ -127,14 +165,32 @@
         Some(drain.saturating_sub(MAX_ENDPOINT_AGE + ENDPOINT_INTERVAL + HOLD_MARGIN))
     }
 
+    /// Rows that the copy lacks are held as after an outage.
+    fn start_era(&mut self, _edge: &Edge) {
+        self.lapses.store_unavailable();
+        self.recall.start_era(Instant::now());
+    }
+
     fn lost(&mut self) {
         self.lapses.store_unavailable();
     }
 
     fn due(&mut self, edge: &Edge) -> Option<Instant> {
-        for id in self.lapses.take_expired(Instant::now()) {
-            drop_endpoint(edge, &id);
+        let now = Instant::now();
+        for id in self.lapses.take_expired(now) {
+            self.drop_endpoint(edge, &id);
+        }
+        for endpoint in self.recall.take_expired(now) {
+            tracing::info!(
+                event = "endpoint_statement_restored",
+                endpoint = endpoint.id,
+                number = endpoint.number,
+                draining = endpoint.draining,
+                reason = "its row still stands",
+            );
+            list_endpoint(edge, endpoint);
         }
-        self.lapses.next_expiry()
+        let expiries = [self.lapses.next_expiry(), self.recall.next_expiry()];
+        expiries.into_iter().flatten().min()
     }
 }
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod owners;
 pub mod peer;
 pub mod queue;
+pub mod recall;
 pub mod record;
 pub mod refusal;
 pub mod relay;
--- a/crates/edge/src/roster.rs
+++ b/crates/edge/src/roster.rs
@@ -1,5 +1,6 @@
 //! Registered endpoints by id.
 
+use std::cmp::Ordering;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -17,6 +18,8 @@
     /// When this incarnation started, in milliseconds since the Unix epoch; `None` if it does not
     /// tell.
     pub born: Option<u64>,
+    /// Number of this statement, which grows with each one of an incarnation; `None` if it does not tell.
+    pub number: Option<u64>,
     /// Service whose requests it handles.
     pub service: ServiceId,
     /// Address at which it listens for requests.
@@ -78,6 +81,29 @@
     pub fn is_same_incarnation(&self, other: &Self) -> bool {
         self.id == other.id && self.born == other.born && self.address == other.address
     }
+
+    /// Returns whether this statement of an endpoint is older or newer than another one of the endpoint with the
+    /// same id; `None` if they do not tell.
+    pub fn order(&self, other: &Self) -> Option<Ordering> {
+        let born = self.born.zip(other.born);
+        let born = born.map(|(own, other)| own.cmp(&other));
+        if let Some(order) = born.filter(|order| order.is_ne()) {
+            return Some(order);
+        }
+        let is_same_process = born.is_some() || self.is_same_incarnation(other);
+        let numbers = self.number.zip(other.number);
+        let numbers = numbers.filter(|_| is_same_process);
+        numbers.map(|(own, other)| own.cmp(&other))
+    }
+
+    /// Returns whether both say the same, whatever the numbers of the statements are.
+    pub fn is_same_content(&self, other: &Self) -> bool {
+        let numbered = Self {
+            number: self.number,
+            ..other.clone()
+        };
+        *self == numbered
+    }
 }
 
 /// Change of the list of endpoints.
@@ -98,12 +124,16 @@
 }
 
 impl Roster {
-    /// Adds or replaces an endpoint; returns `None` if nothing has changed.
+    /// Adds or replaces an endpoint; returns `None` if nothing has changed but the number of the statement.
     pub fn insert(&mut self, endpoint: Endpoint) -> Option<Change> {
-        let current = self.endpoints.get(&endpoint.id);
-        if current.is_some_and(|current| **current == endpoint) {
+        let current = self.endpoints.get_mut(&endpoint.id);
+        if let Some(current) = current
+            && current.is_same_content(&endpoint)
+        {
+            *current = Rc::new(endpoint);
             return None;
         }
+        let current = self.endpoints.get(&endpoint.id);
         let is_update = current.is_some_and(|current| current.is_same_incarnation(&endpoint));
         let endpoint = Rc::new(endpoint);
         self.endpoints.insert(endpoint.id.clone(), endpoint.clone());
@@ -121,6 +151,11 @@
             .map(|endpoint| Change::Left(endpoint.id.clone()))
     }
 
+    /// Returns a listed endpoint; `None` if it is not listed.
+    pub fn get(&self, id: &str) -> Option<&Rc<Endpoint>> {
+        self.endpoints.get(id)
+    }
+
     /// Returns the ids of all listed endpoints.
     pub fn ids(&self) -> impl Iterator<Item = &EndpointId> {
         self.endpoints.keys()
--- a/crates/edge/tests/choice.rs
+++ b/crates/edge/tests/choice.rs
@@ -21,6 +21,7 @@
         balancer.apply(&Change::Joined(Rc::new(Endpoint {
             id: format!("i-{n}"),
             born: Some(1),
+            number: None,
             service: "model".to_owned(),
             address: ([10, 0, 0, 1], port).into(),
             zone: "a".to_owned(),
--- a/crates/edge/tests/cold.rs
+++ b/crates/edge/tests/cold.rs
@@ -21,6 +21,7 @@
     Rc::new(Endpoint {
         id: id.to_owned(),
         born: Some(1),
+        number: None,
         service: SERVICE.to_owned(),
         address: ([10, 0, 0, 1], 1).into(),
         zone: zone.to_owned(),
--- a/crates/edge/tests/evacuation.rs
+++ b/crates/edge/tests/evacuation.rs
@@ -67,6 +67,7 @@
         balancer.apply(&Change::Joined(Rc::new(Endpoint {
             id: format!("in-{zone}"),
             born: Some(1),
+            number: None,
             service: "model".to_owned(),
             address: ([10, 0, 0, 1], port).into(),
             zone: zone.to_owned(),
--- a/crates/edge/tests/support/endpoints.rs
+++ b/crates/edge/tests/support/endpoints.rs
@@ -16,6 +16,7 @@
     Endpoint {
         id: format!("e{n:02}"),
         born: None,
+        number: None,
         service: SERVICE.to_owned(),
         address: "127.0.0.1:1".parse().expect("an address"),
         zone: "a".to_owned(),
--- a/crates/edge/tests/support/mod.rs
+++ b/crates/edge/tests/support/mod.rs
@@ -150,16 +150,20 @@
     }
 
     /// Decodes an address, followed by the word `leaving` if the endpoint is draining, or by `in` and its
-    /// zone if that is not `a`.
+    /// zone if that is not `a`. At the end, `#N` is the number of the statement and `#N@B` also names the
+    /// birth.
     fn endpoint(&self, id: &EndpointId, value: &[u8]) -> Result<Endpoint, Fault> {
         let text = String::from_utf8_lossy(value);
-        let (address, state) = text.split_once(' ').unwrap_or((&text, ""));
+        let (text, statement) = text.split_once(" #").unwrap_or((&text, ""));
+        let (number, born) = statement.split_once('@').unwrap_or((statement, ""));
+        let (address, state) = text.split_once(' ').unwrap_or((text, ""));
         let address = address
             .parse()
             .map_err(|_| Fault::new("address", "malformed"))?;
         Ok(Endpoint {
             id: id.clone(),
-            born: None,
+            born: born.parse().ok(),
+            number: number.parse().ok(),
             service: "floor".to_owned(),
             address,
             zone: state.strip_prefix("in ").unwrap_or("a").to_owned(),
