Evacuations: held for a while after a return of the store from an older copy

A zone whose evacuation was acknowledged got requests as soon as the store returned from a copy without its row, and one that was taken back got none if the copy still had the row.

A zone keeps what is in force and what the store has apart, so the conditions of heartbeats name the rows of the store and evidence goes on. Hosts hand on the rows of the store, and each holds by itself.

No existing test is changed.

--- a/crates/edge/src/follow/config.rs
+++ b/crates/edge/src/follow/config.rs
@@ -249,6 +249,14 @@
         self.apply(edge, &change);
     }
 
+    fn start_era(&mut self, edge: &Edge) {
+        edge.hold_evacuations();
+    }
+
+    fn due(&mut self, edge: &Edge) -> Option<Instant> {
+        edge.release_evacuations()
+    }
+
     fn outdated<'a>(&self, edge: &'a Edge) -> LocalBoxFuture<'a, ()> {
         Box::pin(edge.config_outdated.notified())
     }
--- a/crates/edge/tests/evacuation.rs
+++ b/crates/edge/tests/evacuation.rs
@@ -11,6 +11,7 @@
 use agate_edge::evacuation::Evacuations;
 use agate_edge::roster::{Change, Endpoint};
 use agate_edge::settings::{Evacuation, Settings};
+use agate_model::revision;
 use rstest::rstest;
 use support::{Connection, Harness, Server, Step, read_response, request, settings, status};
 use tokio::io::AsyncWriteExt as _;
@@ -19,6 +20,10 @@
 const OK: &str = "HTTP/1.1 200 OK\r\nx-id: {id}\r\nx-signed: 1\r\ncontent-length: 4\r\n\r\nfine";
 /// Time from the change of a row to the next request: several times what the change takes.
 const SETTLE_TIME: Duration = Duration::from_millis(300);
+/// Time for which evacuations are held after a return of the store: the bounds of configuration and drain.
+const HOLD_TIME: Duration = Duration::from_secs(4);
+/// Time after which hosts have read what the store has after a return.
+const RETURN_TIME: Duration = Duration::from_millis(1_500);
 
 fn zones(evacuations: &Evacuations) -> Vec<&str> {
     evacuations.zones().map(String::as_str).collect()
@@ -61,6 +66,60 @@
     assert!(!evacuations.is_complete(21));
 }
 
+// Guards against: a return of the store from an older copy takes zones back, or evacuates them again, that the operators
+// have not written again yet.
+#[rstest]
+#[case::once(1)]
+#[case::twice(2)]
+fn what_is_in_force_is_held_after_a_return_of_the_store(#[case] returns: u64) {
+    let (lost, again) = ("a".to_owned(), "b".to_owned());
+    let mut evacuations = Evacuations::default();
+    evacuations.apply(&again, true, 3);
+    evacuations.apply(&again, false, 7);
+    evacuations.apply(&lost, true, 8);
+    let mut now = Instant::now();
+    for era in 1..=returns {
+        now += HOLD_TIME / 2;
+        evacuations.start_era(now + HOLD_TIME);
+        let at = |number| revision::join(era, number).expect("a revision");
+        let copy = BTreeMap::from([(again.clone(), at(3))]);
+        assert!(!evacuations.replace(&copy, at(5)));
+        // Another snapshot of the same era.
+        assert!(!evacuations.replace(&copy, at(6)));
+        assert!(evacuations.is_complete(at(6)));
+        assert_eq!(zones(&evacuations), ["a"]);
+        // Commits name the rows that the store has.
+        assert_eq!(evacuations.row_revision("a"), None);
+        assert_eq!(evacuations.row_revision("b"), Some(at(3)));
+    }
+    assert!(evacuations.expire(now + HOLD_TIME / 2).is_empty());
+    assert_eq!(zones(&evacuations), ["a"]);
+    assert_eq!(evacuations.expire(now + HOLD_TIME), ["a", "b"]);
+    assert_eq!(zones(&evacuations), ["b"]);
+    assert_eq!(evacuations.next_expiry(), None);
+}
+
+// Guards against: what the operators write after a return of the store counts only at the end of the hold time.
+#[test]
+fn changes_after_a_return_of_the_store_count_at_once() {
+    let (lost, again) = ("a".to_owned(), "b".to_owned());
+    let mut evacuations = Evacuations::default();
+    evacuations.apply(&again, true, 3);
+    evacuations.apply(&again, false, 7);
+    evacuations.apply(&lost, true, 8);
+    let now = Instant::now();
+    evacuations.start_era(now + HOLD_TIME);
+    let at = |number| revision::join(1, number).expect("a revision");
+    evacuations.replace(&BTreeMap::from([(again.clone(), at(3))]), at(5));
+    assert!(evacuations.apply(&again, true, at(6)));
+    assert_eq!(zones(&evacuations), ["a", "b"]);
+    // Written again, and taken back by a snapshot after it.
+    assert!(!evacuations.apply(&lost, true, at(7)));
+    assert!(evacuations.replace(&BTreeMap::from([(again, at(6))]), at(8)));
+    assert_eq!(zones(&evacuations), ["b"]);
+    assert!(evacuations.expire(now + HOLD_TIME).is_empty());
+}
+
 fn balancer() -> Balancer {
     let mut balancer = Balancer::new(Tuning::default());
     for (port, zone) in [(1, "a"), (2, "b")] {
@@ -267,3 +326,84 @@
         assert!(!reaches(host, &near).await, "{}", host.settings.host);
     }
 }
+
+/// Starts the zones and hosts of [`start`], and other hosts of zone `a` up to `count`.
+async fn start_hosts(count: usize) -> ([Server; 2], Vec<Harness>) {
+    let (servers, first) = start().await;
+    let mut hosts = vec![first];
+    for n in 1..count {
+        let connection = Connection::new(hosts[0].store.clone());
+        let settings = Settings {
+            host: format!("other-{n}"),
+            ..evacuable().await
+        };
+        hosts.push(Harness::with_connection(connection, settings, None).await);
+    }
+    if count > 1 {
+        sleep(Duration::from_millis(4_500)).await;
+    }
+    (servers, hosts)
+}
+
+// Guards against: an evacuated zone gets requests since the store has returned from a copy without its row.
+#[rstest]
+#[case::at_the_store(1)]
+#[case::through_the_relay(2)]
+#[actix_rt::test]
+async fn a_zone_whose_row_is_lost_stays_evacuated_for_a_while(#[case] count: usize) {
+    let ([near, _far], hosts) = start_hosts(count).await;
+    let store = hosts[0].store.clone();
+    let copy = store.copy();
+    store.put("settings", "evacuated/a", Some("{}"));
+    sleep(SETTLE_TIME).await;
+    store.return_from(copy.clone());
+    sleep(RETURN_TIME).await;
+    for host in &hosts {
+        assert!(!reaches(host, &near).await, "{}", host.settings.host);
+    }
+    // Evidence goes on, since the condition of heartbeats names the rows that the store has.
+    for host in &hosts {
+        let age = host.program.edge().evidence_age().expect("evidence");
+        assert!(age < Duration::from_secs(3), "{age:?}");
+    }
+    store.put("settings", "evacuated/a", Some("{}"));
+    sleep(HOLD_TIME).await;
+    for host in &hosts {
+        assert!(!reaches(host, &near).await, "{}", host.settings.host);
+    }
+    store.return_from(copy);
+    sleep(RETURN_TIME + HOLD_TIME).await;
+    for host in &hosts {
+        assert!(reaches(host, &near).await, "{}", host.settings.host);
+    }
+}
+
+// Guards against: a zone that was taken back gets nothing since the store has returned from a copy with its row.
+#[rstest]
+#[case::at_the_store(1)]
+#[case::through_the_relay(2)]
+#[actix_rt::test]
+async fn a_zone_that_was_taken_back_stays_so_for_a_while(#[case] count: usize) {
+    let ([near, _far], hosts) = start_hosts(count).await;
+    let store = hosts[0].store.clone();
+    store.put("settings", "evacuated/a", Some("{}"));
+    sleep(SETTLE_TIME).await;
+    let copy = store.copy();
+    store.put("settings", "evacuated/a", None);
+    sleep(SETTLE_TIME).await;
+    store.return_from(copy.clone());
+    sleep(RETURN_TIME).await;
+    for host in &hosts {
+        assert!(reaches(host, &near).await, "{}", host.settings.host);
+    }
+    store.put("settings", "evacuated/a", None);
+    sleep(HOLD_TIME).await;
+    for host in &hosts {
+        assert!(reaches(host, &near).await, "{}", host.settings.host);
+    }
+    store.return_from(copy);
+    sleep(RETURN_TIME + HOLD_TIME).await;
+    for host in &hosts {
+        assert!(!reaches(host, &near).await, "{}", host.settings.host);
+    }
+}
