Balancer: speed and ejections of an endpoint that is listed again

An endpoint whose row a returned store lacks is dropped after a while, and joins again when its row is written: the same incarnation counted as fast and sound, so requests went at once to an endpoint that this host had found slow or unreachable. What was observed was kept with the entry in the list alone.

The speed, failures and ejections of the 1,024 incarnations that left the list last are now kept and taken over when one joins again at the same service. Notices and limits are kept by incarnation already: three new cases in tests/returns.rs passed before the change too.

No existing test is changed.

--- a/crates/edge/src/balancer.rs
+++ b/crates/edge/src/balancer.rs
@@ -10,7 +10,7 @@
 mod limit;
 mod rank;
 
-use std::collections::{HashMap, HashSet};
+use std::collections::{HashMap, HashSet, VecDeque};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -99,6 +99,18 @@
     Abandoned,
 }
 
+/// Failures of one endpoint, and its ejections.
+#[derive(Clone, Debug, Default)]
+struct Health {
+    /// Consecutive failures since the last success or ejection.
+    failures: u32,
+    /// Moving average of the share of requests that failed, between 0 and 1.
+    failure_rate: f64,
+    /// Ejections since the last success after one.
+    ejections: u32,
+    ejected_until: Option<Instant>,
+}
+
 /// An endpoint and this host's requests at it.
 #[derive(Debug)]
 struct Entry {
@@ -113,13 +125,7 @@
     work: f64,
     /// Tokens of those requests in the memory of the endpoint.
     tokens: f64,
-    /// Consecutive failures since the last success or ejection.
-    failures: u32,
-    /// Moving average of the share of requests that failed, between 0 and 1.
-    failure_rate: f64,
-    /// Ejections since the last success after one.
-    ejections: u32,
-    ejected_until: Option<Instant>,
+    health: Health,
     /// Whether the endpoint has said that it is leaving, as in the notices.
     is_leaving: bool,
     /// When the pause ends that the endpoint has asked for, as in the notices.
@@ -132,6 +138,18 @@
     permits: Option<Wallet>,
 }
 
+/// Endpoints off the list whose record is kept; the oldest are forgotten first.
+const MAX_DEPARTED: usize = 1024;
+
+/// What this host has observed of an incarnation that is off the list, which the store may list again.
+#[derive(Debug)]
+struct Departed {
+    incarnation: Rc<Incarnation>,
+    service: ServiceId,
+    health: Health,
+    load: Load,
+}
+
 /// Weight of one request in the moving average of failures.
 const FAILURE_RATE_WEIGHT: f64 = 0.15;
 /// Moving average of failures above which an endpoint is ejected.
@@ -174,6 +192,8 @@
     notices: Notices<Rc<Incarnation>>,
     /// Limits that endpoints have named, also those that are not listed.
     limits: Book<Rc<Incarnation>>,
+    /// Observations of endpoints off the list, oldest first.
+    departed: VecDeque<Departed>,
     /// Endpoints for which requests want permits that this host does not hold.
     wanted: Vec<Rc<Endpoint>>,
 }
@@ -210,6 +230,10 @@
         let paused_until = self.notices.paused_until(now.into_std(), &incarnation);
         let mut cold = Cold::default();
         cold.observe(now, endpoint.cold);
+        let departed = self.take_departed(&incarnation, &endpoint.service);
+        let (health, load) = departed
+            .map(|departed| (departed.health, departed.load))
+            .unwrap_or_default();
         let key = self.entries.insert(Entry {
             endpoint: endpoint.clone(),
             is_leaving: self.notices.is_leaving(&incarnation),
@@ -220,11 +244,8 @@
             running: 0,
             work: 0.0,
             tokens: 0.0,
-            failures: 0,
-            failure_rate: 0.0,
-            ejections: 0,
-            ejected_until: None,
-            load: Load::default(),
+            health,
+            load,
             cold,
         });
         self.by_id.insert(endpoint.id.clone(), key);
@@ -275,6 +296,15 @@
         self.by_tag.remove(&share::tag(id));
         if let Some(entry) = self.entries.get_mut(key) {
             entry.is_listed = false;
+            if self.departed.len() >= MAX_DEPARTED {
+                self.departed.pop_front();
+            }
+            self.departed.push_back(Departed {
+                incarnation: entry.incarnation.clone(),
+                service: entry.endpoint.service.clone(),
+                health: entry.health.clone(),
+                load: entry.load.clone(),
+            });
             if let Some(keys) = self.by_service.get_mut(&entry.endpoint.service) {
                 keys.retain(|other| *other != key);
             }
@@ -284,6 +314,14 @@
         }
     }
 
+    /// Removes and returns what was observed of an incarnation at a service before it left the list.
+    fn take_departed(&mut self, incarnation: &Incarnation, service: &str) -> Option<Departed> {
+        let index = self.departed.iter().position(|departed| {
+            *departed.incarnation == *incarnation && departed.service == service
+        });
+        self.departed.remove(index?)
+    }
+
     /// Chooses an endpoint and counts the request there. `limit` bounds this host's requests in
     /// flight at one endpoint; None if every endpoint is at the limit, excluded or draining.
     pub fn choose(
@@ -352,7 +390,7 @@
         let admitted = self.ready(criteria.service).filter(|key| {
             let entry = &self.entries[*key];
             let is_paused = entry.paused_until.is_some_and(|until| until > now);
-            let is_ejected = entry.ejected_until.is_some_and(|until| until > now);
+            let is_ejected = entry.health.ejected_until.is_some_and(|until| until > now);
             let is_free = entry.running < limit && !is_paused && !is_ejected;
             let is_free = is_free && entry.may_send(now);
             is_free
@@ -433,7 +471,7 @@
         let admitted: Vec<Key> = self
             .open(now, service)
             .filter(|key| {
-                let until = self.entries[*key].ejected_until;
+                let until = self.entries[*key].health.ejected_until;
                 until.is_none_or(|until| until <= now)
             })
             .collect();
@@ -527,26 +565,27 @@
         }
         match outcome {
             Outcome::Answered => {
-                entry.failures = 0;
-                entry.failure_rate *= 1.0 - FAILURE_RATE_WEIGHT;
-                if entry.ejected_until.is_some_and(|until| until <= now) {
-                    entry.ejected_until = None;
-                    entry.ejections = 0;
+                entry.health.failures = 0;
+                entry.health.failure_rate *= 1.0 - FAILURE_RATE_WEIGHT;
+                if entry.health.ejected_until.is_some_and(|until| until <= now) {
+                    entry.health.ejected_until = None;
+                    entry.health.ejections = 0;
                 }
                 false
             }
             Outcome::Abandoned | Outcome::Excused => false,
             Outcome::Failed | Outcome::Unreached | Outcome::Full => {
-                entry.failures += 1;
-                entry.failure_rate += (1.0 - entry.failure_rate) * FAILURE_RATE_WEIGHT;
-                let is_ejected = entry.failures >= tuning.max_failures
+                entry.health.failures += 1;
+                entry.health.failure_rate +=
+                    (1.0 - entry.health.failure_rate) * FAILURE_RATE_WEIGHT;
+                let is_ejected = entry.health.failures >= tuning.max_failures
                     || outcome != Outcome::Failed
-                    || entry.failure_rate > MAX_FAILURE_RATE;
+                    || entry.health.failure_rate > MAX_FAILURE_RATE;
                 if is_ejected {
-                    let ejection = tuning.base_ejection * 2_u32.pow(entry.ejections.min(8));
-                    entry.ejected_until = Some(now + ejection.min(tuning.max_ejection));
-                    entry.ejections += 1;
-                    entry.failures = 0;
+                    let ejection = tuning.base_ejection * 2_u32.pow(entry.health.ejections.min(8));
+                    entry.health.ejected_until = Some(now + ejection.min(tuning.max_ejection));
+                    entry.health.ejections += 1;
+                    entry.health.failures = 0;
                 }
                 is_ejected
             }
--- a/crates/edge/tests/returns.rs
+++ b/crates/edge/tests/returns.rs
@@ -9,6 +9,12 @@
 use tokio::time::{Instant, sleep};
 
 const OK: &str = "HTTP/1.1 200 OK\r\nx-id: {id}\r\nx-signed: 1\r\ncontent-length: 4\r\n\r\nfine";
+const LEAVING: &str = "HTTP/1.1 200 OK\r\nx-id: {id}\r\nx-signed: 1\r\nx-leaving: 1\r\n\
+                       content-length: 4\r\n\r\nfine";
+const LIMITED: &str = "HTTP/1.1 200 OK\r\nx-id: {id}\r\nx-signed: 1\r\nx-limit: 1\r\n\
+                       content-length: 4\r\n\r\nfine";
+const PAUSED: &str = "HTTP/1.1 503 Full\r\nx-id: {id}\r\nx-not-run: 1\r\nretry-after: 20\r\n\
+                      content-length: 0\r\n\r\n";
 /// Time after which all hosts have read what the store has, also after its return.
 const SETTLE_TIME: Duration = Duration::from_millis(1_700);
 /// Time after which an endpoint is dropped that the copy lacks: the drain bound without its margin.
@@ -26,8 +32,13 @@
 impl Zone {
     /// Starts `count` hosts of one zone, of which one reads the store if there are several.
     async fn start(count: usize) -> Self {
+        Self::with_response(count, OK).await
+    }
+
+    /// Starts hosts of one zone, with an endpoint `e0` that always gives this response.
+    async fn with_response(count: usize, response: &'static str) -> Self {
         let servers = [
-            Server::start(vec![vec![Step::Write(OK)]]).await,
+            Server::start(vec![vec![Step::Write(response)]]).await,
             Server::start(vec![vec![Step::Write(OK)]]).await,
         ];
         let store = Harness::store(&[&servers[0], &servers[1]]);
@@ -186,3 +197,29 @@
     sleep(SETTLE_TIME + HOLD_TIME).await;
     assert_eq!(zone.is_listed("e0"), Some(false));
 }
+
+// Guards against: an endpoint that is listed again after a return of the store gets what it has asked not to get.
+#[rstest]
+#[case::leaving(LEAVING, 0)]
+#[case::paused(PAUSED, 0)]
+#[case::limited(LIMITED, 11)]
+#[actix_rt::test]
+async fn what_an_endpoint_has_asked_for_outlasts_a_return(
+    #[case] response: &'static str,
+    #[case] allowed: usize,
+) {
+    let zone = Zone::with_response(1, response).await;
+    zone.remove(0);
+    let copy = zone.hosts[0].store.copy();
+    zone.state(0, "#5");
+    sleep(SETTLE_TIME).await;
+    assert!(zone.sent(0, SETTLE_TIME).await > 0);
+    zone.hosts[0].store.return_from(copy);
+    sleep(SETTLE_TIME + HOLD_TIME).await;
+    assert_eq!(zone.is_listed("e0"), Some(false));
+    zone.state(0, "#5");
+    sleep(SETTLE_TIME).await;
+    assert_eq!(zone.is_listed("e0"), Some(true));
+    let sent = zone.sent(0, Duration::from_secs(4)).await;
+    assert!(sent <= allowed, "{sent} requests");
+}
--- a/crates/edge/tests/speed.rs
+++ b/crates/edge/tests/speed.rs
@@ -3,14 +3,16 @@
 #[path = "support/endpoints.rs"]
 mod endpoints;
 
+use std::rc::Rc;
 use std::time::Duration;
 
 use agate_edge::balancer::{Balancer, Criteria, Outcome};
+use agate_edge::roster::{Change, Endpoint};
 use agate_edge::subset::Subset;
 use agate_pick::capacity::Sample;
 use tokio::time::Instant;
 
-use self::endpoints::{SERVICE, balancer};
+use self::endpoints::{SERVICE, balancer, endpoint};
 
 const ENDPOINTS: usize = 12;
 
@@ -172,3 +174,68 @@
         Some(1.0)
     );
 }
+
+/// Removes an endpoint from the list and adds it again as `endpoint`.
+fn relist(balancer: &mut Balancer, endpoint: Endpoint) {
+    balancer.apply(&Change::Left(endpoint.id.clone()));
+    balancer.apply(&Change::Joined(Rc::new(endpoint)));
+}
+
+// Guards against: a slow endpoint counts as fast, since the store has lost its row for a while.
+#[test]
+fn a_slow_endpoint_is_slow_when_it_is_listed_again() {
+    let mut balancer = balancer(ENDPOINTS, |_| false);
+    let start = Instant::now();
+    let fourth_is_slow = |id: &str| if id == "e03" { 3.0 } else { 1.0 };
+    for n in 0..1_000_u32 {
+        let now = start + Duration::from_millis(10) * n;
+        let prefix = Some(u64::from(n % 60));
+        send(&mut balancer, now, prefix, None, &fourth_is_slow);
+    }
+    let now = start + Duration::from_secs(10);
+    let speed = |balancer: &Balancer| {
+        let load = balancer.load("e03").expect("it is listed");
+        (load.speed(now), load.is_slow())
+    };
+    let before = speed(&balancer);
+    assert!(before.0 < 0.7, "{before:?}");
+    relist(&mut balancer, endpoint(3, false));
+    assert_eq!(speed(&balancer), before);
+    let restarted = Endpoint {
+        born: Some(1),
+        ..endpoint(3, false)
+    };
+    relist(&mut balancer, restarted);
+    assert_eq!(speed(&balancer), (1.0, false));
+}
+
+// Guards against: an ejected endpoint is used at once, since the store has lost its row for a while.
+#[test]
+fn an_ejected_endpoint_is_ejected_when_it_is_listed_again() {
+    let mut balancer = balancer(2, |_| false);
+    let now = Instant::now();
+    let (service, zone) = (SERVICE.to_owned(), "a".to_owned());
+    let criteria = Criteria {
+        service: &service,
+        prefix: None,
+        cost: 50.0,
+        tokens: 1_000.0,
+        subset: None,
+        hosts: 1,
+        excluded: &["e01".to_owned()],
+        zone: &zone,
+    };
+    let assignment = balancer.choose(now, &criteria, 16);
+    let assignment = assignment.expect("an endpoint is free");
+    assert!(balancer.finish(now, &assignment, Outcome::Unreached));
+    relist(&mut balancer, endpoint(0, false));
+    let criteria = Criteria {
+        excluded: &[],
+        ..criteria
+    };
+    for _ in 0..20 {
+        let assignment = balancer.choose(now, &criteria, 100);
+        let assignment = assignment.expect("an endpoint is free");
+        assert_eq!(assignment.endpoint.id, "e01");
+    }
+}
