Lease: single transitions across a return of the store

Epochs after a return, an attempt carried out in a later era, a renewal there before and after the end of the term, a row that is absent or released in the copy, and a wait that began before the return. 8 new cases pass; they can't be built against the code before the fix, whose transitions know no era.

--- a/crates/lease/tests/rule.rs
+++ b/crates/lease/tests/rule.rs
@@ -3,6 +3,7 @@
 use std::time::{Duration, Instant};
 
 use agate_lease::{Candidate, Entry, Holder, Lost, Row, Settlement, Terms, Verdict};
+use agate_model::revision;
 use rstest::rstest;
 
 const SECOND: Duration = Duration::from_secs(1);
@@ -128,3 +129,109 @@
     assert!(Terms::default().covers_drift(0.02));
     assert!(!Terms::default().covers_drift(0.1));
 }
+
+/// Returns the revision with this number in the era.
+fn revision(era: u64, number: u64) -> u64 {
+    revision::join(era, number).expect("eras are small")
+}
+
+/// Guards against one epoch for two tenures: the one granted before a return was granted again after it.
+#[test]
+fn epoch_after_a_return_exceeds_those_that_are_lost() {
+    let now = Instant::now();
+    let mut first = candidate();
+    first.observe_revision(revision(1, 9));
+    let lost = first.acquire(Some(&foreign_entry(5, false)), "n1".to_owned(), now);
+    let mut second = candidate();
+    second.observe_revision(revision(2, 5));
+    let entry = foreign_entry(revision(2, 5), false);
+    let next = second.acquire(Some(&entry), "n2".to_owned(), now);
+    assert!(next.row.epoch > lost.row.epoch);
+    assert!(next.row.epoch > revision(2, 0));
+}
+
+/// Guards against an epoch below one whose row was overwritten in the same era by an attempt of an earlier era.
+#[test]
+fn epoch_exceeds_the_revision_of_the_row_found() {
+    let mut candidate = candidate();
+    candidate.observe_revision(revision(2, 5));
+    let entry = foreign_entry(revision(2, 8), false);
+    let attempt = candidate.acquire(Some(&entry), "n1".to_owned(), Instant::now());
+    assert_eq!(attempt.row.epoch, revision(2, 9));
+}
+
+/// Guards against an epoch taken for a tenure after another process may have had it: the attempt was carried out after
+/// the return.
+#[test]
+fn attempt_does_not_count_in_a_later_era() {
+    let now = Instant::now();
+    let attempt = candidate().acquire(None, "n1".to_owned(), now);
+    let epoch = attempt.row.epoch;
+    assert_eq!(
+        attempt.clone().committed(revision(1, 1)),
+        Err(Lost { epoch })
+    );
+    let entry = Entry {
+        row: attempt.row.clone(),
+        revision: revision(1, 1),
+    };
+    assert_eq!(attempt.settle(Some(&entry)), Settlement::Lost);
+}
+
+/// Guards against two holders: the row of a former tenure is there again after a return, and its renewal succeeds.
+#[rstest]
+#[case::term_goes_on(8, true)]
+#[case::term_is_over(9, false)]
+fn renewal_in_a_later_era_counts_only_while_the_term_goes_on(
+    #[case] seconds: u32,
+    #[case] is_held: bool,
+) {
+    let now = Instant::now();
+    let mut held = holder(now);
+    let renewal = held.renew(now + 7 * SECOND);
+    let mut settled = held.clone();
+    let at = now + seconds * SECOND;
+    let outcome = held.renewed(revision(1, 2), at);
+    assert_eq!(outcome.is_ok(), is_held);
+    assert_eq!(held.is_active(now + 10 * SECOND), is_held);
+    let entry = Entry {
+        row: renewal.row,
+        revision: revision(1, 2),
+    };
+    assert_eq!(settled.settle(Some(&entry), at).is_ok(), is_held);
+    assert_eq!(settled.is_active(now + 10 * SECOND), is_held);
+}
+
+/// Guards against two holders: the tenure that goes on is absent, or released by the one before it, in the copy.
+#[rstest]
+#[case::absent(None)]
+#[case::released(Some(foreign_entry(revision(1, 3), true)))]
+fn free_row_is_not_acquired_at_once_after_a_return(#[case] found: Option<Entry>) {
+    let now = Instant::now();
+    let wait = Terms::default().takeover_wait();
+    let mut candidate = candidate();
+    assert_eq!(candidate.observe(None, now), Verdict::Acquire);
+    candidate.observe_revision(revision(1, 3));
+    assert_eq!(candidate.observe(found.as_ref(), now), Verdict::Wait(wait));
+    let verdict = candidate.observe(found.as_ref(), now + wait);
+    assert_eq!(verdict, Verdict::Acquire);
+}
+
+/// Guards against a wait that began before the return: the holder may have renewed in what is lost.
+#[test]
+fn candidate_waits_anew_in_each_era() {
+    let now = Instant::now();
+    let wait = Terms::default().takeover_wait();
+    let mut candidate = candidate();
+    for era in 1..3 {
+        candidate.observe_revision(revision(era, 0));
+        let entry = foreign_entry(revision(era, 0), false);
+        let now = now + wait * u32::try_from(era).expect("eras are small");
+        assert_eq!(candidate.observe(Some(&entry), now), Verdict::Wait(wait));
+    }
+    candidate.observe_revision(revision(3, 0));
+    assert_eq!(candidate.observe(None, now), Verdict::Wait(wait));
+    candidate.observe_revision(revision(4, 0));
+    let verdict = candidate.observe(None, now + wait);
+    assert_eq!(verdict, Verdict::Wait(wait), "the row is absent in both");
+}
