Lease: the row known before a return of the store is forgotten

A copy without the lease's row left the earlier row in place: a candidate waited for it, tried to replace it, read that there is none and waited anew. No host reported usage or ordered endpoints meanwhile. The row can be read by the other duties.

--- a/crates/edge/src/duty/lease.rs
+++ b/crates/edge/src/duty/lease.rs
@@ -65,6 +65,11 @@
         });
     }
 
+    /// Forgets the lease row: the store has returned from an older copy, which may lack it.
+    pub fn forget_row(&self) {
+        self.state.borrow_mut().seen = None;
+    }
+
     /// Records that the table was read: a lease row that was not observed does not exist.
     pub fn mark_read(&self) {
         self.state.borrow_mut().is_read = true;
@@ -246,7 +251,7 @@
 }
 
 /// Reads the lease row from the store; `None` if there is none.
-async fn read(edge: &Edge) -> Result<Option<Entry>, Error> {
+pub async fn read(edge: &Edge) -> Result<Option<Entry>, Error> {
     let Some(found) = edge.remote.tables.get(TABLE, LEASE_KEY).await? else {
         return Ok(None);
     };
--- a/crates/edge/src/follow/hosts.rs
+++ b/crates/edge/src/follow/hosts.rs
@@ -162,6 +162,10 @@
         Self::apply(edge, &change);
     }
 
+    fn start_era(&mut self, edge: &Edge) {
+        edge.lease.forget_row();
+    }
+
     fn is_urgent(&self, edge: &Edge) -> bool {
         !edge.is_settled() || edge.takes_urgent_read()
     }
