Usage: windows are frozen under the row that names the last one

The era was compared when a holder began, not when it froze a window. Its predecessor has frozen and reported the next window; if the store returned without that, unnoticed, between the read of the row `head` and the commit, the new holder counted the window again and reported other figures. The commit now requires the row `head` that was read, which an earlier holder wrote together with the counts. A response for an absent row names no era, so the lease's row is read after it. Progress holds for one era; a holder that has reported in this tenure goes on where it is, any other begins anew. Counts that differ from those that this process has frozen are not reported (usage_frozen_twice). A window is given up as lost only once a former holder has had 3 s to write it again.

--- a/crates/edge/src/duty/usage.rs
+++ b/crates/edge/src/duty/usage.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use agate_model::id::{Epoch, Era};
+use agate_model::id::{Epoch, Era, Revision};
 use agate_store::Error;
 use agate_wire::table::{Check, Transaction, Write};
 use serde::{Deserialize, Serialize};
@@ -34,6 +34,8 @@
 const REPORT_RESERVE: Duration = Duration::from_millis(2_500);
 /// Delay before a failed report is retried.
 const RETRY_DELAY: Duration = Duration::from_millis(300);
+/// Time after a return of the store within which another process may write again what it has frozen.
+const REWRITE_TIME: Duration = Duration::from_secs(3);
 /// Number of frozen windows that are kept in the store.
 const KEPT_WINDOWS: u64 = 16;
 
@@ -70,13 +72,29 @@
 struct Progress {
     /// Epoch of the lease.
     epoch: Epoch,
+    /// Era of the store for which the rest holds.
+    era: Era,
+    /// Revision of the row at `HEAD_KEY`, under which windows are frozen; `None` if there was none.
+    head: Option<Revision>,
+    /// Whether `head` is to be read again before it is a condition.
+    is_outdated: bool,
     /// Next window to report.
     next: u64,
+    /// Whether no earlier holder can have frozen the next window, whatever the store has lost.
+    is_own: bool,
     /// First window that no earlier holder can have reported; those before are reported only as they are found
     /// frozen.
     first_open: u64,
 }
 
+impl Progress {
+    /// Moves on to the next window.
+    fn advance(&mut self) {
+        self.is_own |= self.next >= self.first_open;
+        self.next += 1;
+    }
+}
+
 /// Contents of the row of a frozen window.
 #[derive(Debug, Serialize, Deserialize)]
 struct Frozen {
@@ -98,8 +116,14 @@
             continue;
         };
         let mut current = match progress {
-            Some(progress) if progress.epoch == permit.epoch() => progress,
-            _ => match start(&edge, permit.epoch()).await {
+            Some(progress)
+                if progress.epoch == permit.epoch()
+                    && progress.era == edge.eras.newest()
+                    && !progress.is_outdated =>
+            {
+                progress
+            }
+            before => match start(&edge, permit.epoch(), before).await {
                 Ok(progress) => progress,
                 Err(err) => {
                     tracing::warn!(event = "usage_head_unknown", error = %err);
@@ -108,15 +132,15 @@
             },
         };
         if is_due(&edge, current.next) {
-            match report(&edge, current).await {
-                Ok(()) => current.next += 1,
+            match report(&edge, &mut current).await {
+                Ok(()) => current.advance(),
                 Err(err) => {
                     let window = current.next;
                     tracing::warn!(event = "usage_not_reported", window, error = %err);
                     count(&edge.metrics.calls, "report_failed");
                     if is_missed(&edge, window) {
                         tracing::error!(event = "usage_missed", window);
-                        current.next += 1;
+                        current.advance();
                     }
                     sleep(RETRY_DELAY).await;
                 }
@@ -128,9 +152,29 @@
 
 /// Returns what a new holder reports first: the window after the last reported one, but none older than
 /// `KEPT_WINDOWS`, or the previous window if none was reported. If the store has returned from an older copy since the
-/// last report was recorded, later windows may have been reported, up to the one in which it returned.
-async fn start(edge: &Edge, epoch: Epoch) -> Result<Progress, Error> {
+/// last report was recorded, later windows may have been reported, up to the one in which it returned. A holder that has
+/// reported in this tenure goes on where it is.
+async fn start(edge: &Edge, epoch: Epoch, before: Option<Progress>) -> Result<Progress, Error> {
+    let era = edge.eras.newest();
     let found = edge.remote.tables.get(TABLE, HEAD_KEY).await?;
+    // The response for an absent row does not name the era, but that for the row of the lease does.
+    if found.is_none() && lease::read(edge).await?.is_none() {
+        return Err(Error::Unknown("there is no lease row".to_owned()));
+    }
+    if edge.eras.newest() != era {
+        return Err(Error::Unknown(format!(
+            "the store has returned from an older copy while row {HEAD_KEY} of table {TABLE} was read"
+        )));
+    }
+    let revision = found.as_ref().map(|row| row.revision);
+    if let Some(before) = before.filter(|before| before.epoch == epoch && before.is_own) {
+        return Ok(Progress {
+            era,
+            head: revision,
+            is_outdated: false,
+            ..before
+        });
+    }
     let current = edge.window();
     let head: Option<Head> = found
         .map(|row| serde_json::from_str(&row.value))
@@ -143,7 +187,7 @@
         Some(head) => (head.window + 1).clamp(kept, current),
         None => current.saturating_sub(1),
     };
-    let is_certain = head.map_or(0, |head| head.era) == edge.eras.newest();
+    let is_certain = head.map_or(0, |head| head.era) == era;
     let first_open = match is_certain {
         true => next,
         false => next.max(edge.window_at(edge.eras.since())),
@@ -153,7 +197,11 @@
     }
     Ok(Progress {
         epoch,
+        era,
+        head: revision,
+        is_outdated: false,
         next,
+        is_own: false,
         first_open,
     })
 }
@@ -234,10 +282,10 @@
 
 /// Freezes the counts of a window and reports them under the current lease. Those of a window that may have been reported
 /// are only reported as they were frozen.
-async fn report(edge: &Edge, progress: Progress) -> Result<(), Error> {
+async fn report(edge: &Edge, progress: &mut Progress) -> Result<(), Error> {
     let window = progress.next;
     let counts = match window < progress.first_open {
-        true => match read_frozen(edge, window).await? {
+        true => match recall(edge, window).await? {
             Some(counts) => counts,
             None => {
                 tracing::error!(event = "usage_lost", window);
@@ -245,9 +293,14 @@
                 return Ok(());
             }
         },
-        false => freeze(edge, window).await?,
+        false => freeze(edge, progress).await?,
     };
-    edge.sealed.borrow_mut().insert(window, &counts);
+    if !edge.sealed.borrow_mut().insert(window, &counts) {
+        // This process may have reported the counts that it knows.
+        tracing::error!(event = "usage_frozen_twice", window);
+        count(&edge.metrics.changes, "usage_frozen_twice");
+        return Ok(());
+    }
     let expired = || {
         Error::Unreached(
             "the report was not sent: this host does not hold a valid lease".to_owned(),
@@ -288,8 +341,27 @@
     Ok(frozen.map(|frozen| frozen.counts))
 }
 
-/// Freezes the counts of a window unless they are frozen already. Returns the frozen counts.
-async fn freeze(edge: &Edge, window: u64) -> Result<Counts, Error> {
+/// Returns the counts of a window that the store, or this process, knows to be frozen; `None` if neither does. Fails
+/// while another process may write them again.
+async fn recall(edge: &Edge, window: u64) -> Result<Option<Counts>, Error> {
+    if let Some(counts) = read_frozen(edge, window).await? {
+        return Ok(Some(counts));
+    }
+    let sealed = edge.sealed.borrow().windows.get(&window).cloned();
+    if sealed.is_none() && edge.eras.since().elapsed() < REWRITE_TIME {
+        return Err(Error::Unreached(format!(
+            "no frozen counts of window {window} in table {TABLE} since the store has returned"
+        )));
+    }
+    Ok(sealed)
+}
+
+/// Freezes the counts of the next window unless they are frozen already. Returns the frozen counts.
+///
+/// The row at `HEAD_KEY` must be the one that was read in this tenure: a store that has returned from an older copy
+/// unnoticed may lack it, and with it counts that an earlier holder has frozen and reported.
+async fn freeze(edge: &Edge, progress: &mut Progress) -> Result<Counts, Error> {
+    let window = progress.next;
     let sealed = edge.sealed.borrow().windows.get(&window).cloned();
     let counts = sealed.unwrap_or_else(|| edge.ledger.borrow().sum(window));
     let unreadable = |err| malformed(window, &err);
@@ -297,29 +369,37 @@
     let value = serde_json::to_string(&frozen).map_err(unreadable)?;
     let head = Head {
         window: window.saturating_sub(1),
-        era: edge.eras.newest(),
+        era: progress.era,
     };
     let head = serde_json::to_string(&head).map_err(unreadable)?;
     let transaction = Transaction {
-        checks: vec![absent(window)],
+        checks: vec![
+            absent(window),
+            Check {
+                table: TABLE.to_owned(),
+                key: HEAD_KEY.to_owned(),
+                revision: progress.head,
+            },
+        ],
         writes: vec![
             write(key(window), Some(value)),
             write(HEAD_KEY.to_owned(), Some(head)),
             write(key(window.saturating_sub(KEPT_WINDOWS)), None),
         ],
     };
-    match edge.remote.tables.commit(&transaction).await {
-        Ok(_) => Ok(frozen.counts),
+    let outcome = edge.remote.tables.commit(&transaction).await;
+    progress.is_outdated = true;
+    match outcome {
+        Ok(commit) => {
+            progress.head = Some(commit.revision);
+            progress.is_outdated = false;
+            Ok(frozen.counts)
+        }
         Err(Error::Conflict(_) | Error::Unknown(_)) if sabotage::is(Variant::TwoFigures) => {
             Ok(frozen.counts)
         }
-        Err(Error::Conflict(_) | Error::Unknown(_)) => {
-            let missing = || {
-                Error::Unreached(format!(
-                    "no frozen counts of window {window} in table {TABLE}"
-                ))
-            };
-            read_frozen(edge, window).await?.ok_or_else(missing)
+        Err(err @ (Error::Conflict(_) | Error::Unknown(_))) => {
+            read_frozen(edge, window).await?.ok_or(err)
         }
         Err(err) => Err(err),
     }
