Usage: windows since a return are reported if no earlier report is recorded

A copy without the row `head` made a new holder begin with the previous window, as in a new store. It waits for the lease first, so the windows between the return and its tenure were left out, without a log line. It now begins with the window in which the store returned. The stand-in store of the tests gives one revision to all rows of a commit, as the store's interface says.

Tests (crates/edge/tests/duty.rs): windows reported before a return, with the former holder alive and gone; a holder that stays, in two returns; a return between the read of the row `head` and the commit.

--- a/crates/edge/src/duty/usage.rs
+++ b/crates/edge/src/duty/usage.rs
@@ -185,6 +185,8 @@
     let kept = current.saturating_sub(KEPT_WINDOWS);
     let next = match &head {
         Some(head) => (head.window + 1).clamp(kept, current),
+        // The row may be lost, and the windows since the store has returned are not reported yet.
+        None if era > 0 => edge.window_at(edge.eras.since()).clamp(kept, current),
         None => current.saturating_sub(1),
     };
     let is_certain = head.map_or(0, |head| head.era) == era;
--- a/crates/edge/tests/duty.rs
+++ b/crates/edge/tests/duty.rs
@@ -5,13 +5,15 @@
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, UNIX_EPOCH};
 
 use agate_edge::interface::{Counts, Duties, FencingToken, Order};
+use agate_edge::metrics::Outcome;
 use agate_edge::settings::Settings;
 use agate_store::Error;
 use agate_store::interface::ResponseFuture;
-use support::{Connection, Harness, KEY, Server, Step, Store, request, settings, status};
+use rstest::rstest;
+use support::{AfterGet, Connection, Harness, KEY, Server, Step, Store, request, settings, status};
 use tokio::time::{Instant, sleep};
 
 const OK_RESPONSE: &str =
@@ -194,3 +196,201 @@
         .sum();
     assert_eq!(counted, 10);
 }
+
+/// Returns the counts of each reported window; fails if one was reported with different counts, or if a token was used
+/// by two hosts or after a higher one.
+fn figures(reports: &[Report]) -> BTreeMap<u64, Counts> {
+    let mut figures: BTreeMap<u64, Counts> = BTreeMap::new();
+    let mut holders = BTreeMap::new();
+    let mut highest = 0;
+    for report in reports {
+        let token = &report.fencing_token;
+        assert!(token.epoch >= highest, "{report:?} after {highest}");
+        highest = token.epoch;
+        let holder = holders.entry(token.epoch).or_insert(&token.host);
+        assert_eq!(*holder, &token.host, "epoch {}", token.epoch);
+        let known = figures
+            .entry(report.window)
+            .or_insert_with(|| report.counts.clone());
+        assert_eq!(*known, report.counts, "window {}", report.window);
+    }
+    figures
+}
+
+/// Returns how often a host has counted a change.
+fn changes(host: &Harness, outcome: &'static str) -> u64 {
+    let changes = &host.program.edge().metrics.changes;
+    changes.get_or_create(&Outcome { outcome }).get()
+}
+
+/// Returns a store with a configuration and one endpoint.
+fn store(server: &Server) -> Rc<Store> {
+    Harness::store(&[server])
+}
+
+/// Sends one request every 100 ms to each host in turn.
+async fn serve(hosts: &[&Harness], name: &str, seconds: u64) {
+    for n in 0..10 * seconds {
+        let index = usize::try_from(n).expect("a small number") % hosts.len();
+        let response = hosts[index]
+            .call(&request("read", &format!("{name}{n}"), ""))
+            .await;
+        assert_eq!(status(&response), "200");
+        sleep(Duration::from_millis(100)).await;
+    }
+}
+
+/// Returns the position of the host that sent the last report.
+fn holder(hosts: &[Harness], receiver: &Receiver) -> usize {
+    let reports = receiver.reports.borrow();
+    let last = reports.last().expect("at least one report should arrive");
+    let position = hosts
+        .iter()
+        .position(|host| host.settings.host == last.fencing_token.host);
+    position.expect("the lease holder should be one of the hosts")
+}
+
+/// Asserts that the windows follow each other without a gap.
+fn assert_contiguous(windows: &[u64]) {
+    let is_contiguous = windows.windows(2).all(|pair| pair[0] + 1 == pair[1]);
+    assert!(is_contiguous, "{windows:?}");
+}
+
+/// Guards against one token for two tenures, and against two figures for a window that was reported before the store
+/// returned: the lease and the frozen counts are lost, and the holder of both is still there or not.
+#[rstest]
+#[case::holder_alive(false)]
+#[case::holder_gone(true)]
+#[actix_rt::test]
+async fn windows_reported_before_a_return_keep_their_counts(#[case] is_gone: bool) {
+    let server = Server::start(vec![vec![Step::Write(OK_RESPONSE)]]).await;
+    let store = store(&server);
+    let receiver = Rc::new(Receiver::default());
+    let mut hosts = Vec::new();
+    let copy = store.copy();
+    for name in ["one", "two", "three"] {
+        hosts.push(host(&store, &receiver, name).await);
+    }
+    serve(&hosts.iter().collect::<Vec<_>>(), "a", 6).await;
+    let former = holder(&hosts, &receiver);
+    let before = receiver.reports.borrow().len();
+    store.return_from(copy);
+    let returned = hosts[former].program.edge().window();
+    if is_gone {
+        hosts.remove(former).program.kill();
+    }
+    serve(&hosts.iter().collect::<Vec<_>>(), "b", 12).await;
+    sleep(Duration::from_secs(5)).await;
+    let reports = receiver.reports.borrow();
+    let windows = figures(&reports);
+    let (earlier, later) = reports.split_at(before);
+    let highest = earlier
+        .iter()
+        .map(|report| report.fencing_token.epoch)
+        .max();
+    let later: Vec<_> = later
+        .iter()
+        .filter(|report| Some(report.fencing_token.epoch) > highest)
+        .collect();
+    assert!(!later.is_empty(), "the lease should be granted again");
+    let after: Vec<u64> = windows.range(returned + 1..).map(|(k, _)| *k).collect();
+    assert!(after.len() >= 5 && after[0] == returned + 1, "{after:?}");
+    assert_contiguous(&after);
+    if !is_gone {
+        assert!(changes(&hosts[former], "usage_written_again") > 0);
+    }
+}
+
+/// Guards against a gap in the reports of a holder whose lease the copy has, in two returns in a row.
+#[actix_rt::test]
+async fn holder_that_stays_reports_every_window() {
+    let server = Server::start(vec![vec![Step::Write(OK_RESPONSE)]]).await;
+    let store = store(&server);
+    let receiver = Rc::new(Receiver::default());
+    let one = host(&store, &receiver, "one").await;
+    let two = host(&store, &receiver, "two").await;
+    serve(&[&one, &two], "a", 4).await;
+    let copy = store.copy();
+    serve(&[&one, &two], "b", 2).await;
+    store.return_from(copy);
+    serve(&[&one, &two], "c", 1).await;
+    let copy = store.copy();
+    serve(&[&one, &two], "d", 1).await;
+    store.return_from(copy);
+    serve(&[&one, &two], "e", 3).await;
+    sleep(Duration::from_secs(5)).await;
+    let reports = receiver.reports.borrow();
+    let windows = figures(&reports);
+    let first = reports.first().map(|report| report.fencing_token.epoch);
+    let last = reports.last().map(|report| report.fencing_token.epoch);
+    assert_eq!(first, last, "the holder should stay");
+    assert_contiguous(&windows.keys().copied().collect::<Vec<_>>());
+    assert_eq!(changes(&one, "usage_lost") + changes(&two, "usage_lost"), 0);
+    let counted: u64 = windows.values().flat_map(Counts::values).sum();
+    assert_eq!(counted, 110);
+}
+
+/// Guards against two figures for the window that the former holder reported last: the store returned without it after
+/// its successor had read which windows were reported, and before the successor knew of the return.
+#[actix_rt::test]
+async fn window_is_not_counted_anew_after_an_unnoticed_return() {
+    let server = Server::start(vec![vec![Step::Write(OK_RESPONSE)]]).await;
+    let store = store(&server);
+    let receiver = Rc::new(Receiver::default());
+    let first = host(&store, &receiver, "one").await;
+    serve(&[&first], "a", 4).await;
+    let copy = store.copy();
+    serve(&[&first], "b", 3).await;
+    first.program.kill();
+    // Counts that were not known when the windows were frozen.
+    let windows = receiver
+        .reports
+        .borrow()
+        .iter()
+        .map(|report| report.window)
+        .collect::<Vec<_>>();
+    let late: BTreeMap<u64, Counts> = windows
+        .iter()
+        .map(|window| (*window, Counts::from([("night".to_owned(), 1000)])))
+        .collect();
+    let late =
+        serde_json::json!({"run": "late/1", "at": 1, "ended": true, "windows": late, "offers": {}});
+    let late = late.to_string();
+    store.put("ledger", "late/1", Some(&late));
+    let connection = Connection::new(store);
+    let returned = Rc::new(Cell::new(0));
+    let returned_at = returned.clone();
+    let after: AfterGet = Box::new(move |store| {
+        let elapsed = UNIX_EPOCH.elapsed().expect("the clock is after 1970");
+        returned_at.set(elapsed.as_secs());
+        store.return_from(copy);
+        store.put("ledger", "late/1", Some(&late));
+    });
+    connection
+        .after_get
+        .replace(Some(("head".to_owned(), after)));
+    let mut settings = Settings {
+        host: "two".to_owned(),
+        ..settings().await
+    };
+    settings.bounds.window = Duration::from_secs(1);
+    let duties: Rc<dyn Duties> = receiver.clone();
+    let second = Harness::with_connection(connection.clone(), settings, Some(duties)).await;
+    serve(&[&second], "c", 12).await;
+    sleep(Duration::from_secs(12)).await;
+    assert!(
+        connection.after_get.borrow().is_none(),
+        "the store should return"
+    );
+    let reports = receiver.reports.borrow();
+    let windows = figures(&reports);
+    let after: Vec<u64> = windows
+        .range(returned.get() + 1..)
+        .map(|(k, _)| *k)
+        .collect();
+    assert!(
+        after.len() >= 5 && after[0] == returned.get() + 1,
+        "{after:?}"
+    );
+    assert_contiguous(&after);
+}
--- a/crates/edge/tests/support/mod.rs
+++ b/crates/edge/tests/support/mod.rs
@@ -38,7 +38,7 @@
 use tokio::time::{sleep, timeout};
 
 pub use self::server::{Server, Step};
-pub use self::store::{Connection, Contents, ROW_BYTES, Store};
+pub use self::store::{AfterGet, Connection, Contents, ROW_BYTES, Store};
 
 /// Host name in the requests of callers.
 pub const HOST: &str = "floor.example";
--- a/crates/edge/tests/support/store.rs
+++ b/crates/edge/tests/support/store.rs
@@ -60,6 +60,12 @@
     pub fn put(&self, table: &str, key: &str, value: Option<&str>) {
         let revision = self.revision.get() + 1;
         self.revision.set(revision);
+        self.write(table, key, value, revision);
+        self.changed.notify_waiters();
+    }
+
+    /// Writes a row, or removes it if `value` is `None`, under a revision.
+    fn write(&self, table: &str, key: &str, value: Option<&str>, revision: Revision) {
         let value = value.map(|text| Bytes::from(text.to_owned()));
         let row_key = (table.to_owned(), key.to_owned());
         match &value {
@@ -76,7 +82,6 @@
             revision,
         };
         self.history.borrow_mut().push((table.to_owned(), change));
-        self.changed.notify_waiters();
     }
 
     /// Returns a copy, from which the store may return later.
@@ -202,12 +207,13 @@
                     message: "a row is too large".to_owned(),
                 });
             }
+            let revision = self.revision.get() + 1;
+            self.revision.set(revision);
             for write in &transaction.writes {
-                self.put(&write.table, &write.key, write.value.as_deref());
+                self.write(&write.table, &write.key, write.value.as_deref(), revision);
             }
-            Ok(Commit {
-                revision: self.revision.get(),
-            })
+            self.changed.notify_waiters();
+            Ok(Commit { revision })
         })
     }
 }
@@ -279,8 +285,13 @@
     pub read_time: Cell<(&'static str, Duration)>,
     /// Pieces of those rows that have arrived; each takes 50 ms.
     pub received: Cell<usize>,
+    /// Called once, after a row with this key was read.
+    pub after_get: RefCell<Option<(String, AfterGet)>>,
 }
 
+/// What happens at the store after a read.
+pub type AfterGet = Box<dyn FnOnce(&Store)>;
+
 impl Connection {
     /// Creates a connection that is not cut.
     pub fn new(store: Rc<Store>) -> Rc<Self> {
@@ -289,6 +300,7 @@
             is_cut: Cell::new(false),
             read_time: Cell::new(("", Duration::ZERO)),
             received: Cell::new(0),
+            after_get: RefCell::default(),
         })
     }
 
@@ -321,7 +333,12 @@
     fn get<'a>(&'a self, table: &'a str, key: &'a str) -> ResponseFuture<'a, Option<Row>> {
         Box::pin(async move {
             self.check().await?;
-            self.store.get(table, key).await
+            let row = self.store.get(table, key).await;
+            let after = self.after_get.borrow_mut().take_if(|(at, _)| at == key);
+            if let Some((_, after)) = after {
+                after(&self.store);
+            }
+            row
         })
     }
 
