Soak: what excuses a request to a leaving endpoint, and what must not

Nothing showed on ledgers which disturbances and stalls excuse a request that reaches an endpoint after it announced that it leaves; only the plain violation had a case. The checks are unchanged.

--- a/crates/soak/tests/check.rs
+++ b/crates/soak/tests/check.rs
@@ -414,3 +414,93 @@
     });
     assert_eq!(findings(&ledger, &BOUNDS), []);
 }
+
+/// Returns a ledger with an endpoint that announces at 10 s that it leaves, and a request that reaches it
+/// at `at`.
+fn leaving_ledger(at: f64) -> Ledger {
+    let mut ledger = sound_ledger();
+    ledger.leavings.push(Leaving {
+        endpoint: "e".to_owned(),
+        at: seconds(10.0),
+    });
+    ledger
+        .requests
+        .push(request("r3", at - 0.05, whole(200, true)));
+    ledger.arrivals.push(arrival("r3", at));
+    ledger
+}
+
+/// Returns a disturbance by the store.
+fn store_disturbance(host: Option<usize>, from: f64, until: f64) -> Disturbance {
+    Disturbance {
+        host,
+        from: seconds(from),
+        until: seconds(until),
+        cause: Cause::Store,
+    }
+}
+
+// Guards against: findings about hosts that had no time to learn that an endpoint leaves.
+#[rstest]
+#[case::within_the_bound(11.95, None, None)]
+#[case::a_fault_at_the_announcement(12.15, Some((9.0, 11.0)), None)]
+#[case::a_fault_that_ended_just_before_the_announcement(12.15, Some((5.0, 7.05)), None)]
+#[case::a_fault_that_ended_just_before_the_request(16.0, Some((12.5, 13.05)), None)]
+#[case::a_fault_at_the_request(20.0, Some((19.9, 22.0)), None)]
+#[case::a_stall_within_the_bound(12.15, None, Some((11.0, 11.6)))]
+fn a_leaving_endpoint_may_get_requests_that_its_drain_excuses(
+    #[case] at: f64,
+    #[case] fault: Option<(f64, f64)>,
+    #[case] stall: Option<(f64, f64)>,
+) {
+    let mut ledger = leaving_ledger(at);
+    let fault = fault.map(|(from, until)| store_disturbance(None, from, until));
+    ledger.disturbances.extend(fault);
+    let stall = stall.map(|(from, until)| (seconds(from), seconds(until)));
+    ledger.stalls.extend(stall);
+    assert_eq!(findings(&ledger, &BOUNDS), []);
+}
+
+// Guards against: requests to a leaving endpoint that faults elsewhere or long ago excuse.
+#[rstest]
+#[case::a_fault_long_before_the_announcement(12.15, None, Some((5.0, 6.9)), None)]
+#[case::a_fault_between_bound_and_request(17.2, None, Some((12.1, 14.1)), None)]
+#[case::a_fault_after_the_request(12.15, None, Some((12.2, 14.0)), None)]
+#[case::a_fault_of_another_host(12.15, Some(1), Some((9.0, 11.0)), None)]
+#[case::a_stall_long_before_the_announcement(12.15, None, None, Some((5.0, 6.9)))]
+#[case::a_request_long_after_the_bound(30.0, None, None, None)]
+fn a_leaving_endpoint_that_gets_a_request_is_a_finding(
+    #[case] at: f64,
+    #[case] host: Option<usize>,
+    #[case] fault: Option<(f64, f64)>,
+    #[case] stall: Option<(f64, f64)>,
+) {
+    let mut ledger = leaving_ledger(at);
+    let fault = fault.map(|(from, until)| store_disturbance(host, from, until));
+    ledger.disturbances.extend(fault);
+    let stall = stall.map(|(from, until)| (seconds(from), seconds(until)));
+    ledger.stalls.extend(stall);
+    let found = findings(&ledger, &BOUNDS);
+    let promises: Vec<Promise> = found.iter().map(|finding| finding.promise).collect();
+    assert_eq!(promises, [Promise::Drain], "{found:?}");
+}
+
+// Guards against: a request that a host took within the bound and sent on after it goes unnoticed.
+#[test]
+fn a_request_sent_on_after_the_bound_is_a_finding() {
+    let mut ledger = leaving_ledger(12.15);
+    if let Some(request) = ledger.requests.last_mut() {
+        request.sent = seconds(11.0);
+    }
+    let found = findings(&ledger, &BOUNDS);
+    let promises: Vec<Promise> = found.iter().map(|finding| finding.promise).collect();
+    assert_eq!(promises, [Promise::Drain], "{found:?}");
+}
+
+// Guards against: an endpoint that serves on is taken for another one that leaves.
+#[test]
+fn a_request_at_another_endpoint_than_the_leaving_one_is_no_finding() {
+    let mut ledger = leaving_ledger(12.15);
+    ledger.leavings[0].endpoint = "f".to_owned();
+    assert_eq!(findings(&ledger, &BOUNDS), []);
+}
