Soak: a variant that ignores the era of the store

No variant showed that the soak finds hosts that compare bare versions, which is what broke CONFIG, ONE and DRAIN on the users' machines. `IgnoreEras` counts every response of the store as of era 0.

--- a/crates/edge/src/sabotage.rs
+++ b/crates/edge/src/sabotage.rs
@@ -28,6 +28,8 @@
     IgnoreLimits,
     /// Requests go on to endpoints in evacuated zones.
     IgnoreEvacuations,
+    /// Responses of the store count as of one era, whatever era they name.
+    IgnoreEras,
 }
 
 /// Returns whether a variant is active.
