Soak: a fault after the announcement excuses no request to a leaving endpoint

Drain left out every host that a fault disturbed within 2 s after an endpoint's announcement, however long ago that was when the request came. An announcement that the store lost and that was written again was therefore never checked.

Change: the host must have been undisturbed for 3 s before the announcement, when the store acknowledges it, and for 3 s before the request, as in the rule; what happens in between does not count. The check only finds more than before. One case more.

No soak has run with this check yet.

--- a/crates/soak/src/check.rs
+++ b/crates/soak/src/check.rs
@@ -442,7 +442,8 @@
 }
 
 /// Checks the requests of hosts that had time to learn of a leaving endpoint, which it announced while the store was
-/// sound.
+/// sound. What a store loses later is written again, so a fault after the announcement excuses a host no longer than
+/// any other.
 fn drain(ledger: &Ledger, bounds: &Bounds) -> Vec<String> {
     let requests = requests_by_id(ledger);
     let mut texts = Vec::new();
@@ -460,7 +461,7 @@
         let since = leaving.at.saturating_sub(bounds.settle);
         if arrival.at > in_time
             && ledger.is_undisturbed(request.host, from, arrival.at)
-            && ledger.is_undisturbed(request.host, since, in_time)
+            && ledger.is_undisturbed(request.host, since, leaving.at)
             && ledger.is_steady(since, arrival.at)
         {
             texts.push(format!("{arrival:?} of {request:?} after {leaving:?}"));
--- a/crates/soak/tests/check.rs
+++ b/crates/soak/tests/check.rs
@@ -464,6 +464,7 @@
 // Guards against: requests to a leaving endpoint that faults elsewhere or long ago excuse.
 #[rstest]
 #[case::a_fault_long_before_the_announcement(12.15, None, Some((5.0, 6.9)), None)]
+#[case::a_fault_just_after_the_announcement(14.2, None, Some((10.05, 11.1)), None)]
 #[case::a_fault_between_bound_and_request(17.2, None, Some((12.1, 14.1)), None)]
 #[case::a_fault_after_the_request(12.15, None, Some((12.2, 14.0)), None)]
 #[case::a_fault_of_another_host(12.15, Some(1), Some((9.0, 11.0)), None)]
