Usage: a log line for a holder that finds no earlier report after a return

Windows before the return are left out then, and nothing said so: usage_head_absent names the era and the first window.

--- a/crates/edge/src/duty/usage.rs
+++ b/crates/edge/src/duty/usage.rs
@@ -152,8 +152,8 @@
 
 /// Returns what a new holder reports first: the window after the last reported one, but none older than
 /// `KEPT_WINDOWS`, or the previous window if none was reported. If the store has returned from an older copy since the
-/// last report was recorded, later windows may have been reported, up to the one in which it returned. A holder that has
-/// reported in this tenure goes on where it is.
+/// last report was recorded, or may have lost that record, later windows may have been reported, up to the one in which
+/// it returned. A holder that has reported in this tenure goes on where it is.
 async fn start(edge: &Edge, epoch: Epoch, before: Option<Progress>) -> Result<Progress, Error> {
     let era = edge.eras.newest();
     let found = edge.remote.tables.get(TABLE, HEAD_KEY).await?;
@@ -186,7 +186,11 @@
     let next = match &head {
         Some(head) => (head.window + 1).clamp(kept, current),
         // The row may be lost, and the windows since the store has returned are not reported yet.
-        None if era > 0 => edge.window_at(edge.eras.since()).clamp(kept, current),
+        None if era > 0 => {
+            let next = edge.window_at(edge.eras.since()).clamp(kept, current);
+            tracing::warn!(event = "usage_head_absent", era, next);
+            next
+        }
         None => current.saturating_sub(1),
     };
     let is_certain = head.map_or(0, |head| head.era) == era;
