Lease: a candidate knows the era of the row that it reads

A caller that reads nothing but the row, as agate-steer does, would never have held the lease in a store that names an era above 0: each attempt counted as one of another era, and wrote the row again. No program has such a store today.

--- a/crates/lease/src/candidate.rs
+++ b/crates/lease/src/candidate.rs
@@ -88,8 +88,9 @@
     /// `now` is taken after the response arrived, so the holder's term started earlier. Once the store has returned from
     /// an older copy, a row that is absent or released may be older than a tenure that goes on.
     pub fn observe(&mut self, found: Option<&Entry>, now: Instant) -> Verdict {
-        let era = revision::era(self.newest);
         let revision = found.map(|entry| entry.revision);
+        self.observe_revision(revision.unwrap_or(0));
+        let era = revision::era(self.newest);
         let since = match self.observed {
             Some(observed) if observed.revision == revision && observed.era == era => {
                 observed.since
--- a/crates/lease/tests/rule.rs
+++ b/crates/lease/tests/rule.rs
@@ -103,6 +103,21 @@
     assert!(!holder.is_active(now + 9 * SECOND));
 }
 
+// Guards against: a caller that reads nothing but the row never holds the lease once the store has returned from an older
+// copy, and writes the row again and again.
+#[test]
+fn candidate_that_reads_only_the_row_acquires_in_its_era() {
+    let now = Instant::now();
+    let revision = |number| revision::join(1, number).expect("small numbers");
+    let mut candidate = candidate();
+    let entry = foreign_entry(revision(5), false);
+    candidate.observe(Some(&entry), now);
+    let later = now + Terms::default().takeover_wait();
+    assert_eq!(candidate.observe(Some(&entry), later), Verdict::Acquire);
+    let attempt = candidate.acquire(Some(&entry), "n1".to_owned(), later);
+    assert!(attempt.committed(revision(6)).is_ok());
+}
+
 #[test]
 fn row_of_another_holder_ends_the_tenure() {
     let mut holder = holder(Instant::now());
