--- a/crates/edge/src/follow/hosts.rs
+++ b/crates/edge/src/follow/hosts.rs
@@ -164,6 +164,7 @@
 
     fn start_era(&mut self, edge: &Edge) {
         edge.lease.forget_row();
+        edge.hosts.borrow_mut().start_era();
     }
 
     fn is_urgent(&self, edge: &Edge) -> bool {
--- a/crates/edge/src/hosts.rs
+++ b/crates/edge/src/hosts.rs
@@ -111,6 +111,8 @@
     clock: u64,
     /// After an outage: the store's clock before it, and until when ages are measured against that.
     frozen: Option<(u64, Instant)>,
+    /// Whether the next clock is the first one after a return of the store from an older copy.
+    may_step_back: bool,
     /// Era in which rows were last read; `None` before the first read.
     era: Option<Era>,
     /// Whether rows were read in an earlier era too.
@@ -233,8 +235,20 @@
         relay::digest(keys.iter().map(String::as_str))
     }
 
+    /// Records that the store has returned from an older copy, whose clock may be behind.
+    pub fn start_era(&mut self) {
+        self.may_step_back = true;
+    }
+
     /// Records that all rows were read up to `clock`, the store's clock in milliseconds.
     pub fn observe(&mut self, now: Instant, clock: u64) {
+        if std::mem::take(&mut self.may_step_back) && clock < self.clock {
+            let step = self.clock - clock;
+            for row in self.rows.values_mut() {
+                row.at = row.at.saturating_sub(step);
+            }
+            self.clock = clock;
+        }
         if self.clock > 0 && clock.saturating_sub(self.clock) > millis(OUTAGE_GAP) {
             self.frozen = Some((self.clock, now + RECOVERY_TIME));
         }
--- a/crates/edge/tests/hosts.rs
+++ b/crates/edge/tests/hosts.rs
@@ -66,6 +66,31 @@
     assert_eq!(names(&hosts, later + Duration::from_secs(3)), ["two"]);
 }
 
+// Guards against: hosts do not count as live after a return of the store, since the clock of the copy is behind, or those
+// that are gone count as live for as long as it is.
+#[rstest]
+#[case::clock_goes_on(12_000)]
+#[case::clock_goes_back(3_000)]
+fn hosts_stay_live_when_the_clock_of_a_returned_store_is_behind(#[case] clock: u64) {
+    let now = Instant::now();
+    let mut hosts = Hosts::default();
+    for name in ["one", "two"] {
+        hosts.insert(row(name, "x", 10_000));
+    }
+    hosts.observe(now, 11_000);
+    hosts.start_era();
+    for name in ["one", "two"] {
+        hosts.insert(row(name, "x", 2_000));
+    }
+    hosts.observe(now, clock);
+    let later = now + Duration::from_millis(2_500);
+    assert_eq!(names(&hosts, later), ["one", "two"]);
+    // A host that writes again counts by that; one that does not is given up.
+    hosts.insert(row("one", "x", clock + 4_000));
+    hosts.observe(later, clock + 4_000);
+    assert_eq!(names(&hosts, later + Duration::from_secs(3)), ["one"]);
+}
+
 #[test]
 fn a_restarted_host_is_live_once() {
     let now = Instant::now();
