--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -431,6 +431,10 @@
             );
             self.after = None;
             self.has_failed = has_failed;
+            // Otherwise all hosts of a zone would read all rows from the store at once.
+            if self.relay.is_some() && !self.edge.is_reader() && !self.edge.readers().is_empty() {
+                return Ok(());
+            }
             return Box::pin(self.read_store(is_probe)).await;
         };
         let received = clock::boot();
