Edge: an era far above the known one is not heeded

One faulty era, named by the store or in a query of another host, stopped a host for good, and all that heard of it. Eras rise by one; a step above 100 is logged and ignored. A wrong era within that still needs a restart of all hosts.

--- a/crates/edge/src/era.rs
+++ b/crates/edge/src/era.rs
@@ -20,6 +20,10 @@
 
 use crate::metrics::{Outcome, count};
 
+/// Largest step between two known eras. A larger one is taken for a fault of whoever named it, which would
+/// otherwise stop all hosts that hear of it.
+const MAX_STEP: Era = 100;
+
 /// Newest known era of the store.
 pub struct Eras {
     newest: watch::Sender<Option<Era>>,
@@ -72,6 +76,10 @@
         if before >= Some(era) {
             return before == Some(era);
         }
+        if let Some(before) = before.filter(|before| era - before > MAX_STEP) {
+            tracing::error!(event = "store_era_implausible", era, before);
+            return false;
+        }
         self.newest.send_replace(Some(era));
         self.gauge.set(i64::try_from(era).unwrap_or(i64::MAX));
         match before {
@@ -99,7 +107,9 @@
             return Ok(());
         }
         let (era, newest) = (revision::era(revision), self.newest());
-        tracing::warn!(event = "store_era_fell", era, newest);
+        if era < newest {
+            tracing::warn!(event = "store_era_fell", era, newest);
+        }
         let message =
             format!("a response of era {era} of the store came after one of era {newest}");
         Err(Error::Unknown(message))
--- a/crates/edge/tests/era.rs
+++ b/crates/edge/tests/era.rs
@@ -56,6 +56,17 @@
     }
 }
 
+// Guards against: one faulty era stops a host for good, and all hosts that hear of it.
+#[actix_rt::test]
+async fn an_era_far_above_the_known_one_is_not_heeded() {
+    let bench = bench();
+    let changes = bench.feed.snapshot("settings").await.expect("a snapshot");
+    let implausible = revision::join(900, 1).expect("small numbers");
+    assert!(!bench.eras.observe(implausible));
+    assert!(bench.eras.observe(changes.revision));
+    bench.feed.snapshot("settings").await.expect("a snapshot");
+}
+
 // Guards against: rows that the store has lost are taken over from a response that was slow, or from a host that has
 // not noticed the return.
 #[actix_rt::test]
