Edge: a version that only a host had which is gone is given up

After a return, hosts that had heard of a newer version refused requests with a key until they had it. It is given up 10 s after a host that is no longer live has named it, with an error in the log.

--- a/crates/edge/src/version.rs
+++ b/crates/edge/src/version.rs
@@ -6,7 +6,7 @@
 //! lacks a version gets it from one that has it.
 
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -27,6 +27,9 @@
 pub const PATH: &str = "/version";
 /// Interval between two attempts to get a version.
 const RETRY_INTERVAL: Duration = Duration::from_millis(200);
+/// Time for which a version is waited for after a host that is no longer live has named it last. Operators write again
+/// what the store has lost within seconds.
+const GONE_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// What a host has in force.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -68,8 +71,9 @@
 /// What this host has heard of the versions of others.
 #[derive(Debug, Default)]
 pub struct Heard {
-    /// Newer versions than the one in force, by the address of a host that has them.
-    newer: RefCell<BTreeMap<SocketAddr, Held>>,
+    /// Newer versions than the one in force, by the address of a host that has them, and when it named them
+    /// last.
+    newer: RefCell<BTreeMap<SocketAddr, (Held, Instant)>>,
     /// Notified after a newer one was added.
     added: Notify,
     /// Last era in which all live hosts have named their versions; 0 before the first.
@@ -82,9 +86,10 @@
     fn lacking(&self, own: Option<Held>) -> Vec<SocketAddr> {
         let Some(own) = own else { return Vec::new() };
         let newer = self.newer.borrow();
-        let mut newer: Vec<_> = newer.iter().filter(|(_, held)| own.lacks(held)).collect();
+        let newer = newer.iter().map(|(address, (held, _))| (*address, *held));
+        let mut newer: Vec<_> = newer.filter(|(_, held)| own.lacks(held)).collect();
         newer.sort_by_key(|(_, held)| std::cmp::Reverse(held.version));
-        newer.into_iter().map(|(address, _)| *address).collect()
+        newer.into_iter().map(|(address, _)| address).collect()
     }
 }
 
@@ -107,9 +112,9 @@
     pub fn hear(&self, address: SocketAddr, held: Held) {
         let own = self.config().map_or(0, |config| config.version);
         let mut newer = self.heard.newer.borrow_mut();
-        newer.retain(|_, held| held.version > own);
+        newer.retain(|_, (held, _)| held.version > own);
         if held.version > own {
-            newer.insert(address, held);
+            newer.insert(address, (held, Instant::now()));
             drop(newer);
             if self.lacks_version() {
                 self.heard.added.notify_one();
@@ -132,7 +137,23 @@
         !newer.is_empty()
             && self
                 .held()
-                .is_some_and(|own| newer.values().any(|held| own.lacks(held)))
+                .is_some_and(|own| newer.values().any(|(held, _)| own.lacks(held)))
+    }
+
+    /// Gives up versions that only hosts had which are gone.
+    fn give_up_versions(&self) {
+        let hosts = self.hosts.borrow();
+        let live = hosts.live(Instant::now()).into_iter();
+        let live: HashSet<SocketAddr> = live.filter_map(|row| row.relay).collect();
+        let mut newer = self.heard.newer.borrow_mut();
+        newer.retain(|address, (held, at)| {
+            let is_kept = live.contains(address) || at.elapsed() < GONE_TIMEOUT;
+            if !is_kept {
+                let version = held.version;
+                tracing::error!(event = "version_given_up", host = %address, version);
+            }
+            is_kept
+        });
     }
 
     /// Returns whether evidence of the store's present era counts: this host knows what the others had in
@@ -171,6 +192,7 @@
 pub async fn run(edge: Rc<Edge>) {
     let link = Client::default();
     loop {
+        edge.give_up_versions();
         let addresses = edge.heard.lacking(edge.held());
         let Some(address) = link.first_available(&addresses) else {
             tokio::select! {
--- a/crates/edge/tests/config_return.rs
+++ b/crates/edge/tests/config_return.rs
@@ -12,6 +12,7 @@
 use agate_edge::handover::{self, Evidence};
 use agate_edge::hosts;
 use agate_edge::settings::Settings;
+use agate_edge::version::Held;
 use agate_model::revision;
 use rstest::rstest;
 use serde_json::json;
@@ -337,3 +338,26 @@
     assert!(reader.asked.get(), "the reader is not asked");
     assert_eq!(version(&host), Some(expected));
 }
+
+// Guards against: hosts refuse all requests with a key for good, since a host that is gone had a version in force which the
+// store has lost.
+#[actix_rt::test]
+async fn a_version_that_only_a_host_had_which_is_gone_is_given_up() {
+    let server = Server::start(vec![vec![Step::Write(OK)]]).await;
+    let host = Harness::start(&[&server]).await;
+    host.store.return_from(host.store.copy());
+    sleep(Duration::from_secs(2)).await;
+    let edge = host.program.edge();
+    let own = edge.held().expect("a version is in force");
+    let gone = "127.0.0.1:9".parse().expect("an address");
+    let held = Held {
+        version: own.version + 1,
+        revision: own.revision,
+    };
+    edge.hear(gone, held);
+    let response = host.call(&request("read", "r1", "")).await;
+    assert_eq!(status(&response), "503", "{response}");
+    sleep(Duration::from_secs(11)).await;
+    let response = host.call(&request("read", "r2", "")).await;
+    assert_eq!(status(&response), "200", "{response}");
+}
