Edge: a host that knows no revision names no era

Found when reading the change. A host that had just started took a query of another one that had just started for era 0 of the store. With a store above era 100 it then took the store's own era for a faulty one, for good. The new test failed on the code before by reading: era 0 was recorded. Revision 0 now says nothing.

--- a/crates/edge/src/era.rs
+++ b/crates/edge/src/era.rs
@@ -69,10 +69,13 @@
     }
 
     /// Records the era of a revision that the store or another host has named. Returns whether it is the
-    /// newest.
+    /// newest. Revision 0 is that of a host that knows none, so it says nothing of the era.
     pub fn observe(&self, revision: Revision) -> bool {
         let era = revision::era(revision);
         let before = *self.newest.borrow();
+        if revision == 0 {
+            return before.is_none_or(|before| before == 0);
+        }
         if before >= Some(era) {
             return before == Some(era);
         }
--- a/crates/edge/tests/era.rs
+++ b/crates/edge/tests/era.rs
@@ -67,6 +67,22 @@
     bench.feed.snapshot("settings").await.expect("a snapshot");
 }
 
+// Guards against: a host that has just started takes the store's era for a faulty one, since another one that has just
+// started asked it for all changes.
+#[actix_rt::test]
+async fn a_host_that_knows_no_revision_names_no_era() {
+    let bench = bench();
+    assert!(bench.eras.observe(0));
+    assert_eq!(bench.eras.known(), None);
+    assert!(
+        bench
+            .eras
+            .observe(revision::join(150, 1).expect("small numbers"))
+    );
+    assert!(!bench.eras.observe(0));
+    assert_eq!(bench.eras.known(), Some(150));
+}
+
 // Guards against: rows that the store has lost are taken over from a response that was slow, or from a host that has
 // not noticed the return.
 #[actix_rt::test]
