Hosts: a row of a new era replaces a relayed one of the era before

It waited for the rows of the new era. It had the other hosts' rows of the era before from its reader, with the time at which they were handed on; then it read the table by itself, and took the new rows for older ones by their time. The reader had published them before the revision that it asked for then, so they never came again. Rows compare by era first. The new test failed before.

--- a/crates/edge/src/hosts.rs
+++ b/crates/edge/src/hosts.rs
@@ -136,13 +136,14 @@
 
 impl Hosts {
     /// Inserts a row, unless a newer one of the same incarnation is known: the reader of a zone may
-    /// write an older copy after the host has written by itself.
+    /// write an older copy after the host has written by itself. The era of the store comes first, since a relayed row
+    /// has the time at which it was handed on.
     pub fn insert(&mut self, row: Row) {
         let key = row.key();
         let is_newer = self
             .rows
             .get(&key)
-            .is_none_or(|current| current.at <= row.at);
+            .is_none_or(|current| (current.era, current.at) <= (row.era, row.at));
         if is_newer {
             self.rows.insert(key, row);
         }
--- a/crates/edge/tests/hosts.rs
+++ b/crates/edge/tests/hosts.rs
@@ -91,6 +91,24 @@
     assert_eq!(names(&hosts, later + Duration::from_secs(3)), ["one"]);
 }
 
+// Guards against: a host waits for good for the rows of a new era, since it had relayed rows of the era before, whose time is
+// that at which they were handed on, and then read the rows by itself (soak seed 90028).
+#[test]
+fn a_row_of_a_new_era_replaces_a_relayed_one_of_the_era_before() {
+    let now = Instant::now();
+    let mut hosts = Hosts::default();
+    hosts.observe(now, 11_000);
+    hosts.replace(Row {
+        era: Some(1),
+        ..row("one", "x", 10_000)
+    });
+    hosts.insert(Row {
+        era: Some(2),
+        ..row("one", "x", 10_800)
+    });
+    assert_eq!(hosts.live(now)[0].era, Some(2));
+}
+
 #[test]
 fn a_restarted_host_is_live_once() {
     let now = Instant::now();
