--- a/crates/edge/src/follow/hosts.rs
+++ b/crates/edge/src/follow/hosts.rs
@@ -20,6 +20,9 @@
 /// Maximum age of host rows that are accepted from another host.
 const MAX_HOST_AGE: Duration = Duration::from_millis(1600);
 
+/// Time after a return of the store within which live hosts have written their rows again, and others have lapsed.
+const MAX_UNSETTLED: Duration = Duration::from_millis(4_500);
+
 /// Follows the rows of hosts until the task is dropped.
 pub async fn hosts(edge: Rc<Edge>) {
     let relay = Some((hosts::RELAY_TABLE, MAX_HOST_AGE));
@@ -88,8 +91,12 @@
 }
 
 impl Sink for HostSink {
-    /// The holder of the lease removes the rows of ended incarnations, which are not handed on.
+    /// The holder of the lease removes the rows of ended incarnations, which are not handed on. A host that lacks rows of
+    /// a new era after all others should have written them reads them by itself.
     fn needs_snapshot(&mut self, edge: &Edge) -> bool {
+        if !edge.is_settled() && edge.eras.since().elapsed() > MAX_UNSETTLED {
+            return true;
+        }
         let Some(permit) = edge.lease.permit() else {
             return false;
         };
