--- a/crates/edge/src/balancer.rs
+++ b/crates/edge/src/balancer.rs
@@ -6,11 +6,13 @@
 //! popular prompt can't overload it. Work is counted in estimated milliseconds of the engine, not
 //! in requests.
 
+mod departed;
+mod health;
 mod learn;
 mod limit;
 mod rank;
 
-use std::collections::{HashMap, HashSet, VecDeque};
+use std::collections::{HashMap, HashSet};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -22,6 +24,8 @@
 use slotmap::{SlotMap, new_key_type};
 use tokio::time::Instant;
 
+use self::departed::{Departed, Record};
+use self::health::Health;
 use crate::cold::Cold;
 use crate::config::ServiceId;
 use crate::load::Load;
@@ -99,18 +103,6 @@
     Abandoned,
 }
 
-/// Failures of one endpoint, and its ejections.
-#[derive(Clone, Debug, Default)]
-struct Health {
-    /// Consecutive failures since the last success or ejection.
-    failures: u32,
-    /// Moving average of the share of requests that failed, between 0 and 1.
-    failure_rate: f64,
-    /// Ejections since the last success after one.
-    ejections: u32,
-    ejected_until: Option<Instant>,
-}
-
 /// An endpoint and this host's requests at it.
 #[derive(Debug)]
 struct Entry {
@@ -138,23 +130,6 @@
     permits: Option<Wallet>,
 }
 
-/// Endpoints off the list whose record is kept; the oldest are forgotten first.
-const MAX_DEPARTED: usize = 1024;
-
-/// What this host has observed of an incarnation that is off the list, which the store may list again.
-#[derive(Debug)]
-struct Departed {
-    incarnation: Rc<Incarnation>,
-    service: ServiceId,
-    health: Health,
-    load: Load,
-}
-
-/// Weight of one request in the moving average of failures.
-const FAILURE_RATE_WEIGHT: f64 = 0.15;
-/// Moving average of failures above which an endpoint is ejected.
-const MAX_FAILURE_RATE: f64 = 0.4;
-
 /// A request counted at an endpoint until `Balancer::finish`.
 #[derive(Debug)]
 pub struct Assignment {
@@ -192,8 +167,8 @@
     notices: Notices<Rc<Incarnation>>,
     /// Limits that endpoints have named, also those that are not listed.
     limits: Book<Rc<Incarnation>>,
-    /// Observations of endpoints off the list, oldest first.
-    departed: VecDeque<Departed>,
+    /// Observations of endpoints off the list.
+    departed: Departed,
     /// Endpoints for which requests want permits that this host does not hold.
     wanted: Vec<Rc<Endpoint>>,
 }
@@ -230,9 +205,9 @@
         let paused_until = self.notices.paused_until(now.into_std(), &incarnation);
         let mut cold = Cold::default();
         cold.observe(now, endpoint.cold);
-        let departed = self.take_departed(&incarnation, &endpoint.service);
-        let (health, load) = departed
-            .map(|departed| (departed.health, departed.load))
+        let record = self.departed.take(&incarnation, &endpoint.service);
+        let (health, load) = record
+            .map(|record| (record.health, record.load))
             .unwrap_or_default();
         let key = self.entries.insert(Entry {
             endpoint: endpoint.clone(),
@@ -296,10 +271,7 @@
         self.by_tag.remove(&share::tag(id));
         if let Some(entry) = self.entries.get_mut(key) {
             entry.is_listed = false;
-            if self.departed.len() >= MAX_DEPARTED {
-                self.departed.pop_front();
-            }
-            self.departed.push_back(Departed {
+            self.departed.insert(Record {
                 incarnation: entry.incarnation.clone(),
                 service: entry.endpoint.service.clone(),
                 health: entry.health.clone(),
@@ -314,14 +286,6 @@
         }
     }
 
-    /// Removes and returns what was observed of an incarnation at a service before it left the list.
-    fn take_departed(&mut self, incarnation: &Incarnation, service: &str) -> Option<Departed> {
-        let index = self.departed.iter().position(|departed| {
-            *departed.incarnation == *incarnation && departed.service == service
-        });
-        self.departed.remove(index?)
-    }
-
     /// Chooses an endpoint and counts the request there. `limit` bounds this host's requests in
     /// flight at one endpoint; None if every endpoint is at the limit, excluded or draining.
     pub fn choose(
@@ -390,7 +354,7 @@
         let admitted = self.ready(criteria.service).filter(|key| {
             let entry = &self.entries[*key];
             let is_paused = entry.paused_until.is_some_and(|until| until > now);
-            let is_ejected = entry.health.ejected_until.is_some_and(|until| until > now);
+            let is_ejected = entry.health.is_ejected(now);
             let is_free = entry.running < limit && !is_paused && !is_ejected;
             let is_free = is_free && entry.may_send(now);
             is_free
@@ -470,10 +434,7 @@
     fn usable(&self, now: Instant, service: &str) -> Vec<Key> {
         let admitted: Vec<Key> = self
             .open(now, service)
-            .filter(|key| {
-                let until = self.entries[*key].health.ejected_until;
-                until.is_none_or(|until| until <= now)
-            })
+            .filter(|key| !self.entries[*key].health.is_ejected(now))
             .collect();
         if admitted.is_empty() {
             self.open(now, service).collect()
@@ -563,33 +524,7 @@
                 return false;
             }
         }
-        match outcome {
-            Outcome::Answered => {
-                entry.health.failures = 0;
-                entry.health.failure_rate *= 1.0 - FAILURE_RATE_WEIGHT;
-                if entry.health.ejected_until.is_some_and(|until| until <= now) {
-                    entry.health.ejected_until = None;
-                    entry.health.ejections = 0;
-                }
-                false
-            }
-            Outcome::Abandoned | Outcome::Excused => false,
-            Outcome::Failed | Outcome::Unreached | Outcome::Full => {
-                entry.health.failures += 1;
-                entry.health.failure_rate +=
-                    (1.0 - entry.health.failure_rate) * FAILURE_RATE_WEIGHT;
-                let is_ejected = entry.health.failures >= tuning.max_failures
-                    || outcome != Outcome::Failed
-                    || entry.health.failure_rate > MAX_FAILURE_RATE;
-                if is_ejected {
-                    let ejection = tuning.base_ejection * 2_u32.pow(entry.health.ejections.min(8));
-                    entry.health.ejected_until = Some(now + ejection.min(tuning.max_ejection));
-                    entry.health.ejections += 1;
-                    entry.health.failures = 0;
-                }
-                is_ejected
-            }
-        }
+        entry.health.record(now, &tuning, outcome)
     }
 
     /// Returns the number of endpoints of a service that are not draining, ejected ones included.
--- a/crates/edge/src/balancer/limit.rs
+++ b/crates/edge/src/balancer/limit.rs
@@ -105,7 +105,7 @@
             let is_cold = self.cold_until(now, &self.entries[key]).is_some();
             let entry = &mut self.entries[key];
             let is_paused = entry.paused_until.is_some_and(|until| until > now);
-            let is_ejected = entry.health.ejected_until.is_some_and(|until| until > now);
+            let is_ejected = entry.health.is_ejected(now);
             let is_closed = is_cold || is_paused || is_ejected;
             if is_closed || criteria.excluded.contains(&entry.endpoint.id) {
                 continue;
