Store: which era a response counts as is decided outside platform/

The platform's client decided that a response without an era, or with a malformed one, counts as of the era before it. That is agate_store::era now; the client only hands on the header. No change of behaviour.

--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -4,6 +4,7 @@
 //! The traits in [`interface`] separate the protocols from the network; [`http`] implements them.
 //! Calls run on the single-threaded runtime of the caller, so their futures are not `Send`.
 
+pub mod era;
 pub mod error;
 pub mod http;
 pub mod interface;
